Add the design, the workspace and the shared types

Cause: there is no code yet; every later part needs shared types and module borders. Change: docs/design.md, the crates with their traits (object store, VM list, weight store, engine, process runtime, quota, idempotency records, jobs), configuration objects, result codes, events and checked state charts. Conclusion: the crates can now be filled in parallel.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Program entry.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/events.rs
@@ -0,0 +1,123 @@
+//! Numbered log events.
+//!
+//! A log line and a time line entry carry the same number. `docs/events.md` is the catalogue, and a test compares the
+//! two. Ranges: 1xxx router, 2xxx controller, 3xxx administration, 4xxx process runtime, 5xxx platform, 6xxx engine.
+
+use std::fmt;
+
+use log::Level;
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)+) => {
+        /// A numbered log event.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub enum Event {
+            $(#[doc = $text] $name,)+
+        }
+
+        impl Event {
+            /// All events in order of declaration.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)+];
+
+            /// Number of the event.
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)+ }
+            }
+
+            /// Level at which the event is logged.
+            pub const fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)+ }
+            }
+
+            /// Meaning of the event.
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)+ }
+            }
+        }
+    };
+}
+
+events! {
+    // 1xxx: router.
+    RequestAdmitted = 1001, Debug, "A request was admitted.";
+    RequestRefused = 1002, Info, "A request was refused.";
+    RequestQueued = 1003, Debug, "A request waits for a replica.";
+    RequestSent = 1004, Debug, "A request was sent to a backend server.";
+    RequestRetried = 1005, Info, "An idempotent request is tried on another backend server.";
+    RequestFinished = 1006, Debug, "The whole answer was passed on.";
+    RequestFailed = 1007, Warn, "A request failed after it was sent.";
+    CallerLeft = 1008, Debug, "The caller closed its connection before the answer was whole.";
+    QuotaShareTaken = 1010, Info, "This router now holds a quota share.";
+    QuotaShareReleased = 1011, Info, "This router handed over a quota share.";
+    QuotaGranted = 1012, Debug, "Tokens were granted to another router.";
+    IdempotencyClaimed = 1020, Debug, "An idempotency record was claimed.";
+    IdempotencyReplayed = 1021, Info, "A stored answer was given to a repeated request.";
+    JobAccepted = 1030, Info, "A job was stored and accepted.";
+    JobStarted = 1031, Info, "A job was started.";
+    JobFinished = 1032, Info, "A job has its result.";
+    JobOutcomeUnknown = 1033, Warn, "A non-idempotent job ended with an unknown outcome.";
+
+    // 2xxx: controller.
+    ReplicaDecided = 2001, Info, "A replica was decided and its memory reserved.";
+    LoadOrdered = 2002, Info, "A load order was sent to an engine.";
+    ReplicaReady = 2003, Info, "A replica is ready.";
+    LoadFailed = 2004, Warn, "A load order failed.";
+    UnloadDecided = 2005, Info, "A replica will be unloaded.";
+    ReplicaReleased = 2006, Info, "A replica's memory was released.";
+    PlanTakenOver = 2007, Info, "This controller now decides for a pool.";
+    PlanConflict = 2008, Warn, "A plan write lost against another writer.";
+    ServerLeaving = 2009, Info, "A backend server is leaving.";
+    ServerEnded = 2010, Info, "A backend server has ended.";
+    DemandReceived = 2011, Debug, "A router reported demand for a model.";
+
+    // 3xxx: administration.
+    ObjectWritten = 3001, Info, "An operator's change was accepted.";
+    ObjectRefused = 3002, Info, "An operator's change was refused.";
+
+    // 4xxx: process runtime.
+    ProcessStarted = 4001, Info, "The process has started.";
+    ProcessReady = 4002, Info, "The process is ready.";
+    ShutdownStarted = 4003, Info, "A graceful shutdown has started.";
+    ProcessStopped = 4004, Info, "The process has stopped.";
+    MemberUp = 4005, Info, "A member is up.";
+    MemberSuspected = 4006, Info, "A member does not answer.";
+    MemberDown = 4007, Warn, "A member is down.";
+    LeaseAcquired = 4008, Info, "This process holds a lease.";
+    LeaseLost = 4009, Warn, "This process no longer holds a lease.";
+    Isolated = 4010, Warn, "This VM has lost contact with the platform and the other VMs.";
+    Reconnected = 4011, Info, "This VM has contact again.";
+    ConfigApplied = 4012, Debug, "A configuration change is in force here.";
+    LogLevelChanged = 4013, Info, "The log level was changed.";
+    PauseDetected = 4014, Warn, "The process was paused.";
+
+    // 5xxx: platform.
+    PlatformUnavailable = 5001, Warn, "The platform's object service does not answer.";
+    PlatformAvailable = 5002, Info, "The platform's object service answers again.";
+    WriteRecovered = 5003, Info, "A write whose answer was lost was read back.";
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{:04}", self.number())
+    }
+}
+
+derive_value! {
+    /// An event as the time line shows it.
+    pub struct EventRecord {
+        /// Wall time in milliseconds since the epoch.
+        pub wall_ms: u64,
+        /// Process that recorded it.
+        pub member: String,
+        /// Order within the process.
+        pub sequence: u64,
+        /// Number of the event.
+        pub event: u16,
+        /// Request, when the event belongs to one.
+        pub request: Option<String>,
+        /// Model or adapter, when the event belongs to one.
+        pub model: Option<String>,
+        /// Further text without secrets.
+        pub detail: String,
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Decision logic and shared types of guavaarch.
+//!
+//! Nothing here does I/O or reads a clock: time arrives as [`units::Millis`] and randomness as a generator, so that
+//! every decision can be tested against a naive version and replayed.
+
+#[macro_use]
+mod macros;
+
+pub mod chart;
+pub mod codes;
+pub mod config;
+pub mod events;
+pub mod ids;
+pub mod placement;
+pub mod snapshot;
+pub mod spread;
+pub mod units;
