--- /dev/null
+++ b/crates/core/src/rendezvous.rs
@@ -0,0 +1,28 @@
+//! Rendezvous hashing: every process ranks the same candidates in the same order without agreement.
+
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Weight of `candidate` for `key`; the candidate with the largest weight ranks first.
+pub fn weight(key: &str, candidate: &str) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), xxh3_64(key.as_bytes()))
+}
+
+/// Candidates in order of rank for `key`; `name` gives the text that is hashed.
+pub fn rank<T, N: AsRef<str>>(key: &str, candidates: impl IntoIterator<Item = T>, name: impl Fn(&T) -> N) -> Vec<T> {
+    let mut ranked: Vec<(u64, N, T)> = candidates
+        .into_iter()
+        .map(|it| {
+            let text = name(&it);
+            (weight(key, text.as_ref()), text, it)
+        })
+        .collect();
+    ranked.sort_by(|a, b| (Reverse(a.0), a.1.as_ref()).cmp(&(Reverse(b.0), b.1.as_ref())));
+    ranked.into_iter().map(|(_, _, it)| it).collect()
+}
+
+/// Position of `me` among the candidates for `key`, or `None` when it is not one of them.
+pub fn position<'a>(key: &str, candidates: impl IntoIterator<Item = &'a str>, me: &str) -> Option<usize> {
+    rank(key, candidates, |it| *it).iter().position(|it| *it == me)
+}
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -50,7 +50,7 @@
             EntryKey::Leaving(server) => {
                 self.leaving.insert(server.clone());
             }
-            EntryKey::Shares(_) | EntryKey::Ended(_) => {}
+            EntryKey::Shares(_) | EntryKey::Ended(_) | EntryKey::Lease(_) => {}
         }
     }
 
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -4,7 +4,7 @@
 //! with the larger version, so entries may arrive late, repeated or crossed and never revert.
 
 use crate::config::Kind;
-use crate::ids::{MemberId, PoolName, ServerName, Term};
+use crate::ids::{LeaseName, MemberId, PoolName, ServerName, Term};
 
 derive_scalar! {
     /// Version of an entry; only ever grows.
@@ -33,6 +33,8 @@
     Leaving(ServerName),
     /// Notice that a member's incarnation has ended.
     Ended(MemberId),
+    /// Holder of a lease: its lease term, and sequence 1 once it has been given back.
+    Lease(LeaseName),
 }
 
 /// A versioned value. An empty value is a tombstone.
