Implement the process runtime

Cause: all programs wait for membership, gossip, leases, peers and the JSON-RPC server. Ruled out: confirming contact from any heartbeat, as heartbeats that waited in the socket while a process was paused would hide its isolation; only answers to own pings count. Tying an incarnation to the instance that the lagging list shows at once, as a process just started on a replaced VM would be taken for ended. Change: runtime with UDP loop, anti-entropy, watchers, VM list, lease keeper, peers client, JSON-RPC server, event ring, log, metrics, settings checks and health answers; tests with an in-memory platform on loopback. Conclusion: usable first version; decision logic tests follow.

--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -3,7 +3,7 @@
 //! A process that has had contact neither with the platform (itself or through other members) nor with a majority of
 //! the listed VMs for [`ISOLATED_AFTER_MS`] cannot know that a key was withdrawn and must refuse keyed requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::ids::VmName;
 use crate::units::Millis;
@@ -21,10 +21,10 @@
 const MIN_ANSWERED: usize = 3;
 
 /// View of the fleet at one moment.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct FleetView {
-    /// Entry VMs that the platform lists as not ended, this one included.
-    pub listed: usize,
+    /// Entry VMs that the platform lists as not ended.
+    pub listed: HashSet<VmName>,
     /// Of these, VMs with a member that is believed alive.
     pub believed_alive: usize,
 }
@@ -54,12 +54,15 @@
         self.confirmed = self.confirmed.max(sent);
     }
 
-    /// Notes a heartbeat of a member on `vm` whose own last confirmation was `age_ms` ago.
-    pub fn heard(&mut self, vm: &VmName, age_ms: u64, now: Millis) {
+    /// Notes the answer of a member on `vm`, whose own last confirmation was `age_ms` ago, to a ping sent at `sent`.
+    ///
+    /// Only answers count: a message that was waiting while this process was paused says nothing about the present.
+    pub fn answered(&mut self, vm: &VmName, age_ms: u64, sent: Millis) {
         if *vm != self.me {
-            self.heard.insert(vm.clone(), now);
+            let heard = self.heard.entry(vm.clone()).or_default();
+            *heard = sent.max(*heard);
         }
-        self.confirmed = self.confirmed.max(now - age_ms);
+        self.confirmed = self.confirmed.max(sent - age_ms);
     }
 
     /// Notes the outcome of a ping to another VM.
@@ -68,7 +71,7 @@
     }
 
     /// Applies the rule of the majority.
-    pub fn observe(&mut self, fleet: FleetView, now: Millis) {
+    pub fn observe(&mut self, fleet: &FleetView, now: Millis) {
         self.heard.retain(|_, at| now.since(*at) < ISOLATED_AFTER_MS);
         self.pings.retain(|(at, _)| now.since(*at) < ISOLATED_AFTER_MS);
         if self.reaches_majority(fleet) {
@@ -76,17 +79,15 @@
         }
     }
 
-    fn reaches_majority(&self, fleet: FleetView) -> bool {
-        // A single VM has nobody to ask and only the platform can confirm it.
-        if fleet.listed < 2 {
-            return false;
-        }
-        if fleet.listed <= COUNTED_VMS {
-            return (self.heard.len() + 1) * 2 > fleet.listed;
+    fn reaches_majority(&self, fleet: &FleetView) -> bool {
+        let listed = fleet.listed.len();
+        if listed <= COUNTED_VMS {
+            let reached = |vm: &&VmName| **vm == self.me || self.heard.contains_key(*vm);
+            return fleet.listed.iter().filter(reached).count() * 2 > listed;
         }
         let answered = self.pings.iter().filter(|(_, answered)| *answered).count();
         let most_answered = answered >= MIN_ANSWERED && answered * 2 > self.pings.len();
-        most_answered && fleet.believed_alive * 2 > fleet.listed
+        most_answered && fleet.believed_alive * 2 > listed
     }
 
     /// Age of the last confirmation.
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -99,6 +99,8 @@
 pub enum LeaseEvent {
     /// The lease is held under this term.
     Acquired(Term),
+    /// The lease of this term was given back.
+    Released(Term),
     /// The lease of this term is no longer held.
     Lost(Term),
 }
@@ -369,7 +371,7 @@
         self.open_since = None;
         if released {
             self.fire("released");
-            self.events.push(LeaseEvent::Lost(term));
+            self.events.push(LeaseEvent::Released(term));
             return;
         }
         self.renewed = sent;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod rendezvous;
 pub mod snapshot;
 pub mod spread;
+pub mod termination;
 pub mod units;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -7,7 +7,7 @@
 //! A suspected member refutes by raising its refutation number and not its incarnation, because quota shares and leases
 //! name their holder by incarnation, which must stay the same for the whole life of a process.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use rand::RngCore;
@@ -33,6 +33,8 @@
 pub const PING_DOWN_MS: u64 = 5_000;
 /// Changes carried by a message.
 pub const CHANGES_PER_MESSAGE: usize = 8;
+/// Members that are told when this process ends.
+pub const LEAVE_RECEIVERS: usize = 16;
 /// Pings per period while the process needs more contacts.
 pub const EAGER_PINGS: usize = 3;
 
@@ -131,6 +133,8 @@
         member: MemberId,
         /// Whether it answered in time.
         answered: bool,
+        /// When the ping was sent; an answer proves contact at this moment and not at its arrival.
+        sent: Millis,
     },
     /// Another process has this process's identifier and a later incarnation.
     Superseded(Incarnation),
@@ -178,6 +182,7 @@
     sequence: u64,
     next_ping: Millis,
     next_ping_down: Millis,
+    digest: Option<u64>,
 }
 
 impl Membership {
@@ -194,6 +199,7 @@
             sequence: 0,
             next_ping: now,
             next_ping_down: now,
+            digest: None,
         }
     }
 
@@ -221,22 +227,32 @@
         others.chain([self.my_belief()]).collect()
     }
 
-    /// Whether a VM has a member that answers.
-    pub fn vm_answers(&self, vm: &VmName) -> bool {
-        let own = self.me.id.vm == *vm;
-        own || self
-            .records
-            .values()
-            .any(|it| it.belief.member.id.vm == *vm && it.belief.standing == Standing::Alive)
+    /// VMs with a member that is believed alive, the one of this process included.
+    pub fn alive_vms(&self) -> HashSet<VmName> {
+        let alive = self.records.values().filter(|it| it.belief.standing == Standing::Alive);
+        alive
+            .map(|it| it.belief.member.id.vm.clone())
+            .chain([self.me.id.vm.clone()])
+            .collect()
     }
 
     /// Digest of the members not believed down; equal digests mean that both sides know the same members.
-    pub fn digest(&self) -> u64 {
+    pub fn digest(&mut self) -> u64 {
+        if let Some(digest) = self.digest {
+            return digest;
+        }
         let others = self.others().map(|it| (&it.id, it.incarnation));
-        others
+        let digest = others
             .chain([(&self.me.id, self.me.incarnation)])
             .map(|(id, incarnation)| xxh3_64_with_seed(id.to_string().as_bytes(), incarnation.0))
-            .fold(0, |digest, it| digest ^ it)
+            .fold(0, |digest, it| digest ^ it);
+        self.digest = Some(digest);
+        digest
+    }
+
+    /// Drops pings without an answer: after a pause of the process their answers may wait unread.
+    pub fn forget_pings(&mut self) {
+        self.pending.clear();
     }
 
     /// Advances the timers. An eager process pings several members per period.
@@ -281,9 +297,11 @@
         out.send.push((addr, message));
     }
 
-    /// Message to peers that this process ends.
-    pub fn leave(&mut self) -> Output {
-        let receivers: Vec<SocketAddr> = self.others().map(|it| it.gossip_addr).collect();
+    /// Message to some peers that this process ends; they tell the others.
+    pub fn leave(&mut self, rng: &mut dyn RngCore) -> Output {
+        let mut receivers: Vec<SocketAddr> = self.others().map(|it| it.gossip_addr).collect();
+        receivers.shuffle(rng);
+        receivers.truncate(LEAVE_RECEIVERS);
         let message = self.message(Body::Leave, None);
         Output {
             send: receivers.into_iter().map(|it| (it, message.clone())).collect(),
@@ -378,6 +396,7 @@
         }
         self.records.insert(id.clone(), Record { belief, since: now });
         self.changes.insert(id, 0);
+        self.digest = None;
     }
 
     fn refute(&mut self, belief: &Belief, out: &mut Output) {
@@ -422,6 +441,7 @@
             out.events.push(MemberEvent::PingEnded {
                 member: pending.target,
                 answered: true,
+                sent: pending.sent,
             });
         }
     }
@@ -451,6 +471,7 @@
             out.events.push(MemberEvent::PingEnded {
                 member: pending.target,
                 answered: false,
+                sent: pending.sent,
             });
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,22 +3,42 @@
 //! Programs hold the runtime as a [`Node`]; its parts are trait objects, so that the logic of a program can be tested
 //! with small fakes.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use guava_core::config::Kind;
-use guava_core::derive_value;
 use guava_core::events::{Event, EventRecord};
-use guava_core::ids::{Incarnation, LeaseName, MemberId, Term, Zone};
+use guava_core::ids::{Incarnation, LeaseName, MemberId, Term};
 use guava_core::spread::{Entry, EntryKey, Version};
 use guava_core::units::Millis;
 use guava_platform::{ObjectStore, VmList};
 use quick_error::quick_error;
 
+mod antientropy;
+mod bootstrap;
+mod clock;
+mod gossip;
+pub mod health;
+mod keeper;
+pub mod logging;
+mod members;
+mod metrics;
+mod peers;
+mod platform;
 pub mod runtime;
+mod server;
 pub mod settings;
+mod shared;
+pub mod signal;
+mod spread;
+pub mod status;
+mod timeline;
+mod vms;
+mod watchers;
+mod wire;
+
+pub use guava_core::membership::MemberInfo;
 
 quick_error! {
     /// Failure of a call to another process of the system.
@@ -39,22 +59,6 @@
     }
 }
 
-derive_value! {
-    /// A process as its peers know it.
-    pub struct MemberInfo {
-        /// Identifier.
-        pub id: MemberId,
-        /// Start time of its current life.
-        pub incarnation: Incarnation,
-        /// Availability zone.
-        pub zone: Zone,
-        /// UDP address for heartbeats and spread.
-        pub gossip_addr: SocketAddr,
-        /// TCP address of its JSON-RPC server.
-        pub rpc_addr: SocketAddr,
-    }
-}
-
 /// Clock of the process.
 pub trait Clock: std::fmt::Debug + Send + Sync {
     /// Monotonic time; it goes on while the process is paused.
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -1,14 +1,39 @@
 //! Start and stop of the process runtime.
 
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
-use guava_core::ids::Role;
+use guava_core::chart;
+use guava_core::events::Event;
+use guava_core::ids::{Incarnation, MemberId, Role, Zone};
 use guava_platform::{ObjectStore, VmList};
 use jsonrpsee::RpcModule;
+use jsonrpsee::server::ServerHandle;
+use parking_lot::Mutex;
 use quick_error::quick_error;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
 
-use crate::Node;
+use crate::clock::SystemClock;
+use crate::gossip::{self, Sender};
+use crate::health::Health;
+use crate::keeper::LeaseKeeper;
+use crate::members::MemberTable;
+use crate::metrics::Metrics;
+use crate::peers::PeerClients;
+use crate::platform::TrackedPlatform;
+use crate::server::Methods;
 use crate::settings::CommonArgs;
+use crate::shared::Shared;
+use crate::spread::SpreadMap;
+use crate::timeline::EventLog;
+use crate::watchers::KINDS;
+use crate::{Clock, MemberInfo, Node, Timeline, antientropy, bootstrap, logging, server, vms, watchers};
+
+/// Differences from other members that wait to be repaired.
+const MISMATCH_QUEUE: usize = 16;
 
 quick_error! {
     /// Failure to start the runtime.
@@ -23,62 +48,227 @@
         Settings(faults: Vec<String>) {
             display("settings: {}", faults.join("; "))
         }
+        /// A state chart has a fault.
+        Chart(error: chart::ChartError) {
+            from()
+            display("state chart: {error}")
+        }
+        /// A JSON-RPC method has a name of the runtime's own, or the server has been started before.
+        Rpc(reason: String) {
+            display("JSON-RPC server: {reason}")
+        }
     }
 }
 
 /// A running process runtime.
+///
+/// Dropping it without [`Runtime::stop`] ends its tasks at once, as a crash would.
 #[derive(Debug)]
 pub struct Runtime {
     /// Parts that the program uses.
     pub node: Node,
+    shared: Arc<Shared>,
+    keeper: Arc<LeaseKeeper>,
+    metrics: Metrics,
+    tasks: JoinSet<()>,
+    listener: Mutex<Option<TcpListener>>,
+    server: Mutex<Option<ServerHandle>>,
 }
 
 impl Runtime {
-    /// Opens the gossip socket and starts membership, gossip, leases and platform watches.
+    /// Opens the sockets and starts membership, gossip, leases and platform watches.
     ///
     /// # Errors
     ///
     /// Fails when settings have faults or a socket cannot be opened.
     pub async fn start(
-        _cfg: &CommonArgs,
-        _role: Role,
-        _store: Arc<dyn ObjectStore>,
-        _vms: Arc<dyn VmList>,
+        cfg: &CommonArgs,
+        role: Role,
+        store: Arc<dyn ObjectStore>,
+        vms: Arc<dyn VmList>,
     ) -> Result<Self, NodeError> {
-        todo!()
+        let faults = cfg.check();
+        if !faults.is_empty() {
+            return Err(NodeError::Settings(faults));
+        }
+        chart::check_all()?;
+        if let Ok(format) = cfg.log_format.parse() {
+            logging::init(cfg.log_level, format);
+        }
+        let socket = Arc::new(UdpSocket::bind(cfg.gossip_addr).await?);
+        let listener = TcpListener::bind(cfg.rpc_addr)?;
+        listener.set_nonblocking(true)?;
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let seeds = other_seeds(cfg, socket.local_addr()?);
+        let id = MemberId::new(&cfg.vm, role);
+        let latest = gossip::ask_incarnation(&socket, &id, &seeds).await;
+        let me = MemberInfo {
+            id,
+            incarnation: Incarnation(clock.wall_ms().max(latest.0 + 1)),
+            zone: Zone::new(&cfg.zone),
+            gossip_addr: socket.local_addr()?,
+            rpc_addr: listener.local_addr()?,
+        };
+        let shared = assemble(me, clock, Arc::clone(&socket), store, vms);
+        let keeper = Arc::new(LeaseKeeper::new(&shared));
+        let metrics = Metrics::new();
+        metrics.observe(&shared, &keeper);
+        let tasks = spawn_tasks(&shared, &socket, &seeds);
+        let detail = format!("{} incarnation {}", shared.me().id, shared.me().incarnation.0);
+        shared.timeline.record(Event::ProcessStarted, None, None, &detail);
+        Ok(Self {
+            node: node_of(&shared, &keeper),
+            shared,
+            keeper,
+            metrics,
+            tasks,
+            listener: Mutex::new(Some(listener)),
+            server: Mutex::new(None),
+        })
     }
 
     /// Serves the program's JSON-RPC methods and the runtime's own.
     ///
     /// # Errors
     ///
-    /// Fails when the socket cannot be opened.
-    pub async fn serve_rpc(&self, _module: RpcModule<()>) -> Result<(), NodeError> {
-        todo!()
+    /// Fails when a method has a name of the runtime's own or the server has been started before.
+    #[expect(clippy::unused_async, reason = "the signature is shared with programs that await it")]
+    pub async fn serve_rpc(&self, mut module: RpcModule<()>) -> Result<(), NodeError> {
+        let methods = Methods {
+            shared: Arc::clone(&self.shared),
+            keeper: Arc::clone(&self.keeper),
+        };
+        let own = server::module(methods).map_err(|error| NodeError::Rpc(error.to_string()))?;
+        module.merge(own).map_err(|error| NodeError::Rpc(error.to_string()))?;
+        let listener = self.listener.lock().take();
+        let listener = listener.ok_or_else(|| NodeError::Rpc("already started".to_owned()))?;
+        let handle = server::start(listener, module)?;
+        *self.server.lock() = Some(handle);
+        Ok(())
     }
 
     /// Whether the configuration has arrived and the VM is neither isolated nor shutting down.
     pub fn ready(&self) -> bool {
-        todo!()
+        self.shared.is_ready()
+    }
+
+    /// Handle that answers health checks.
+    pub fn health(&self) -> Health {
+        Health {
+            shared: Arc::clone(&self.shared),
+            metrics: self.metrics.clone(),
+        }
     }
 
     /// Meter for the program's metrics.
     pub fn meter(&self) -> opentelemetry::metrics::Meter {
-        todo!()
+        self.metrics.meter()
     }
 
     /// Metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> String {
-        todo!()
+        self.metrics.text()
     }
 
     /// Starts a graceful shutdown: `ready` turns false and `node.shutdown` turns true.
     pub fn begin_shutdown(&self) {
-        todo!()
+        self.shared.begin_shutdown("");
+    }
+
+    /// Hands over leases, tells peers that the process ends and stops the background tasks.
+    pub async fn stop(mut self) {
+        self.shared.begin_shutdown("");
+        self.keeper.release_all().await;
+        push_rest(&self.shared).await;
+        let out = self.shared.members.leave();
+        self.shared.dispatch(out).await;
+        self.tasks.shutdown().await;
+        let server = self.server.lock().take();
+        if let Some(server) = server {
+            // Fails when the server has stopped already.
+            let _ = server.stop();
+            server.stopped().await;
+        }
+        self.shared.timeline.record(Event::ProcessStopped, None, None, "");
+    }
+}
+
+impl Drop for Runtime {
+    fn drop(&mut self) {
+        self.keeper.abandon_all();
+        if let Some(server) = self.server.lock().take() {
+            // Fails when the server has stopped already.
+            let _ = server.stop();
+        }
     }
+}
+
+/// Pushes the notices that leases were given back before the tasks end.
+async fn push_rest(shared: &Arc<Shared>) {
+    shared.spread.queued.notify_one();
+    tokio::time::sleep(gossip::PUSH_DELAY * 4).await;
+}
+
+fn other_seeds(cfg: &CommonArgs, own: SocketAddr) -> Vec<SocketAddr> {
+    cfg.seeds.iter().copied().filter(|it| *it != own).collect()
+}
+
+fn assemble(
+    me: MemberInfo,
+    clock: Arc<dyn Clock>,
+    socket: Arc<UdpSocket>,
+    store: Arc<dyn ObjectStore>,
+    vms: Arc<dyn VmList>,
+) -> Arc<Shared> {
+    let timeline: Arc<dyn Timeline> = Arc::new(EventLog::new(&me.id, Arc::clone(&clock)));
+    let members = Arc::new(MemberTable::new(me, Arc::clone(&clock)));
+    let platform = Arc::new(TrackedPlatform::new(
+        store,
+        vms,
+        Arc::clone(&members),
+        Arc::clone(&clock),
+        Arc::clone(&timeline),
+    ));
+    let spread = SpreadMap::new(Arc::clone(&members), Arc::clone(&clock), Arc::clone(&timeline));
+    Arc::new(Shared {
+        clock,
+        members,
+        spread: Arc::new(spread),
+        peers: Arc::new(PeerClients::default()),
+        timeline,
+        store: Arc::<TrackedPlatform>::clone(&platform),
+        vms: platform,
+        sender: Sender::new(socket),
+        shutdown: watch::channel(false).0,
+        configured: AtomicBool::new(false),
+    })
+}
+
+fn node_of(shared: &Arc<Shared>, keeper: &Arc<LeaseKeeper>) -> Node {
+    Node {
+        clock: Arc::clone(&shared.clock),
+        members: Arc::<MemberTable>::clone(&shared.members),
+        spread: Arc::<SpreadMap>::clone(&shared.spread),
+        peers: Arc::clone(&shared.peers),
+        leases: Arc::<LeaseKeeper>::clone(keeper),
+        timeline: Arc::clone(&shared.timeline),
+        store: Arc::clone(&shared.store),
+        vms: Arc::clone(&shared.vms),
+        shutdown: shared.shutdown.subscribe(),
+    }
+}
 
-    /// Hands over leases, says goodbye to peers and stops the background tasks.
-    pub async fn stop(self) {
-        todo!()
+fn spawn_tasks(shared: &Arc<Shared>, socket: &Arc<UdpSocket>, seeds: &[SocketAddr]) -> JoinSet<()> {
+    let (tx, rx) = mpsc::channel(MISMATCH_QUEUE);
+    let mut tasks = JoinSet::new();
+    tasks.spawn(gossip::receive_loop(Arc::clone(shared), Arc::clone(socket), tx));
+    tasks.spawn(gossip::push_loop(Arc::clone(shared)));
+    tasks.spawn(gossip::tick_loop(Arc::clone(shared), seeds.to_vec()));
+    tasks.spawn(antientropy::repair_loop(Arc::clone(shared), rx));
+    tasks.spawn(bootstrap::fill(Arc::clone(shared), !seeds.is_empty()));
+    tasks.spawn(vms::poll_loop(Arc::clone(shared)));
+    for kind in KINDS {
+        tasks.spawn(watchers::watch_loop(Arc::clone(shared), kind));
     }
+    tasks
 }
--- /dev/null
+++ b/crates/node/src/server.rs
@@ -0,0 +1,134 @@
+//! JSON-RPC methods that every process serves.
+
+use std::sync::Arc;
+
+use guava_core::config::Kind;
+use guava_core::events::Event;
+use guava_core::membership::Belief;
+use jsonrpsee::RpcModule;
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::types::error::INVALID_PARAMS_CODE;
+use jsonrpsee::types::{ErrorObjectOwned, Params};
+use log::LevelFilter;
+use serde::Deserialize;
+
+use crate::antientropy::{self, PULL_METHOD, PullParams};
+use crate::keeper::LeaseKeeper;
+use crate::peers::MAX_MESSAGE_BYTES;
+use crate::shared::Shared;
+use crate::status::{LeaseStatus, MemberStatus, Status};
+use crate::{Members, Spread, logging};
+
+/// Most connections at once; a member of the largest fleet is called by a part of the others at a time.
+const MAX_CONNECTIONS: u32 = 4_096;
+
+/// Context of the runtime's own methods.
+#[derive(Debug)]
+pub(crate) struct Methods {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) keeper: Arc<LeaseKeeper>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EventFilter {
+    #[serde(default)]
+    request: Option<String>,
+    #[serde(default)]
+    model: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct LevelParams {
+    level: String,
+}
+
+/// Starts the server on an open listener.
+pub(crate) fn start(listener: std::net::TcpListener, module: RpcModule<()>) -> std::io::Result<ServerHandle> {
+    let cfg = ServerConfig::builder()
+        .http_only()
+        .max_connections(MAX_CONNECTIONS)
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .build();
+    let server = Server::builder().set_config(cfg).build_from_tcp(listener)?;
+    Ok(server.start(module))
+}
+
+/// The runtime's own methods.
+pub(crate) fn module(methods: Methods) -> Result<RpcModule<Methods>, jsonrpsee::core::RegisterMethodError> {
+    let mut module = RpcModule::new(methods);
+    module.register_method(PULL_METHOD, |params, cx, _| pull(&params, cx))?;
+    module.register_method("timeline.events", |params, cx, _| events(&params, cx))?;
+    module.register_method("status", |_, cx, _| status(cx))?;
+    module.register_method("log.level", |params, cx, _| set_log_level(&params, cx))?;
+    Ok(module)
+}
+
+fn pull(params: &Params<'_>, cx: &Methods) -> Result<antientropy::PullReply, ErrorObjectOwned> {
+    let params: PullParams = params.parse()?;
+    Ok(antientropy::answer(&cx.shared, &params))
+}
+
+fn events(params: &Params<'_>, cx: &Methods) -> Result<serde_json::Value, ErrorObjectOwned> {
+    let filter: Option<EventFilter> = params.parse()?;
+    let (request, model) = filter.map_or((None, None), |it| (it.request, it.model));
+    let events = cx.shared.timeline.events(request.as_deref(), model.as_deref());
+    serde_json::to_value(events).map_err(|error| invalid(&error))
+}
+
+fn set_log_level(params: &Params<'_>, cx: &Methods) -> Result<serde_json::Value, ErrorObjectOwned> {
+    let params: LevelParams = params.parse()?;
+    let level: LevelFilter = params.level.parse().map_err(|error| {
+        invalid(&format!(
+            "level: accepted is off, error, warn, info, debug or trace ({error})"
+        ))
+    })?;
+    let previous = logging::set_level(level);
+    let detail = format!("level {level}");
+    cx.shared.timeline.record(Event::LogLevelChanged, None, None, &detail);
+    Ok(serde_json::json!({
+        "level": level.to_string().to_lowercase(),
+        "previous": previous.map(|it| it.to_string().to_lowercase()),
+    }))
+}
+
+fn invalid(error: &dyn std::fmt::Display) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(INVALID_PARAMS_CODE, error.to_string(), None::<()>)
+}
+
+/// Status of this process.
+pub(crate) fn status(cx: &Methods) -> serde_json::Value {
+    let shared = &cx.shared;
+    let me = shared.me();
+    let newest = Kind::CONFIG
+        .into_iter()
+        .map(|kind| (kind.plural().to_owned(), shared.spread.newest(kind)))
+        .collect();
+    let leases = cx.keeper.all_held();
+    let status = Status {
+        member: me.id.clone(),
+        incarnation: me.incarnation,
+        zone: me.zone.clone(),
+        ready: shared.is_ready(),
+        isolated: shared.members.isolated(),
+        confirmation_age_ms: shared.members.age(),
+        newest,
+        entries: shared.spread.len(),
+        digest: shared.spread.digest(),
+        members: shared.members.beliefs().into_iter().map(member_status).collect(),
+        leases: leases
+            .into_iter()
+            .map(|(name, term)| LeaseStatus { name, term })
+            .collect(),
+    };
+    serde_json::to_value(status).unwrap_or_default()
+}
+
+fn member_status(belief: Belief) -> MemberStatus {
+    MemberStatus {
+        id: belief.member.id,
+        incarnation: belief.member.incarnation,
+        zone: belief.member.zone,
+        standing: belief.standing,
+    }
+}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,83 @@
+//! What the background tasks of a process share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use guava_core::events::Event;
+use guava_core::membership::{MemberEvent, MemberInfo, Output};
+use guava_platform::{ObjectStore, VmList};
+use tokio::sync::watch;
+
+use crate::gossip::Sender;
+use crate::members::MemberTable;
+use crate::spread::SpreadMap;
+use crate::{Clock, Members, Peers, Timeline};
+
+/// Parts of the runtime as its own tasks use them.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) members: Arc<MemberTable>,
+    pub(crate) spread: Arc<SpreadMap>,
+    pub(crate) peers: Arc<dyn Peers>,
+    pub(crate) timeline: Arc<dyn Timeline>,
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) vms: Arc<dyn VmList>,
+    pub(crate) sender: Sender,
+    pub(crate) shutdown: watch::Sender<bool>,
+    pub(crate) configured: AtomicBool,
+}
+
+impl Shared {
+    pub(crate) fn me(&self) -> &MemberInfo {
+        self.members.me()
+    }
+
+    pub(crate) fn is_shutting_down(&self) -> bool {
+        *self.shutdown.borrow()
+    }
+
+    pub(crate) fn is_configured(&self) -> bool {
+        self.configured.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.is_configured() && !self.is_shutting_down() && !self.members.isolated()
+    }
+
+    pub(crate) fn begin_shutdown(&self, reason: &str) {
+        let started = self.shutdown.send_if_modified(|it| !std::mem::replace(it, true));
+        if started {
+            self.timeline.record(Event::ShutdownStarted, None, None, reason);
+        }
+    }
+
+    /// Records the events of a membership step and sends its messages.
+    pub(crate) async fn dispatch(&self, out: Output) {
+        for event in &out.events {
+            self.record(event);
+        }
+        let digest = self.spread.digest();
+        let members_digest = self.members.digest();
+        let age_ms = self.members.age();
+        for (addr, message) in out.send {
+            self.sender
+                .heartbeat(addr, message, digest, members_digest, age_ms)
+                .await;
+        }
+    }
+
+    fn record(&self, event: &MemberEvent) {
+        let (event, detail) = match event {
+            MemberEvent::Up(member) => (Event::MemberUp, describe(member)),
+            MemberEvent::Suspected(member) => (Event::MemberSuspected, describe(member)),
+            MemberEvent::Down(member) => (Event::MemberDown, describe(member)),
+            MemberEvent::PingEnded { .. } | MemberEvent::Superseded(_) => return,
+        };
+        self.timeline.record(event, None, None, &detail);
+    }
+}
+
+fn describe(member: &MemberInfo) -> String {
+    format!("{} incarnation {}", member.id, member.incarnation.0)
+}
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,214 @@
+//! Fakes and fixtures of the runtime's tests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use guava_core::config::Kind;
+use guava_core::ids::{OperationId, Role};
+use guava_node::runtime::Runtime;
+use guava_node::settings::CommonArgs;
+use guava_platform::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
+use jsonrpsee::RpcModule;
+use parking_lot::Mutex;
+use serde_json::Value;
+use tokio::sync::Notify;
+
+/// Limit of every wait; generous, because tests run on busy machines.
+const WAIT: Duration = Duration::from_secs(60);
+
+/// Objects and VMs in memory.
+#[derive(Debug, Default)]
+pub struct FakePlatform {
+    objects: Mutex<BTreeMap<(Kind, String), StoredObject>>,
+    log: Mutex<Vec<(u64, Change)>>,
+    changed: Notify,
+    vms: Mutex<Vec<VmInfo>>,
+    down: AtomicBool,
+    lose_answers: AtomicBool,
+}
+
+impl FakePlatform {
+    /// Refuses all calls from now on, or answers them again.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+    }
+
+    /// Loses the answer of the next write that takes effect.
+    pub fn lose_next_answer(&self) {
+        self.lose_answers.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the answer that was to be lost has been lost.
+    pub fn answer_was_lost(&self) -> bool {
+        !self.lose_answers.load(Ordering::SeqCst)
+    }
+
+    fn check(&self) -> Result<(), PlatformError> {
+        if self.down.load(Ordering::SeqCst) {
+            return Err(PlatformError::Unavailable("outage".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn commit(&self, version: u64, change: Change) {
+        self.log.lock().push((version, change));
+        self.changed.notify_waiters();
+    }
+
+    fn version(&self) -> u64 {
+        self.log.lock().last().map_or(0, |it| it.0)
+    }
+}
+
+#[async_trait]
+impl ObjectStore for FakePlatform {
+    async fn get(&self, kind: Kind, name: &str) -> Result<Option<StoredObject>, PlatformError> {
+        self.check()?;
+        Ok(self.objects.lock().get(&(kind, name.to_owned())).cloned())
+    }
+
+    async fn list(&self, kind: Kind) -> Result<ObjectList, PlatformError> {
+        self.check()?;
+        let objects = self.objects.lock();
+        let items = objects.values().filter(|it| it.kind == kind).cloned().collect();
+        Ok(ObjectList {
+            version: self.version(),
+            items,
+        })
+    }
+
+    async fn put(
+        &self,
+        kind: Kind,
+        name: &str,
+        spec: &Value,
+        expect: Expect,
+        operation: &OperationId,
+    ) -> Result<u64, PlatformError> {
+        self.check()?;
+        let mut objects = self.objects.lock();
+        let key = (kind, name.to_owned());
+        let current = objects.get(&key).map(|it| it.version);
+        let expected = match expect {
+            Expect::Absent => None,
+            Expect::Version(version) => Some(version),
+        };
+        if current != expected {
+            return Err(PlatformError::Conflict(current));
+        }
+        let object = StoredObject {
+            kind,
+            name: name.to_owned(),
+            version: self.version() + 1,
+            operation: operation.clone(),
+            spec: spec.clone(),
+        };
+        objects.insert(key, object.clone());
+        let version = object.version;
+        self.commit(version, Change::Put(object));
+        if self.lose_answers.swap(false, Ordering::SeqCst) {
+            return Err(PlatformError::OutcomeUnknown("answer lost".to_owned()));
+        }
+        Ok(version)
+    }
+
+    async fn delete(&self, kind: Kind, name: &str, version: u64) -> Result<u64, PlatformError> {
+        self.check()?;
+        let mut objects = self.objects.lock();
+        let key = (kind, name.to_owned());
+        let current = objects.get(&key).map(|it| it.version);
+        if current != Some(version) {
+            return Err(PlatformError::Conflict(current));
+        }
+        objects.remove(&key);
+        let version = self.version() + 1;
+        let name = name.to_owned();
+        self.commit(version, Change::Deleted { kind, name, version });
+        Ok(version)
+    }
+
+    async fn watch(&self, kind: Kind, since: u64, timeout: Duration) -> Result<Vec<Change>, PlatformError> {
+        let newer = || -> Vec<Change> {
+            let log = self.log.lock();
+            let newer = log.iter().filter(|(version, _)| *version > since);
+            let of_kind = newer.filter(|(_, change)| match change {
+                Change::Put(object) => object.kind == kind,
+                Change::Deleted { kind: it, .. } => *it == kind,
+            });
+            of_kind.map(|(_, change)| change.clone()).collect()
+        };
+        let wait = async {
+            loop {
+                let notified = self.changed.notified();
+                let found = newer();
+                if !found.is_empty() {
+                    return found;
+                }
+                notified.await;
+            }
+        };
+        self.check()?;
+        let found = tokio::time::timeout(timeout, wait).await;
+        self.check()?;
+        Ok(found.unwrap_or_default())
+    }
+}
+
+#[async_trait]
+impl VmList for FakePlatform {
+    async fn vms(&self) -> Result<Vec<VmInfo>, PlatformError> {
+        self.check()?;
+        Ok(self.vms.lock().clone())
+    }
+}
+
+/// Settings of a process on loopback with ports chosen by the operating system.
+pub fn settings(vm: &str, seeds: Vec<SocketAddr>) -> CommonArgs {
+    let any = "127.0.0.1:0".parse().unwrap();
+    CommonArgs {
+        vm: vm.to_owned(),
+        zone: "z1".to_owned(),
+        gossip_addr: any,
+        rpc_addr: any,
+        platform_addr: "127.0.0.1:1".parse().unwrap(),
+        seeds,
+        log_level: log::LevelFilter::Warn,
+        log_format: "text".to_owned(),
+        balancer_notice_ms: 0,
+        check: false,
+    }
+}
+
+/// Starts a controller process with its JSON-RPC server.
+pub async fn start(cfg: &CommonArgs, platform: &Arc<FakePlatform>) -> Runtime {
+    let store: Arc<dyn ObjectStore> = Arc::<FakePlatform>::clone(platform);
+    let vms: Arc<dyn VmList> = Arc::<FakePlatform>::clone(platform);
+    let runtime = Runtime::start(cfg, Role::Controller, store, vms).await.unwrap();
+    runtime.serve_rpc(RpcModule::new(())).await.unwrap();
+    runtime
+}
+
+/// Starts several processes that know the first one as their seed.
+pub async fn start_many(count: usize, platform: &Arc<FakePlatform>) -> Vec<Runtime> {
+    let mut runtimes: Vec<Runtime> = Vec::new();
+    for index in 0..count {
+        let seeds = runtimes.first().map(|it| it.node.members.me().gossip_addr);
+        let cfg = settings(&format!("vm{index}"), seeds.into_iter().collect());
+        runtimes.push(start(&cfg, platform).await);
+    }
+    runtimes
+}
+
+/// Waits until `condition` holds.
+pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    assert!(tokio::time::timeout(WAIT, wait).await.is_ok(), "not reached: {what}");
+}
--- /dev/null
+++ b/crates/node/tests/fleet.rs
@@ -0,0 +1,195 @@
+//! Several runtimes on loopback.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{FakePlatform, eventually, settings, start, start_many};
+use guava_core::config::Kind;
+use guava_core::ids::{Incarnation, LeaseName, MemberId, OperationId, Role, Term};
+use guava_core::spread::{Entry, EntryKey, Version};
+use guava_node::runtime::{NodeError, Runtime};
+use guava_node::status::Status;
+use guava_platform::{Expect, ObjectStore};
+use serde_json::json;
+
+fn entry(name: &str, sequence: u64, value: &[u8]) -> Entry {
+    Entry {
+        key: EntryKey::Config(Kind::Model, name.to_owned()),
+        version: Version {
+            term: Term(0),
+            sequence,
+        },
+        value: value.to_vec(),
+    }
+}
+
+async fn all_ready(runtimes: &[Runtime]) {
+    for runtime in runtimes {
+        let count = runtimes.len();
+        eventually("members see each other", || runtime.node.members.live().len() == count).await;
+        eventually("process is ready", || runtime.ready()).await;
+    }
+}
+
+/// Guards against changes that stay at the process that made them, also when they do not fit into a datagram.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_reaches_all_members() {
+    let platform = Arc::new(FakePlatform::default());
+    let runtimes = start_many(3, &platform).await;
+    all_ready(&runtimes).await;
+    let small = entry("small", 1, b"{}");
+    let large = entry("large", 2, &[b'x'; 10_000]);
+
+    runtimes[1].node.spread.put(small.clone());
+    runtimes[1].node.spread.put(large.clone());
+
+    for runtime in &runtimes {
+        for wanted in [&small, &large] {
+            let spread = &runtime.node.spread;
+            eventually("entry arrives", || spread.get(&wanted.key).as_deref() == Some(wanted)).await;
+        }
+    }
+}
+
+/// Guards against configuration that is missed by the watchers, lost with an outage or reverted by a late message.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn platform_objects_arrive_and_never_revert() {
+    let platform = Arc::new(FakePlatform::default());
+    let operation = OperationId::new("op");
+    let put = async |expect, slots: u64| {
+        let spec = json!({ "slots": slots });
+        platform.put(Kind::Model, "m", &spec, expect, &operation).await.unwrap()
+    };
+    let first = put(Expect::Absent, 1).await;
+    let runtimes = start_many(3, &platform).await;
+    all_ready(&runtimes).await;
+
+    let second = put(Expect::Version(first), 2).await;
+
+    let key = EntryKey::Config(Kind::Model, "m".to_owned());
+    for runtime in &runtimes {
+        let spread = &runtime.node.spread;
+        eventually("change arrives", || spread.newest(Kind::Model).sequence == second).await;
+        assert!(!spread.put(entry("m", first, b"{\"slots\":1}")));
+        assert_eq!(spread.get(&key).unwrap().value, b"{\"slots\":2}");
+    }
+
+    let deleted = platform.delete(Kind::Model, "m", second).await.unwrap();
+    for runtime in &runtimes {
+        let spread = &runtime.node.spread;
+        eventually("deletion arrives", || spread.entries().is_empty()).await;
+        assert!(spread.get(&key).unwrap().version.sequence >= deleted);
+    }
+}
+
+/// Guards against a start that needs the platform although a peer has the configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn process_becomes_ready_from_a_peer_during_an_outage() {
+    let platform = Arc::new(FakePlatform::default());
+    let first = start(&settings("vm0", Vec::new()), &platform).await;
+    eventually("first is ready", || first.ready()).await;
+    first.node.spread.put(entry("m", 7, b"{}"));
+    platform.set_down(true);
+    let lonely = start(&settings("vm9", Vec::new()), &platform).await;
+
+    let seed = first.node.members.me().gossip_addr;
+    let second = start(&settings("vm1", vec![seed]), &platform).await;
+
+    let spread = &second.node.spread;
+    eventually("configuration comes from the peer", || {
+        spread.newest(Kind::Model).sequence == 7
+    })
+    .await;
+    assert!(!lonely.ready(), "ready without platform and peers");
+}
+
+/// Guards against work without a decider after a holder stops, and against a term that does not grow.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lease_moves_when_its_holder_stops_or_crashes() {
+    let platform = Arc::new(FakePlatform::default());
+    let mut runtimes = start_many(3, &platform).await;
+    all_ready(&runtimes).await;
+    let name = LeaseName::new("pool-a");
+    let holder = |runtimes: &[Runtime]| {
+        let held = runtimes.iter().map(|it| it.node.leases.held(&name));
+        let holders: Vec<(usize, Term)> = held.enumerate().filter_map(|(i, it)| it.map(|it| (i, it))).collect();
+        assert!(holders.len() <= 1, "two holders: {holders:?}");
+        holders.first().copied()
+    };
+    platform.lose_next_answer();
+    runtimes.iter().for_each(|it| it.node.leases.compete(&name));
+    eventually("a first holder", || holder(&runtimes).is_some()).await;
+    assert!(platform.answer_was_lost());
+    let (index, first_term) = holder(&runtimes).unwrap();
+
+    runtimes.remove(index).stop().await;
+    eventually("a second holder", || holder(&runtimes).is_some()).await;
+    let (index, second_term) = holder(&runtimes).unwrap();
+    drop(runtimes.remove(index));
+    eventually("a third holder", || holder(&runtimes).is_some()).await;
+
+    let (_, third_term) = holder(&runtimes).unwrap();
+    assert_eq!(first_term, Term(1));
+    assert_eq!(second_term, Term(2));
+    assert_eq!(third_term, Term(3));
+    let last = &runtimes[0].node;
+    assert_eq!(last.leases.holder(&name).as_ref(), Some(&last.members.me().id));
+}
+
+/// Guards against two processes on one address, and against a later life with a smaller incarnation.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn addresses_are_exclusive_and_incarnations_grow() {
+    let platform = Arc::new(FakePlatform::default());
+    let first = start(&settings("vm0", Vec::new()), &platform).await;
+    let me = first.node.members.me().clone();
+    let id = MemberId::new("vm1", Role::Controller);
+    let ahead = Incarnation(u64::MAX / 2);
+
+    for (gossip, rpc) in [(Some(me.gossip_addr), None), (None, Some(me.rpc_addr))] {
+        let mut cfg = settings("vm1", Vec::new());
+        cfg.gossip_addr = gossip.unwrap_or(cfg.gossip_addr);
+        cfg.rpc_addr = rpc.unwrap_or(cfg.rpc_addr);
+        let platform = Arc::<FakePlatform>::clone(&platform);
+        let second = Runtime::start(&cfg, Role::Controller, platform.clone(), platform).await;
+        assert!(matches!(second, Err(NodeError::Socket(_))), "{second:?}");
+    }
+
+    first.node.spread.put(Entry {
+        key: EntryKey::Ended(id.clone()),
+        version: Version {
+            term: Term(0),
+            sequence: ahead.0,
+        },
+        value: b"1".to_vec(),
+    });
+    let next = start(&settings("vm1", vec![me.gossip_addr]), &platform).await;
+    assert!(next.node.members.me().incarnation > ahead);
+    assert!(first.node.members.has_ended(&id, ahead));
+}
+
+/// Guards against a status, an event ring or metrics that do not answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_methods_answer() {
+    let platform = Arc::new(FakePlatform::default());
+    let runtimes = start_many(2, &platform).await;
+    all_ready(&runtimes).await;
+    let other = runtimes[1].node.members.me();
+    let call = async |method: &str, params| {
+        let limit = std::time::Duration::from_secs(30);
+        runtimes[0].node.peers.call(other, method, params, limit).await
+    };
+
+    let status: Status = serde_json::from_value(call("status", json!({})).await.unwrap()).unwrap();
+    let events = call("timeline.events", json!({})).await.unwrap();
+    let level = call("log.level", json!({ "level": "loud" })).await;
+
+    assert_eq!(status.member, other.id);
+    assert_eq!(status.members.len(), 2);
+    assert!(status.ready);
+    assert!(events.to_string().contains("4001"));
+    assert!(level.unwrap_err().to_string().contains("info"));
+    assert!(runtimes[0].metrics_text().contains("guava_members_live"));
+    runtimes[0].begin_shutdown();
+    assert_eq!(runtimes[0].health().answer("/readyz").unwrap().status, 503);
+}
