Bound heartbeats, socket errors and the end of the server

Cause: eight changes of members with long names exceeded the receive buffer; a lasting socket error would have caused a busy loop; idle connections of peers could hold up a shutdown. Change: changes per heartbeat are bounded in bytes, larger receive buffer, pauses and time limits; the log pattern shows request and model; test of isolation with and without a majority. Conclusion: core and node tests pass.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -33,6 +33,8 @@
 pub const PING_DOWN_MS: u64 = 5_000;
 /// Changes carried by a message.
 pub const CHANGES_PER_MESSAGE: usize = 8;
+/// Encoded size after which a message takes no further change; keeps it within 1,200 bytes.
+const CHANGES_BYTES: usize = 700;
 /// Members that are told when this process ends.
 pub const LEAVE_RECEIVERS: usize = 16;
 /// Pings per period while the process needs more contacts.
@@ -568,9 +570,13 @@
         let accused = accused.filter(|it| it.belief.standing != Standing::Alive);
         let mut changes: Vec<Belief> = accused.map(|it| it.belief.clone()).into_iter().collect();
         let limit = self.transmissions();
+        let mut bytes: usize = changes.iter().map(encoded_len).sum();
         let mut waiting: Vec<(u32, MemberId)> = self.changes.iter().map(|(id, sent)| (*sent, id.clone())).collect();
         waiting.sort();
         for (sent, id) in waiting.into_iter().take(CHANGES_PER_MESSAGE - changes.len()) {
+            if bytes >= CHANGES_BYTES {
+                break;
+            }
             if sent + 1 >= limit {
                 self.changes.remove(&id);
             } else {
@@ -578,6 +584,7 @@
             }
             let belief = self.belief(&id).cloned();
             let belief = belief.or_else(|| (id == self.me.id).then(|| self.my_belief()));
+            bytes += belief.as_ref().map_or(0, encoded_len);
             changes.extend(belief);
         }
         Message {
@@ -610,3 +617,7 @@
 fn order_of(belief: &Belief) -> (Incarnation, u32, Standing) {
     (belief.member.incarnation, belief.refutation, belief.standing)
 }
+
+fn encoded_len(belief: &Belief) -> usize {
+    postcard::to_allocvec(belief).map_or(0, |it| it.len())
+}
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -31,7 +31,7 @@
     Placement(PoolName, String),
     /// Notice that a backend server is leaving.
     Leaving(ServerName),
-    /// Notice that a member's incarnation has ended.
+    /// Notice that an incarnation of a member, and all earlier ones, have ended: term zero, the incarnation as sequence.
     Ended(MemberId),
     /// Holder of a lease: its lease term, and sequence 1 once it has been given back.
     Lease(LeaseName),
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -38,8 +38,10 @@
 const LONELY_SEED_MS: u64 = 1_000;
 /// Time for which changes are collected into one push.
 pub(crate) const PUSH_DELAY: Duration = Duration::from_millis(5);
-/// Largest datagram that is read.
-const DATAGRAM_BYTES: usize = 2_048;
+/// Largest datagram that is read; members with long names send more than the usual 1,200 bytes.
+const DATAGRAM_BYTES: usize = 8_192;
+/// Pause after an error of the socket, so that a lasting one does not cause a busy loop.
+const ERROR_PAUSE: Duration = Duration::from_millis(10);
 /// Time between questions of a starting process.
 const HELLO_INTERVAL: Duration = Duration::from_millis(100);
 /// Times a starting process asks.
@@ -114,9 +116,10 @@
 }
 
 async fn collect_answers(socket: &UdpSocket, wanted: usize, answers: &mut usize, latest: &mut Incarnation) {
-    let mut buf = [0; DATAGRAM_BYTES];
+    let mut buf = vec![0; DATAGRAM_BYTES];
     while *answers < wanted {
         let Ok((len, _)) = socket.recv_from(&mut buf).await else {
+            tokio::time::sleep(ERROR_PAUSE).await;
             continue;
         };
         if let Some(Packet::Welcome { latest: heard }) = wire::decode(&buf[..len]) {
@@ -128,10 +131,11 @@
 
 /// Receives datagrams until the task is stopped.
 pub(crate) async fn receive_loop(shared: Arc<Shared>, socket: Arc<UdpSocket>, mismatches: mpsc::Sender<Mismatch>) {
-    let mut buf = [0; DATAGRAM_BYTES];
+    let mut buf = vec![0; DATAGRAM_BYTES];
     loop {
         // On Linux an unreachable receiver of an earlier datagram can surface here as an error.
         let Ok((len, addr)) = socket.recv_from(&mut buf).await else {
+            tokio::time::sleep(ERROR_PAUSE).await;
             continue;
         };
         match wire::decode(&buf[..len]) {
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -32,7 +32,7 @@
     "guava_standin",
 ];
 
-const TEXT_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {K(event)(-)} {K(member)(-)} {m}{n}";
+const TEXT_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {K(event)(-)} {K(member)(-)} request={K(request)(-)} model={K(model)(-)} {m}{n}";
 
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::time::Duration;
 
 use guava_core::chart;
 use guava_core::events::Event;
@@ -35,6 +36,9 @@
 /// Differences from other members that wait to be repaired.
 const MISMATCH_QUEUE: usize = 16;
 
+/// Time for calls that are still served when the process stops.
+const SERVER_STOP_LIMIT: Duration = Duration::from_secs(2);
+
 quick_error! {
     /// Failure to start the runtime.
     #[derive(Debug)]
@@ -187,7 +191,8 @@
         if let Some(server) = server {
             // Fails when the server has stopped already.
             let _ = server.stop();
-            server.stopped().await;
+            // Peers may keep idle connections open; waiting for them would delay the end.
+            let _ = tokio::time::timeout(SERVER_STOP_LIMIT, server.stopped()).await;
         }
         self.shared.timeline.record(Event::ProcessStopped, None, None, "");
     }
--- a/crates/node/src/timeline.rs
+++ b/crates/node/src/timeline.rs
@@ -46,8 +46,8 @@
             event.level(),
             event:% = event,
             member = self.member.as_str(),
-            request = request.unwrap_or_default(),
-            model = model.unwrap_or_default();
+            request = request.unwrap_or("-"),
+            model = model.unwrap_or("-");
             "{} {detail}",
             event.text()
         );
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -10,10 +10,10 @@
 
 use async_trait::async_trait;
 use guava_core::config::Kind;
-use guava_core::ids::{OperationId, Role};
+use guava_core::ids::{OperationId, Role, VmName, Zone};
 use guava_node::runtime::Runtime;
 use guava_node::settings::CommonArgs;
-use guava_platform::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
+use guava_platform::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList, VmState};
 use jsonrpsee::RpcModule;
 use parking_lot::Mutex;
 use serde_json::Value;
@@ -49,6 +49,18 @@
         !self.lose_answers.load(Ordering::SeqCst)
     }
 
+    /// Lists VMs as live.
+    pub fn list_vms(&self, names: &[&str]) {
+        let vms = names.iter().map(|name| VmInfo {
+            name: VmName::new(name),
+            instance: format!("{name}-1"),
+            zone: Zone::new("z1"),
+            addr: "127.0.0.1:9".parse().unwrap(),
+            state: VmState::Live,
+        });
+        *self.vms.lock() = vms.collect();
+    }
+
     fn check(&self) -> Result<(), PlatformError> {
         if self.down.load(Ordering::SeqCst) {
             return Err(PlatformError::Unavailable("outage".to_owned()));
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -139,6 +139,27 @@
     assert_eq!(last.leases.holder(&name).as_ref(), Some(&last.members.me().id));
 }
 
+/// Guards against service without any contact, and against refusals while only the platform is down.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn process_without_platform_and_majority_is_isolated() {
+    let platform = Arc::new(FakePlatform::default());
+    platform.list_vms(&["vm0", "vm1", "vm2"]);
+    let mut runtimes = start_many(3, &platform).await;
+    all_ready(&runtimes).await;
+    platform.set_down(true);
+    tokio::time::sleep(std::time::Duration::from_secs(8)).await;
+    // Without the rule of the majority no process would become ready again during the outage.
+    eventually("service with a majority", || runtimes.iter().all(Runtime::ready)).await;
+
+    runtimes.truncate(1);
+    let last = &runtimes[0];
+    eventually("isolation", || last.node.members.isolated()).await;
+    assert!(!last.ready());
+    platform.set_down(false);
+
+    eventually("contact again", || last.ready()).await;
+}
+
 /// Guards against two processes on one address, and against a later life with a smaller incarnation.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn addresses_are_exclusive_and_incarnations_grow() {
