Repair differences from latest changes before whole buckets

Change: spread.pull has a scope; recent changes first, whole buckets at start and after 4 s without any match.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -22,6 +22,9 @@
 /// Largest sum of encoded entries in one push; leaves room for the datagram's header within 1,200 bytes.
 pub const PUSH_BYTES: usize = 1_100;
 
+/// Latest changes that are offered before whole buckets are.
+pub const RECENT: usize = 256;
+
 /// Digests of all buckets.
 pub type Digests = [u64; BUCKETS];
 
@@ -52,6 +55,7 @@
     newest: HashMap<Kind, Version>,
     queue: VecDeque<EntryKey>,
     queued: HashSet<EntryKey>,
+    recent: VecDeque<EntryKey>,
 }
 
 impl Default for GossipMap {
@@ -62,6 +66,7 @@
             newest: HashMap::new(),
             queue: VecDeque::new(),
             queued: HashSet::new(),
+            recent: VecDeque::new(),
         }
     }
 }
@@ -116,6 +121,10 @@
         if self.queued.insert(entry.key.clone()) {
             self.queue.push_back(entry.key.clone());
         }
+        if self.recent.len() == RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(entry.key.clone());
         let entry = Arc::new(entry);
         self.entries.insert(entry.key.clone(), Arc::clone(&entry));
         Some(entry)
@@ -160,6 +169,18 @@
         (found, false)
     }
 
+    /// Entries of the given buckets that are among the latest [`RECENT`] changes.
+    ///
+    /// A difference is nearly always a change that a push did not reach; a whole bucket would cost a hundred times its
+    /// size.
+    pub fn recent_of(&self, buckets: &[usize]) -> Vec<Arc<Entry>> {
+        let keys: HashSet<&EntryKey> = self.recent.iter().collect();
+        keys.into_iter()
+            .filter(|it| buckets.contains(&bucket_of(it)))
+            .filter_map(|it| self.entries.get(it).cloned())
+            .collect()
+    }
+
     /// Whether changes wait to be pushed.
     pub fn has_queued(&self) -> bool {
         !self.queue.is_empty()
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -152,6 +152,24 @@
     assert!(!map.has_queued());
 }
 
+/// Guards against pulls of whole buckets for one missed change, and against a changed entry that is not offered.
+#[test]
+fn recent_changes_are_offered_alone() {
+    let mut ours = merge_all(&(0..=255).map(|it| entry(it, 1, 1)).collect::<Vec<_>>());
+    let mut theirs = merge_all(&(0..=255).map(|it| entry(it, 1, 1)).collect::<Vec<_>>());
+    for name in 0..=255 {
+        ours.merge(entry(name, 1, 2));
+        theirs.merge(entry(name, 1, 2));
+    }
+    theirs.merge(entry(7, 1, 4));
+
+    let offered = theirs.recent_of(&theirs.differing(ours.digests()));
+
+    assert!(offered.iter().any(|it| **it == entry(7, 1, 4)));
+    assert!(offered.len() < 20, "{} entries for one change", offered.len());
+    assert!(theirs.recent_of(&[]).is_empty());
+}
+
 /// Guards against a push to fewer members than there are, or to one member twice.
 #[test]
 fn receivers_are_distinct() {
--- a/crates/node/src/antientropy.rs
+++ b/crates/node/src/antientropy.rs
@@ -1,4 +1,7 @@
 //! Repair of differences between members over JSON-RPC.
+//!
+//! A difference is first repaired from the latest changes of the other member. Whole buckets are pulled only at start
+//! and when no other member has had the same entries for some time, because they are large in a large fleet.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,8 +20,10 @@
 /// JSON-RPC method that answers with the entries of differing buckets.
 pub(crate) const PULL_METHOD: &str = "spread.pull";
 
-/// Time limit of one pull.
+/// Time limit of a pull of whole buckets.
 const PULL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time limit of a pull of latest changes; a paused peer must not hold up repairs from others.
+const RECENT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Sum of the sizes of entries after which an answer is cut at the next bucket.
 const PULL_BYTES: usize = 1_000_000;
 /// Most answers of one repair.
@@ -27,8 +32,14 @@
 const SETTLE_MS: u64 = 300;
 /// Time after which a difference is repaired even while changes arrive all the time.
 const MAX_DEFER_MS: u64 = 3_000;
+/// Time without any member that has the same entries after which whole buckets are pulled.
+const UNMATCHED_MS: u64 = 4_000;
 /// Time between repairs of the list of members; changes of membership normally travel with heartbeats.
 const MEMBERS_GAP_MS: u64 = 10_000;
+/// The same for a process that started less than [`YOUNG_MS`] ago and has still to learn the members.
+const YOUNG_MEMBERS_GAP_MS: u64 = 2_000;
+/// Time for which a process counts as just started.
+const YOUNG_MS: u64 = 30_000;
 
 /// Differences from another member.
 #[derive(Debug)]
@@ -43,11 +54,23 @@
     pub(crate) urgent: bool,
 }
 
+/// Extent of a pull.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Scope {
+    /// Latest changes in differing buckets.
+    Recent,
+    /// All entries of differing buckets.
+    All,
+}
+
 /// Parameters of `spread.pull`.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct PullParams {
     /// Digests of the caller's buckets.
     pub(crate) digests: Vec<u64>,
+    /// Extent.
+    pub(crate) scope: Scope,
     /// Whether the caller wants the known members.
     pub(crate) members: bool,
 }
@@ -68,7 +91,10 @@
 /// Answers `spread.pull`.
 pub(crate) fn answer(shared: &Shared, params: &PullParams) -> PullReply {
     let theirs = Digests::try_from(params.digests.as_slice()).unwrap_or([0; BUCKETS]);
-    let (entries, more) = shared.spread.differing(&theirs, PULL_BYTES);
+    let (entries, more) = match params.scope {
+        Scope::Recent => (shared.spread.recent(&theirs), false),
+        Scope::All => shared.spread.differing(&theirs, PULL_BYTES),
+    };
     let beliefs = if params.members {
         shared.members.beliefs()
     } else {
@@ -83,15 +109,20 @@
 }
 
 /// Pulls what differs from `member`; tells whether that member has its configuration.
-pub(crate) async fn pull(shared: &Shared, member: &MemberInfo, members: bool) -> Result<bool, PeerError> {
+pub(crate) async fn pull(shared: &Shared, member: &MemberInfo, scope: Scope, members: bool) -> Result<bool, PeerError> {
     let mut wants_members = members;
+    let timeout = match scope {
+        Scope::Recent => RECENT_TIMEOUT,
+        Scope::All => PULL_TIMEOUT,
+    };
     for _ in 0..MAX_PAGES {
         let params = PullParams {
             digests: shared.spread.digests().to_vec(),
+            scope,
             members: wants_members,
         };
         let params = serde_json::to_value(params).map_err(malformed)?;
-        let answer = shared.peers.call(member, PULL_METHOD, params, PULL_TIMEOUT).await?;
+        let answer = shared.peers.call(member, PULL_METHOD, params, timeout).await?;
         let reply: PullReply = serde_json::from_value(answer).map_err(malformed)?;
         let entries: Vec<Entry> = from_hex(&reply.entries)?;
         for entry in entries {
@@ -108,29 +139,68 @@
     Ok(false)
 }
 
+/// Moments of earlier repairs.
+#[derive(Debug)]
+struct Repairs {
+    started: Millis,
+    recent: Millis,
+    all: Millis,
+    members: Millis,
+}
+
+impl Repairs {
+    /// Extent of the repair that is due now.
+    fn scope(&mut self, shared: &Shared, mismatch: &Mismatch, now: Millis) -> Option<Scope> {
+        if !mismatch.entries {
+            return None;
+        }
+        let unmatched = now.since(shared.spread.matched()) >= UNMATCHED_MS;
+        if unmatched && now.since(self.all) >= UNMATCHED_MS {
+            self.all = now;
+            return Some(Scope::All);
+        }
+        let settled = now.since(shared.spread.changed()) >= SETTLE_MS;
+        let deferred_long = now.since(self.recent) >= MAX_DEFER_MS;
+        if !(mismatch.urgent || settled || deferred_long) {
+            return None;
+        }
+        self.recent = now;
+        Some(Scope::Recent)
+    }
+
+    /// Whether the list of members is to be repaired now.
+    fn members(&mut self, mismatch: &Mismatch, now: Millis) -> bool {
+        let is_young = now.since(self.started) < YOUNG_MS;
+        let gap = if is_young { YOUNG_MEMBERS_GAP_MS } else { MEMBERS_GAP_MS };
+        let due = mismatch.members && now.since(self.members) >= gap;
+        if due {
+            self.members = now;
+        }
+        due
+    }
+}
+
 /// Repairs differences that heartbeats show.
 pub(crate) async fn repair_loop(shared: Arc<Shared>, mut mismatches: mpsc::Receiver<Mismatch>) {
-    let mut last_pull = Millis(0);
-    let mut last_members = shared.clock.now();
+    let started = shared.clock.now();
+    let mut repairs = Repairs {
+        started,
+        recent: started,
+        all: started,
+        members: started,
+    };
     while let Some(mismatch) = mismatches.recv().await {
         let now = shared.clock.now();
-        let settled = now.since(shared.spread.changed()) >= SETTLE_MS;
-        let deferred_long = now.since(last_pull) >= MAX_DEFER_MS;
-        let entries = mismatch.entries && (mismatch.urgent || settled || deferred_long);
-        let members = mismatch.members && now.since(last_members) >= MEMBERS_GAP_MS;
-        if !entries && !members {
+        let scope = repairs.scope(&shared, &mismatch, now);
+        let members = repairs.members(&mismatch, now);
+        if scope.is_none() && !members {
             continue;
         }
         let Some(peer) = shared.members.find(&mismatch.member) else {
             continue;
         };
-        if entries {
-            last_pull = now;
-        }
-        if members {
-            last_members = now;
-        }
-        if let Err(error) = pull(&shared, &peer, members).await {
+        let scope = scope.unwrap_or(Scope::Recent);
+        if let Err(error) = pull(&shared, &peer, scope, members).await {
             log::debug!("pull from {} failed: {error}", peer.id);
         }
     }
--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
-use crate::antientropy;
+use crate::antientropy::{self, Scope};
 use crate::shared::Shared;
 use crate::watchers;
 
@@ -79,7 +79,7 @@
     let Some(peer) = peers.choose(&mut rand::rng()).cloned() else {
         return Peer::None;
     };
-    match antientropy::pull(shared, &peer, true).await {
+    match antientropy::pull(shared, &peer, Scope::All, true).await {
         Ok(true) => Peer::Configured,
         Ok(false) => Peer::Unconfigured,
         Err(_) => Peer::Failed,
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -163,6 +163,9 @@
         members: heartbeat.members_digest != shared.members.digest(),
         urgent: false,
     };
+    if !mismatch.entries {
+        shared.spread.note_match();
+    }
     if mismatch.entries || mismatch.members {
         // When the queue is full a pull is under way, and the next heartbeat will show what remains.
         let _ = mismatches.try_send(mismatch);
--- a/crates/node/src/spread.rs
+++ b/crates/node/src/spread.rs
@@ -26,6 +26,7 @@
     /// Wakes the task that pushes changes.
     pub(crate) queued: Notify,
     changed: AtomicU64,
+    matched: AtomicU64,
     /// Set once the process is configured; the first fill would otherwise push everything else out of the event ring.
     pub(crate) log_changes: AtomicBool,
     members: Arc<MemberTable>,
@@ -40,6 +41,7 @@
             changes: broadcast::channel(CHANGE_BUFFER).0,
             queued: Notify::new(),
             changed: AtomicU64::new(0),
+            matched: AtomicU64::new(clock.now().0),
             log_changes: AtomicBool::new(false),
             members,
             clock,
@@ -68,6 +70,22 @@
         self.map.lock().is_news(key, version)
     }
 
+    /// Latest changes in the buckets in which `theirs` differs.
+    pub(crate) fn recent(&self, theirs: &Digests) -> Vec<Arc<Entry>> {
+        let map = self.map.lock();
+        map.recent_of(&map.differing(theirs))
+    }
+
+    /// Notes that another member has the same entries.
+    pub(crate) fn note_match(&self) {
+        self.matched.store(self.clock.now().0, Ordering::Release);
+    }
+
+    /// Time at which another member last had the same entries.
+    pub(crate) fn matched(&self) -> Millis {
+        Millis(self.matched.load(Ordering::Acquire))
+    }
+
     /// Entries of the buckets in which `theirs` differs, and whether more must be asked for.
     pub(crate) fn differing(&self, theirs: &Digests, limit: usize) -> (Vec<Arc<Entry>>, bool) {
         let map = self.map.lock();
