Add the decision logic of quota

A share that is taken over at level zero does not account for grants of its previous holder that are still in wallets, and parts relayed by a holder are written off when the relay ends although the last receiver can still spend them.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod ids;
 pub mod placement;
+pub mod quota;
 pub mod snapshot;
 pub mod spread;
 pub mod units;
