--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -45,6 +45,10 @@
 /// Demand of this period fits into a wallet.
 pub const WALLET_MS: u64 = 200;
 
+/// Time for which a reservation that finds too few tokens is tried again. Tokens can be on their way between routers
+/// for some milliseconds although the organisation is within its limits.
+pub const GATHER_MS: u64 = 250;
+
 /// A wallet is at most this part of a share.
 pub const WALLET_DIVISOR: u64 = 4;
 
--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -13,6 +13,9 @@
 /// those that still have tokens.
 pub const MAX_HOLDER_ROUNDS: usize = 3;
 
+/// A request is small enough for the wallet when it needs at most this part of it.
+const SMALL_REQUEST_DIVISOR: u64 = 4;
+
 derive_value! {
     /// Request for tokens. A repeat after a lost answer has the same id.
     pub struct TakeRequest {
@@ -74,6 +77,12 @@
     first_sent: Millis,
 }
 
+#[derive(Debug, Clone, Copy, Default)]
+struct Demand {
+    units: u64,
+    largest: u64,
+}
+
 #[derive(Debug, Clone, Default)]
 struct Slot {
     share: Option<Share>,
@@ -94,8 +103,8 @@
     answers: HashMap<RouterLife, TakeAnswer>,
     left: BTreeMap<RouterLife, u64>,
     window: Millis,
-    demand: u64,
-    last_demand: u64,
+    demand: Demand,
+    last_demand: Demand,
     refunded: u64,
 }
 
@@ -112,8 +121,8 @@
             answers: HashMap::new(),
             left: BTreeMap::new(),
             window: Millis::default(),
-            demand: 0,
-            last_demand: 0,
+            demand: Demand::default(),
+            last_demand: Demand::default(),
             refunded: 0,
         }
     }
@@ -241,18 +250,31 @@
     fn note_demand(&mut self, now: Millis, units: u64) {
         let passed = now.since(self.window);
         if passed >= WALLET_MS {
-            self.last_demand = if passed < 2 * WALLET_MS { self.demand } else { 0 };
-            self.demand = 0;
+            self.last_demand = if passed < 2 * WALLET_MS {
+                self.demand
+            } else {
+                Demand::default()
+            };
+            self.demand = Demand::default();
             self.window = now;
         }
-        self.demand += units;
+        self.demand.units += units;
+        self.demand.largest = self.demand.largest.max(units);
     }
 
-    /// Units that the wallet should hold.
+    /// Units that the wallet should hold: recent demand, unless its requests are too large for a wallet to serve.
     pub fn wallet_target(&self, now: Millis) -> u64 {
-        let recent = now.since(self.window) < 2 * WALLET_MS;
-        let demand = if recent { self.demand.max(self.last_demand) } else { 0 };
-        demand.min(self.limits.share_cap() / WALLET_DIVISOR)
+        if now.since(self.window) >= 2 * WALLET_MS {
+            return 0;
+        }
+        let demand = self.demand.units.max(self.last_demand.units);
+        let largest = self.demand.largest.max(self.last_demand.largest);
+        let target = demand.min(self.limits.share_cap() / WALLET_DIVISOR);
+        if largest <= target / SMALL_REQUEST_DIVISOR {
+            target
+        } else {
+            0
+        }
     }
 
     /// Gives back wallet tokens beyond the target; the next report says so.
@@ -261,6 +283,11 @@
         self.wallet.shrink(now, target);
     }
 
+    /// Gives back all wallet tokens, so that routers that gather tokens for large requests do not block each other.
+    pub fn empty_wallet(&mut self, now: Millis) {
+        self.wallet.shrink(now, 0);
+    }
+
     /// Request to a holder: the open one again if its answer has not come, otherwise a new one.
     pub fn take_request(&mut self, now: Millis, holder: &RouterLife, need: u64) -> TakeRequest {
         let holds_share = self.slots.iter().any(|it| it.share.is_some());
--- a/crates/core/tests/quota_model/mod.rs
+++ b/crates/core/tests/quota_model/mod.rs
@@ -4,8 +4,8 @@
 
 use guava_core::ids::{Incarnation, MemberId, OrganisationName, RequestId, Role};
 use guava_core::quota::{
-    Admission, Handover, INHERITED_MS, Ledger, Limits, MAX_HOLDER_ROUNDS, RouterLife, SHARES, ShareMap, TakeAnswer,
-    TakeRequest, UNITS_PER_TOKEN,
+    Admission, GATHER_MS, Handover, INHERITED_MS, Ledger, Limits, MAX_HOLDER_ROUNDS, RouterLife, SHARES, ShareMap,
+    TakeAnswer, TakeRequest, UNITS_PER_TOKEN,
 };
 use guava_core::units::Millis;
 use proptest::prelude::*;
@@ -14,8 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 pub const ROUTERS: usize = 5;
-const WAIT_MS: u64 = 400;
-const REPEAT_MS: u64 = 60;
+const REPEAT_MS: u64 = 20;
 
 /// Faults that a history contains.
 #[derive(Debug, Clone, Copy, Default)]
@@ -220,6 +219,7 @@
     round: usize,
     asked: BTreeMap<RouterLife, u64>,
     frozen: bool,
+    retry_at: u64,
 }
 
 /// Routers, network and platform.
@@ -300,7 +300,7 @@
                 );
             }
         }
-        self.advance(WAIT_MS + 1);
+        self.advance(GATHER_MS + 1);
         self.figures.overshoot = u64::try_from(self.checker.worst.max(0))
             .unwrap()
             .div_ceil(UNITS_PER_TOKEN);
@@ -337,7 +337,7 @@
         self.figures.arrived += 1;
         self.requests += 1;
         let request = RequestId::new(format!("r{}", self.requests));
-        let deadline = self.now + WAIT_MS;
+        let deadline = self.now + GATHER_MS;
         if !self.try_admit(at, &request, tokens) {
             self.routers[at].waiting.push_back(Waiting {
                 request,
@@ -381,7 +381,7 @@
     fn ask(&mut self, at: usize) {
         let now = self.local(at);
         let router = &mut self.routers[at];
-        if !router.asked.is_empty() || router.waiting.is_empty() {
+        if !router.asked.is_empty() || router.waiting.is_empty() || router.retry_at > self.now {
             return;
         }
         let wanted: u64 = router.waiting.iter().map(|it| it.tokens * UNITS_PER_TOKEN).sum();
@@ -394,7 +394,7 @@
             router.round += 1;
         }
         if router.asked.is_empty() {
-            self.refuse_all(at);
+            self.back_off(at);
         } else {
             self.send_takes(at);
         }
@@ -411,10 +411,11 @@
     }
 
     fn serve_waiting(&mut self, at: usize) {
+        let now = self.local(at);
         let waiting = std::mem::take(&mut self.routers[at].waiting);
         for it in waiting {
             if it.deadline <= self.now {
-                self.refuse(at, it.tokens);
+                self.refuse(it.tokens);
             } else if !self.try_admit(at, &it.request, it.tokens) {
                 self.routers[at].waiting.push_back(it);
             }
@@ -422,21 +423,20 @@
         if self.routers[at].waiting.is_empty() {
             self.routers[at].round = 0;
             self.routers[at].asked.clear();
+            self.routers[at].ledger.shrink_wallet(now);
         }
     }
 
-    fn refuse_all(&mut self, at: usize) {
-        self.routers[at].round = 0;
-        let waiting = std::mem::take(&mut self.routers[at].waiting);
-        for it in waiting {
-            self.refuse(at, it.tokens);
-        }
+    fn back_off(&mut self, at: usize) {
         let now = self.local(at);
-        self.routers[at].ledger.shrink_wallet(now);
+        let router = &mut self.routers[at];
+        router.round = 0;
+        router.retry_at = self.now + self.rng.random_range(5..40);
+        router.ledger.empty_wallet(now);
         self.report(at);
     }
 
-    fn refuse(&mut self, _at: usize, tokens: u64) {
+    fn refuse(&mut self, tokens: u64) {
         self.figures.refused += 1;
         if self.checker.would_admit(self.now, tokens) {
             self.figures.wrongly_refused += 1;
@@ -689,6 +689,7 @@
             round: 0,
             asked: BTreeMap::new(),
             frozen: false,
+            retry_at: 0,
         }
     }
 
