--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -77,6 +77,12 @@
     first_sent: Millis,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Level {
+    units: u64,
+    at: Millis,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Demand {
     units: u64,
@@ -101,7 +107,7 @@
     pending: BTreeMap<RouterLife, Pending>,
     last_take: u64,
     answers: HashMap<RouterLife, TakeAnswer>,
-    left: BTreeMap<RouterLife, u64>,
+    left: BTreeMap<RouterLife, Level>,
     window: Millis,
     demand: Demand,
     last_demand: Demand,
@@ -200,7 +206,7 @@
 
     /// Units that this router knows of, here and at other holders as of their last answer.
     pub fn known(&mut self, now: Millis) -> u64 {
-        self.available(now) + self.left.values().sum::<u64>()
+        self.available(now) + self.left.values().map(|it| it.units).sum::<u64>()
     }
 
     /// Number of reservations that are not settled.
@@ -330,7 +336,11 @@
         for (key, units) in &answer.grants {
             self.wallet.add(holder, *key, *units, expires);
         }
-        self.left.insert(holder.clone(), answer.left);
+        let level = Level {
+            units: answer.left,
+            at: now,
+        };
+        self.left.insert(holder.clone(), level);
         if expires > now {
             answer.grants.iter().map(|(_, units)| units).sum()
         } else {
@@ -353,7 +363,15 @@
         self.left.retain(|it, _| holders.contains(it));
     }
 
-    /// Requests of one round for units that are missing here, in the caller's order of preference.
+    /// Orders holders by the level they are expected to have, because a full share gains nothing.
+    pub fn rank_holders(&self, now: Millis, holders: &mut [RouterLife]) {
+        let cap = self.limits.share_cap();
+        let gain = |it: &Level| self.limits.share_rate().saturating_mul(now.since(it.at));
+        let expected = |it: &Level| it.units.saturating_add(gain(it)).min(cap);
+        holders.sort_by_key(|it| std::cmp::Reverse(self.left.get(it).map_or(cap, expected)));
+    }
+
+    /// Requests of one round for units that are missing here, in the order of [`Ledger::rank_holders`].
     ///
     /// Round 0 asks the first holder for everything, round 1 all others for even parts, round 2 those that had tokens
     /// left. More rounds would only repeat what the holders have answered.
@@ -374,7 +392,7 @@
         let mut rest = missing;
         let mut requests = Vec::new();
         for holder in holders {
-            let part = self.left.get(holder).copied().unwrap_or_default().min(rest);
+            let part = self.left.get(holder).map_or(0, |it| it.units).min(rest);
             if part > 0 {
                 rest -= part;
                 requests.push((holder.clone(), part));
