--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,8 +8,12 @@
 use guava_core::ids::{JobId, OrganisationName, RequestId};
 use guava_core::units::Millis;
 
+pub mod idempotency;
+pub mod jobs;
 pub mod quota;
 
+mod stored;
+
 /// Refusal of a quota reservation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuotaRefusal {
--- /dev/null
+++ b/crates/router/src/stored.rs
@@ -0,0 +1,100 @@
+//! Bodies in platform objects.
+//!
+//! Objects are JSON and limited in size, so a body is stored as text where it is valid UTF-8 and otherwise in Base64.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use guava_core::derive_value;
+
+use crate::{JobRequest, StoredAnswer};
+
+derive_value! {
+    /// A body.
+    #[serde(rename_all = "snake_case")]
+    pub(crate) enum Body {
+        /// Valid UTF-8.
+        Text(String),
+        /// Other bytes in Base64.
+        Base64(String),
+    }
+
+    /// An answer as it is stored.
+    pub(crate) struct Answer {
+        status: u16,
+        content_type: String,
+        body: Body,
+    }
+
+    /// The request of a job as it is stored.
+    pub(crate) struct Request {
+        path: String,
+        method: String,
+        profile: Option<String>,
+        idempotent: bool,
+        content_type: String,
+        body: Body,
+    }
+}
+
+impl Body {
+    fn new(bytes: &[u8]) -> Self {
+        match std::str::from_utf8(bytes) {
+            Ok(text) => Self::Text(text.to_owned()),
+            Err(_) => Self::Base64(STANDARD.encode(bytes)),
+        }
+    }
+
+    /// Bytes of the body; text that is not Base64 gives none, because such an object was not written here.
+    fn into_bytes(self) -> Vec<u8> {
+        match self {
+            Self::Text(text) => text.into_bytes(),
+            Self::Base64(text) => STANDARD.decode(text).unwrap_or_default(),
+        }
+    }
+}
+
+impl From<&StoredAnswer> for Answer {
+    fn from(answer: &StoredAnswer) -> Self {
+        Self {
+            status: answer.status,
+            content_type: answer.content_type.clone(),
+            body: Body::new(&answer.body),
+        }
+    }
+}
+
+impl From<Answer> for StoredAnswer {
+    fn from(answer: Answer) -> Self {
+        Self {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body.into_bytes(),
+        }
+    }
+}
+
+impl From<&JobRequest> for Request {
+    fn from(request: &JobRequest) -> Self {
+        Self {
+            path: request.path.clone(),
+            method: request.method.clone(),
+            profile: request.profile.clone(),
+            idempotent: request.idempotent,
+            content_type: request.content_type.clone(),
+            body: Body::new(&request.body),
+        }
+    }
+}
+
+impl From<Request> for JobRequest {
+    fn from(request: Request) -> Self {
+        Self {
+            path: request.path,
+            method: request.method,
+            profile: request.profile,
+            idempotent: request.idempotent,
+            content_type: request.content_type,
+            body: request.body.into_bytes(),
+        }
+    }
+}
