--- a/crates/router/src/idempotency.rs
+++ b/crates/router/src/idempotency.rs
@@ -108,7 +108,14 @@
         object.map(|it| parse(&it)).transpose()
     }
 
-    async fn claim(&self, name: &str, digest: &str, attempt: &str, deadline: Millis) -> Result<Claim, ClaimRefusal> {
+    async fn claim(
+        &self,
+        name: &str,
+        digest: &str,
+        attempt: &str,
+        deadline: Millis,
+        may_exist: &AtomicBool,
+    ) -> Result<Claim, ClaimRefusal> {
         let begun = self.node.clock.now();
         let mut pause = POLL_MS.0;
         loop {
@@ -312,12 +319,16 @@
             inner: Arc::clone(&self.inner),
             name: record_name(&self.inner.secret, organisation, key),
             attempt: self.inner.attempt_id(),
+            may_exist: AtomicBool::new(false),
             armed: true,
         };
-        let result = self
-            .inner
-            .claim(&unclaimed.name, digest, &unclaimed.attempt, deadline)
-            .await;
+        let Unclaimed {
+            name,
+            attempt,
+            may_exist,
+            ..
+        } = &unclaimed;
+        let result = self.inner.claim(name, digest, attempt, deadline, may_exist).await;
         unclaimed.armed = match &result {
             Ok(_) => false,
             Err(refusal) => refusal.code == Code::RecordUnavailable,
--- a/crates/router/tests/fakes/mod.rs
+++ b/crates/router/tests/fakes/mod.rs
@@ -20,6 +20,9 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::{Notify, broadcast, watch};
 
+/// Time that each call to the platform takes.
+pub const STORE_DELAY: Duration = Duration::from_millis(10);
+
 /// What all routers of a test share.
 #[derive(Debug)]
 pub struct World {
@@ -311,7 +314,7 @@
 #[async_trait]
 impl ObjectStore for FakeStore {
     async fn get(&self, kind: Kind, name: &str) -> Result<Option<StoredObject>, PlatformError> {
-        tokio::time::sleep(Duration::from_millis(1)).await;
+        tokio::time::sleep(STORE_DELAY).await;
         self.check()?;
         Ok(self.state.lock().objects.get(&(kind, name.to_owned())).cloned())
     }
@@ -331,7 +334,7 @@
         expect: Expect,
         operation: &OperationId,
     ) -> Result<u64, PlatformError> {
-        tokio::time::sleep(Duration::from_millis(1)).await;
+        tokio::time::sleep(STORE_DELAY).await;
         self.check()?;
         if spec.to_string().len() > 1_000_000 {
             return Err(PlatformError::TooLarge);
@@ -359,7 +362,7 @@
     }
 
     async fn delete(&self, kind: Kind, name: &str, version: u64) -> Result<u64, PlatformError> {
-        tokio::time::sleep(Duration::from_millis(1)).await;
+        tokio::time::sleep(STORE_DELAY).await;
         self.check()?;
         let mut state = self.state.lock();
         let key = (kind, name.to_owned());
