--- a/crates/core/tests/quota_model/mod.rs
+++ b/crates/core/tests/quota_model/mod.rs
@@ -18,6 +18,7 @@
 
 /// Faults that a history contains.
 #[derive(Debug, Clone, Copy, Default)]
+#[expect(clippy::struct_excessive_bools, reason = "faults combine freely")]
 pub struct Faults {
     pub loss: bool,
     pub repetition: bool,
@@ -47,11 +48,12 @@
 #[derive(Debug, Clone)]
 pub enum Step {
     Arrive { router: usize, tokens: u64 },
+    SmallArrivals { router: usize, count: u64, tokens: u64 },
     Settle { pick: usize, percent: u64 },
     Wait(u64),
     Pause { router: usize, ms: u64 },
-    Kill { router: usize },
-    Restart { router: usize },
+    Kill(usize),
+    Restart(usize),
     ProveEnded,
     HandOver { router: usize, to: usize },
     Limits { rate: u64, burst: u64 },
@@ -60,63 +62,30 @@
 }
 
 pub fn steps(faults: Faults) -> impl Strategy<Value = Vec<Step>> {
-    let router = 0..ROUTERS;
+    let router = || 0..ROUTERS;
     let any_stop = faults.restart || faults.take_over;
-    let hand_over = |(router, to)| Step::HandOver { router, to };
-    let limits = |(rate, burst)| Step::Limits { rate, burst };
+    let arrive = (router(), 1..400u64).prop_map(|(router, tokens)| Step::Arrive { router, tokens });
+    let large = (router(), 300..1_000u64).prop_map(|(router, tokens)| Step::Arrive { router, tokens });
+    let small = (router(), 5..40u64, 1..8u64);
+    let small = small.prop_map(|(router, count, tokens)| Step::SmallArrivals { router, count, tokens });
+    let settle = (any::<usize>(), 0..=130u64).prop_map(|(pick, percent)| Step::Settle { pick, percent });
+    let pause = (router(), 50..6_000u64).prop_map(|(router, ms)| Step::Pause { router, ms });
+    let hand_over = (router(), router()).prop_map(|(router, to)| Step::HandOver { router, to });
+    let limits = (1..3_000u64, 1_000..3_000u64).prop_map(|(rate, burst)| Step::Limits { rate, burst });
     let choices = [
-        (
-            true,
-            30,
-            (router.clone(), 1..400u64)
-                .prop_map(|(router, tokens)| Step::Arrive { router, tokens })
-                .boxed(),
-        ),
-        (
-            true,
-            4,
-            (router.clone(), 300..1_000u64)
-                .prop_map(|(router, tokens)| Step::Arrive { router, tokens })
-                .boxed(),
-        ),
-        (
-            true,
-            15,
-            (any::<usize>(), 0..=130u64)
-                .prop_map(|(pick, percent)| Step::Settle { pick, percent })
-                .boxed(),
-        ),
+        (true, 30, arrive.boxed()),
+        (true, 4, large.boxed()),
+        (true, 3, small.boxed()),
+        (true, 15, settle.boxed()),
         (true, 20, (1..300u64).prop_map(Step::Wait).boxed()),
         (true, 2, (300..5_000u64).prop_map(Step::Wait).boxed()),
-        (
-            faults.pause,
-            4,
-            (router.clone(), 50..6_000u64)
-                .prop_map(|(router, ms)| Step::Pause { router, ms })
-                .boxed(),
-        ),
-        (
-            any_stop,
-            2,
-            router.clone().prop_map(|router| Step::Kill { router }).boxed(),
-        ),
-        (
-            faults.restart,
-            3,
-            router.clone().prop_map(|router| Step::Restart { router }).boxed(),
-        ),
+        (faults.pause, 4, pause.boxed()),
+        (any_stop, 2, router().prop_map(Step::Kill).boxed()),
+        (faults.restart, 3, router().prop_map(Step::Restart).boxed()),
         (faults.take_over, 3, Just(Step::ProveEnded).boxed()),
         (any_stop, 6, Just(Step::Write).boxed()),
-        (
-            faults.hand_over,
-            4,
-            (router.clone(), router).prop_map(hand_over).boxed(),
-        ),
-        (
-            faults.rate_change,
-            1,
-            (1..3_000u64, 1_000..3_000u64).prop_map(limits).boxed(),
-        ),
+        (faults.hand_over, 4, hand_over.boxed()),
+        (faults.rate_change, 1, limits.boxed()),
         (faults.outage, 2, (100..8_000u64).prop_map(Step::Outage).boxed()),
     ];
     let possible = choices.into_iter().filter(|(on, ..)| *on);
@@ -310,11 +279,12 @@
     fn step(&mut self, step: &Step) {
         match *step {
             Step::Arrive { router, tokens } => self.arrive(router, tokens),
+            Step::SmallArrivals { router, count, tokens } => self.arrive_small(router, count, tokens),
             Step::Settle { pick, percent } => self.settle(pick, percent),
             Step::Wait(ms) => self.advance(ms),
             Step::Pause { router, ms } => self.routers[router].paused_until = self.now + ms,
-            Step::Kill { router } => self.kill(router),
-            Step::Restart { router } => self.restart(router),
+            Step::Kill(router) => self.kill(router),
+            Step::Restart(router) => self.restart(router),
             Step::ProveEnded => self.ended.extend(self.killed.iter().cloned()),
             Step::HandOver { router, to } => self.hand_over(router, to),
             Step::Limits { rate, burst } => self.change_limits(Limits { rate, burst }),
@@ -349,6 +319,14 @@
         }
     }
 
+    /// Arrivals small and dense enough for a wallet.
+    fn arrive_small(&mut self, at: usize, count: u64, tokens: u64) {
+        for _ in 0..count {
+            self.arrive(at, tokens);
+            self.advance(3);
+        }
+    }
+
     fn try_admit(&mut self, at: usize, request: &RequestId, tokens: u64) -> bool {
         let now = self.local(at);
         let admission = self.routers[at].ledger.admit(now, request, tokens);
@@ -371,7 +349,7 @@
             return;
         }
         // Some settlements stay in the list and are repeated.
-        if pick % 3 > 0 {
+        if !pick.is_multiple_of(3) {
             self.open.swap_remove(index);
         }
         let now = self.local(at);
@@ -412,7 +390,7 @@
             let router = &mut self.routers[at];
             let request = router.ledger.take_request(now, &holder, need);
             let from = router.life.clone();
-            self.send(holder, Payload::Take(from, request));
+            self.send(&holder, &Payload::Take(from, request));
         }
     }
 
@@ -455,11 +433,11 @@
         let from = router.life.clone();
         for holder in router.ledger.owed(now) {
             let request = self.routers[at].ledger.take_request(now, &holder, 0);
-            self.send(holder, Payload::Take(from.clone(), request));
+            self.send(&holder, &Payload::Take(from.clone(), request));
         }
     }
 
-    fn send(&mut self, to: RouterLife, payload: Payload) {
+    fn send(&mut self, to: &RouterLife, payload: &Payload) {
         let faults = self.faults;
         if faults.loss && self.rng.random_bool(0.2) {
             return;
@@ -481,7 +459,7 @@
         while self.now < end {
             self.now += 1;
             self.deliver();
-            if self.now % REPEAT_MS == 0 {
+            if self.now.is_multiple_of(REPEAT_MS) {
                 (0..ROUTERS).for_each(|at| self.tick(at));
             }
         }
@@ -516,7 +494,7 @@
                 let refunded = router.ledger.drain_refunded();
                 let life = router.life.clone();
                 self.checker.add(self.now, -i128::from(refunded));
-                self.send(from, Payload::Answer(life, answer));
+                self.send(&from, &Payload::Answer(life, answer));
             }
             Payload::Answer(holder, answer) => {
                 router.ledger.take_answer(now, &holder, &answer);
@@ -602,12 +580,12 @@
             .filter(|it| it.alive)
             .map(|it| it.life.member.clone())
             .collect();
-        let life = self.routers[at].life.clone();
+        let me = self.routers[at].life.clone();
         let claims = self
             .map
-            .claims(&organisation(), &life, &live, |it| self.ended.contains(it));
+            .claims(&organisation(), &me, &live, |it| self.ended.contains(it));
         for share in claims {
-            self.map = self.map.moved(share, &life);
+            self.map = self.map.moved(share, &me);
             self.version += 1;
         }
         self.spread_map(at);
@@ -638,7 +616,7 @@
         }
         let term = self.map.shares[share].term.0;
         self.spread_map(at);
-        self.send(target, Payload::State(share, term, state));
+        self.send(&target, &Payload::State(share, term, state));
     }
 
     fn spread_map(&mut self, at: usize) {
@@ -646,7 +624,7 @@
         self.learn_map(at, version, map.clone());
         let others: Vec<_> = self.routers.iter().map(|it| it.life.clone()).collect();
         for life in others {
-            self.send(life, Payload::Map(version, map.clone()));
+            self.send(&life, &Payload::Map(version, map.clone()));
         }
     }
 
@@ -657,7 +635,7 @@
         self.settled_at = None;
         let lives: Vec<_> = self.routers.iter().map(|it| it.life.clone()).collect();
         for life in lives {
-            self.send(life, Payload::Limits(limits));
+            self.send(&life, &Payload::Limits(limits));
         }
     }
 
@@ -734,7 +712,8 @@
     for step in steps {
         match *step {
             Step::Wait(ms) => now += ms,
-            Step::Restart { router } => buckets[router] = Checker::new(own, now),
+            Step::Restart(router) => buckets[router] = Checker::new(own, now),
+            Step::SmallArrivals { count, .. } => now += 3 * count,
             Step::Arrive { router, tokens } => {
                 let bucket = if matches!(kind, Naive::CounterReset) { 0 } else { router };
                 let units = i128::from(tokens * UNITS_PER_TOKEN);
