Pass over quota holders that do not answer

Cause: a reservation waited for a paused or killed holder until its wait limit, although others had tokens. Ruled out: too few tokens (limits of 5,000 tokens/s and 10,000 burst, demand far below). Change: a holder that does not answer within 60 ms is not asked for 1 s; the rule is in the ledger, so that the model and the router share it.

--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -49,6 +49,12 @@
 /// for some milliseconds although the organisation is within its limits.
 pub const GATHER_MS: u64 = 250;
 
+/// Time after which a request to a holder counts as failed and is repeated later, well within [`GATHER_MS`].
+pub const TAKE_TIMEOUT_MS: u64 = 60;
+
+/// Time for which a holder that did not answer is not asked, because each attempt delays waiting reservations.
+pub const AVOID_MS: u64 = 1_000;
+
 /// A wallet is at most this part of a share.
 pub const WALLET_DIVISOR: u64 = 4;
 
--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::{
-    GRANT_VALID_MS, GrantKey, Handover, Limits, Report, RouterLife, SHARES, Share, SlotRegistry, UNITS_PER_TOKEN,
-    WALLET_DIVISOR, WALLET_MS, Wallet,
+    AVOID_MS, GRANT_VALID_MS, GrantKey, Handover, Limits, Report, RouterLife, SHARES, Share, SlotRegistry,
+    UNITS_PER_TOKEN, WALLET_DIVISOR, WALLET_MS, Wallet,
 };
 use crate::ids::{RequestId, Term};
 use crate::units::Millis;
@@ -108,6 +108,7 @@
     last_take: u64,
     answers: HashMap<RouterLife, TakeAnswer>,
     left: BTreeMap<RouterLife, Level>,
+    avoided: BTreeMap<RouterLife, Millis>,
     window: Millis,
     demand: Demand,
     last_demand: Demand,
@@ -126,6 +127,7 @@
             last_take: 0,
             answers: HashMap::new(),
             left: BTreeMap::new(),
+            avoided: BTreeMap::new(),
             window: Millis::default(),
             demand: Demand::default(),
             last_demand: Demand::default(),
@@ -331,6 +333,7 @@
         let Some(pending) = self.pending.remove(holder) else {
             return 0;
         };
+        self.avoided.remove(holder);
         self.wallet.acknowledge(&pending.request.reports);
         let expires = pending.first_sent + GRANT_VALID_MS;
         for (key, units) in &answer.grants {
@@ -354,6 +357,8 @@
         holders.extend(self.pending.keys().cloned());
         holders.sort();
         holders.dedup();
+        self.avoided.retain(|_, until| *until > now);
+        holders.retain(|it| !self.avoided.contains_key(it));
         holders
     }
 
@@ -363,8 +368,16 @@
         self.left.retain(|it, _| holders.contains(it));
     }
 
-    /// Orders holders by the level they are expected to have, because a full share gains nothing.
-    pub fn rank_holders(&self, now: Millis, holders: &mut [RouterLife]) {
+    /// Notes that a holder did not answer in time.
+    pub fn note_failure(&mut self, now: Millis, holder: &RouterLife) {
+        self.avoided.insert(holder.clone(), now + AVOID_MS);
+    }
+
+    /// Orders holders by the level they are expected to have, because a full share gains nothing, and leaves out those
+    /// that did not answer lately.
+    pub fn rank_holders(&mut self, now: Millis, holders: &mut Vec<RouterLife>) {
+        self.avoided.retain(|_, until| *until > now);
+        holders.retain(|it| !self.avoided.contains_key(it));
         let cap = self.limits.share_cap();
         let gain = |it: &Level| self.limits.share_rate().saturating_mul(now.since(it.at));
         let expected = |it: &Level| it.units.saturating_add(gain(it)).min(cap);
--- a/crates/core/tests/quota_model/mod.rs
+++ b/crates/core/tests/quota_model/mod.rs
@@ -5,7 +5,7 @@
 use guava_core::ids::{Incarnation, MemberId, OrganisationName, RequestId, Role};
 use guava_core::quota::{
     Admission, GATHER_MS, Handover, INHERITED_MS, Ledger, Limits, MAX_HOLDER_ROUNDS, RouterLife, SHARES, ShareMap,
-    TakeAnswer, TakeRequest, UNITS_PER_TOKEN,
+    TAKE_TIMEOUT_MS, TakeAnswer, TakeRequest, UNITS_PER_TOKEN,
 };
 use guava_core::units::Millis;
 use proptest::prelude::*;
@@ -186,7 +186,7 @@
     map: Option<ShareMap>,
     waiting: VecDeque<Waiting>,
     round: usize,
-    asked: BTreeMap<RouterLife, u64>,
+    asked: BTreeMap<RouterLife, (u64, u64)>,
     order: Vec<RouterLife>,
     frozen: bool,
     retry_at: u64,
@@ -373,7 +373,7 @@
         let holders = router.order.clone();
         while router.round < MAX_HOLDER_ROUNDS && router.asked.is_empty() {
             for (holder, need) in router.ledger.plan_round(router.round, missing, &holders) {
-                router.asked.insert(holder, need);
+                router.asked.insert(holder, (need, self.now));
             }
             router.round += 1;
         }
@@ -386,7 +386,7 @@
 
     fn send_takes(&mut self, at: usize) {
         let now = self.local(at);
-        for (holder, need) in self.routers[at].asked.clone() {
+        for (holder, (need, _)) in self.routers[at].asked.clone() {
             let router = &mut self.routers[at];
             let request = router.ledger.take_request(now, &holder, need);
             let from = router.life.clone();
@@ -394,6 +394,16 @@
         }
     }
 
+    fn drop_unanswered(&mut self, at: usize) {
+        let (now, wall) = (self.local(at), self.now);
+        let Router { asked, ledger, .. } = &mut self.routers[at];
+        let late = |since: u64| since + TAKE_TIMEOUT_MS < wall;
+        for (holder, _) in asked.iter().filter(|(_, (_, since))| late(*since)) {
+            ledger.note_failure(now, holder);
+        }
+        asked.retain(|_, (_, since)| !late(*since));
+    }
+
     fn serve_waiting(&mut self, at: usize) {
         let now = self.local(at);
         let waiting = std::mem::take(&mut self.routers[at].waiting);
@@ -519,6 +529,7 @@
         let now = self.local(at);
         self.serve_waiting(at);
         self.routers[at].ledger.write_off(now, |it| self.ended.contains(it));
+        self.drop_unanswered(at);
         self.send_takes(at);
         self.ask(at);
         self.report(at);
--- a/crates/router/src/quota/account.rs
+++ b/crates/router/src/quota/account.rs
@@ -1,6 +1,6 @@
 //! One organisation's tokens at this router, and the task that asks holders for more.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -9,8 +9,8 @@
 use guava_core::codes::Code;
 use guava_core::ids::{OrganisationName, RequestId};
 use guava_core::quota::{
-    Admission, GATHER_MS, Handover, Ledger, Limits, MAX_HOLDER_ROUNDS, RouterLife, ShareMap, TakeAnswer,
-    UNITS_PER_TOKEN,
+    Admission, GATHER_MS, Handover, Ledger, Limits, MAX_HOLDER_ROUNDS, RouterLife, ShareMap, TAKE_TIMEOUT_MS,
+    TakeAnswer, UNITS_PER_TOKEN,
 };
 use guava_core::units::Millis;
 use guava_node::Node;
@@ -22,12 +22,6 @@
 use super::rpc::{TAKE, TakeParams};
 use crate::{Quota, QuotaRefusal};
 
-/// Time after which a call to a holder is repeated.
-const TAKE_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// Time for which a holder that did not answer is not asked while others are.
-const AVOID_MS: u64 = 1_000;
-
 /// Period of reports and repeats when nothing waits.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
 
@@ -82,7 +76,6 @@
     pub(super) stable_since: Mutex<Option<Millis>>,
     pub(super) missing_since: Mutex<Option<Millis>>,
     waiting: Mutex<VecDeque<Waiter>>,
-    avoided: Mutex<HashMap<RouterLife, Millis>>,
     reached: AtomicBool,
     wake: Notify,
 }
@@ -98,7 +91,6 @@
             stable_since: Mutex::default(),
             missing_since: Mutex::default(),
             waiting: Mutex::default(),
-            avoided: Mutex::default(),
             reached: AtomicBool::new(false),
             wake: Notify::new(),
         }
@@ -167,17 +159,6 @@
         holders
     }
 
-    fn avoid(&self, now: Millis, holder: &RouterLife) {
-        self.avoided.lock().insert(holder.clone(), now + AVOID_MS);
-    }
-
-    fn reachable(&self, now: Millis, mut holders: Vec<RouterLife>) -> Vec<RouterLife> {
-        let mut avoided = self.avoided.lock();
-        avoided.retain(|_, until| *until > now);
-        holders.retain(|it| !avoided.contains_key(it));
-        holders
-    }
-
     fn missing(&self, now: Millis) -> u64 {
         let wanted: u64 = self.waiting.lock().iter().map(|it| it.tokens * UNITS_PER_TOKEN).sum();
         wanted.saturating_sub(self.ledger.lock().available(now))
@@ -215,7 +196,7 @@
 
     async fn ask_holders(&self, account: &Account) {
         let now = self.node.clock.now();
-        let mut holders = account.reachable(now, account.holders(&self.me));
+        let mut holders = account.holders(&self.me);
         account.ledger.lock().rank_holders(now, &mut holders);
         for round in 0..MAX_HOLDER_ROUNDS {
             if self.serve_waiting(account) {
@@ -293,7 +274,6 @@
             }
             ledger.owed(now)
         };
-        let holders = account.reachable(now, holders);
         join_all(holders.iter().map(|it| self.take(account, it, 0))).await;
     }
 
@@ -304,7 +284,7 @@
             .iter()
             .find(|it| it.id == holder.member && it.incarnation == holder.incarnation)
         else {
-            account.avoid(now, holder);
+            account.ledger.lock().note_failure(now, holder);
             return;
         };
         let request = account.ledger.lock().take_request(now, holder, need);
@@ -317,7 +297,11 @@
         let Ok(params) = serde_json::to_value(params) else {
             return;
         };
-        let answer = self.node.peers.call(info, TAKE, params, TAKE_TIMEOUT).await;
+        let answer = self
+            .node
+            .peers
+            .call(info, TAKE, params, Duration::from_millis(TAKE_TIMEOUT_MS))
+            .await;
         let answer = answer.ok().and_then(|it| serde_json::from_value::<TakeAnswer>(it).ok());
         let now = self.node.clock.now();
         match answer {
@@ -326,7 +310,7 @@
                 account.ledger.lock().take_answer(now, holder, &answer);
                 self.serve_waiting(account);
             }
-            None => account.avoid(now, holder),
+            None => account.ledger.lock().note_failure(now, holder),
         }
     }
 }
--- a/crates/router/tests/fakes/mod.rs
+++ b/crates/router/tests/fakes/mod.rs
@@ -128,7 +128,7 @@
         let entry = Arc::new(entry);
         entries.insert(entry.key.clone(), Arc::clone(&entry));
         drop(entries);
-        self.changes.send(entry).ok();
+        let _ = self.changes.send(entry);
         true
     }
 }
@@ -389,7 +389,7 @@
         let waiting = self.changed.notified();
         let changes = newer(self);
         if changes.is_empty() {
-            tokio::time::timeout(timeout, waiting).await.ok();
+            let _ = tokio::time::timeout(timeout, waiting).await;
             return Ok(newer(self));
         }
         Ok(changes)
--- a/crates/router/tests/idempotency.rs
+++ b/crates/router/tests/idempotency.rs
@@ -111,7 +111,7 @@
     let first = claim(&a, "d", 500).await.unwrap();
     world.store.set_down(true);
     finish(&a, first, Outcome::Answered(answer(b"x"))).await;
-    tokio::time::sleep(Duration::from_secs(60)).await;
+    tokio::time::sleep(Duration::from_mins(1)).await;
 
     world.store.set_down(false);
     world.store.lose_answers(1);
