--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -13,7 +13,7 @@
 /// Time after which an order without visible effect is sent again.
 pub const ORDER_RETRY_MS: u64 = 1_000;
 /// Time between the decision to unload and the order, in which routers learn that the replica gets no new work.
-pub const UNLOAD_GRACE_MS: u64 = 300;
+pub const UNLOAD_GRACE_MS: u64 = 200;
 /// Longest time by which an engine's report lags behind.
 pub const REPORT_LAG_LIMIT_MS: u64 = 10_000;
 /// Time without a sign of a replica after which its load is given up.
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -294,6 +294,21 @@
     pub fn replica(&self, id: &ReplicaId) -> Option<&ReplicaView> {
         self.replicas.iter().find(|it| it.replica == *id)
     }
+
+    /// Where the server has a checkpoint.
+    pub fn tier(&self, name: &str, version: u64) -> CacheTier {
+        let cached = self.cached.iter().filter(|it| it.name == name && it.version == version);
+        cached.map(|it| it.tier).min().unwrap_or(CacheTier::Remote)
+    }
+}
+
+impl Reservation {
+    /// Name callers use.
+    pub fn name(&self) -> &str {
+        self.adapter
+            .as_ref()
+            .map_or_else(|| self.model.as_str(), AdapterName::as_str)
+    }
 }
 
 /// What happened to a replica in one change of the plan.
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -72,12 +72,8 @@
 
     /// Where a server has a checkpoint.
     pub fn tier(&self, server: &ServerName, name: &str, version: u64) -> CacheTier {
-        let cached = self.engines.get(server).into_iter().flat_map(|it| &it.cached);
-        cached
-            .filter(|it| it.name == name && it.version == version)
-            .map(|it| it.tier)
-            .min()
-            .unwrap_or(CacheTier::Remote)
+        let view = self.engines.get(server);
+        view.map_or(CacheTier::Remote, |it| it.tier(name, version))
     }
 
     /// Servers that take new replicas and whose engine answers.
