--- a/crates/core/tests/plan.rs
+++ b/crates/core/tests/plan.rs
@@ -59,31 +59,46 @@
     Progress(usize),
 }
 
+/// Stands for the present holder of the lease in an operation's `by`.
+const HOLDER: usize = 2;
+
 fn op() -> impl Strategy<Value = Op> {
-    let by = 0..2_usize;
+    let by = prop_oneof![1 => 0..2_usize, 2 => Just(HOLDER)];
     let server = 0..ENGINES.len();
     let pick = 0..16_usize;
     prop_oneof![
-        2 => by.clone().prop_map(Op::TakeOver),
+        1 => (0..2_usize).prop_map(Op::TakeOver),
         8 => by.clone().prop_map(Op::Progress),
         6 => (by.clone(), 0..MODELS.len(), server.clone(), prop::bool::weighted(0.2))
             .prop_map(|(by, model, server, lost)| Op::Decide { by, model, server, lost }),
-        3 => (by.clone(), pick.clone()).prop_map(|(by, pick)| Op::Evict { by, pick }),
+        4 => (by.clone(), pick.clone()).prop_map(|(by, pick)| Op::Evict { by, pick }),
         8 => by.clone().prop_map(Op::Check),
         8 => (by.clone(), pick.clone()).prop_map(|(by, pick)| Op::Send { by, pick }),
         8 => (pick.clone(), any::<bool>(), prop::bool::weighted(0.2))
             .prop_map(|(pick, lost, keep)| Op::Deliver { pick, lost, keep }),
-        1 => pick.clone().prop_map(Op::TimeOut),
+        4 => pick.clone().prop_map(Op::TimeOut),
         10 => (by.clone(), server.clone(), 0..4_usize).prop_map(|(by, server, lag)| Op::Report { by, server, lag }),
-        8 => (server.clone(), pick, prop::bool::weighted(0.1))
+        12 => (server.clone(), pick, prop::bool::weighted(0.1))
             .prop_map(|(server, pick, fail)| Op::Finish { server, pick, fail }),
         1 => server.prop_map(Op::Restart),
-        1 => by.prop_map(Op::VmEnd),
+        1 => (0..2_usize).prop_map(Op::VmEnd),
         1 => Just(Op::Confirm),
         4 => (100..4_000_u64).prop_map(Op::Tick),
     ]
 }
 
+fn with_holder(op: &Op, holder: usize) -> Op {
+    let mut op = op.clone();
+    match &mut op {
+        Op::Check(by) | Op::Progress(by) if *by == HOLDER => *by = holder,
+        Op::Decide { by, .. } | Op::Evict { by, .. } | Op::Send { by, .. } | Op::Report { by, .. } if *by == HOLDER => {
+            *by = holder;
+        }
+        _ => {}
+    }
+    op
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Held {
     Loading,
@@ -286,7 +301,7 @@
     fn new() -> Self {
         Self {
             now: Millis(1),
-            lease: (2, Term(0)),
+            lease: (0, Term(0)),
             stored: None,
             controllers: Default::default(),
             engines: ENGINES.into_iter().map(Engine::new).collect(),
@@ -297,7 +312,7 @@
     }
 
     fn apply(&mut self, op: &Op) {
-        match *op {
+        match with_holder(op, self.lease.0) {
             Op::TakeOver(by) => self.take_over(by),
             Op::Decide {
                 by,
@@ -611,7 +626,7 @@
     }
 
     fn apply(&mut self, op: &Op) {
-        match *op {
+        match with_holder(op, self.lease.0) {
             Op::TakeOver(by) => {
                 self.lease = (by, Term(self.lease.1.0 + 1));
                 self.believes[by] = Some(self.lease.1);
