--- a/crates/controller/src/store_permits.rs
+++ b/crates/controller/src/store_permits.rs
@@ -44,7 +44,9 @@
         let limits = limits(config);
         let mut given = self.given.lock();
         if given.as_ref().is_none_or(|(known, _)| *known != term) {
-            *given = Some((term, Permits::new(limits, now + PERMIT_LEARN_MS)));
+            // The first holder ever has no predecessor whose permits it could miss.
+            let learning = if term > Term(1) { PERMIT_LEARN_MS } else { 0 };
+            *given = Some((term, Permits::new(limits, now + learning)));
         }
         let (_, permits) = given.as_mut()?;
         permits.set_limits(limits);
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -29,6 +29,8 @@
 const UNLOAD_STUCK_MS: u64 = 10_000;
 /// Time assumed until a busy replica can be evicted.
 const BUSY_WAIT_MS: u64 = 2_000;
+/// Least time assumed until a load in progress ends.
+const LEAST_REST_MS: u64 = 50;
 /// Half-life of the loads counted for an organisation.
 const SHARE_HALF_LIFE_MS: f64 = 10_000.0;
 /// Part of the wake value that a further replica of the same model has.
@@ -586,7 +588,7 @@
             .min()?;
         if adapter.is_some() {
             let base = self.ready_in(now, input, model, None)?;
-            return Some(base + best);
+            return Some((base + best).max(1));
         }
         let spaces = self.spaces(now, input);
         let pass = Pass {
@@ -599,7 +601,8 @@
             Some(_) => UNLOAD_MS,
             None => BUSY_WAIT_MS,
         };
-        Some(room + best + self.queue_ms(model, best, now, input))
+        // Zero means that a replica is ready, which it is not, however small the model.
+        Some((room + best + self.queue_ms(model, best, now, input)).max(1))
     }
 }
 
@@ -659,11 +662,11 @@
     }
 
     fn rest_of_load(&self, id: &ReplicaId, replica: &PlannedReplica, now: Millis) -> u64 {
-        let Some(known) = self.tracked.get(id) else {
-            return self.load_times.ms(CacheTier::Remote, replica.bytes);
-        };
-        let whole = self.load_times.ms(known.tier, replica.bytes);
-        whole.saturating_sub(now.since(known.since)).max(50)
+        let known = self.tracked.get(id);
+        let tier = known.map_or(CacheTier::Remote, |it| it.tier);
+        let elapsed = known.map_or(0, |it| now.since(it.since));
+        let whole = self.load_times.ms(tier, replica.bytes);
+        whole.saturating_sub(elapsed).max(LEAST_REST_MS)
     }
 
     /// Time until the weight store has a slot, after those that are more urgent.
