--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -35,6 +35,8 @@
 const SHARE_HALF_LIFE_MS: f64 = 10_000.0;
 /// Part of the wake value that a further replica of the same model has.
 const SPARE_REPLICA_VALUE: f64 = 0.25;
+/// Penalty of a server that holds the model already, in milliseconds.
+const SAME_SERVER_PENALTY_MS: f64 = 100.0;
 /// Penalty of a server in an availability zone that holds the model already, in milliseconds.
 const SAME_ZONE_PENALTY_MS: f64 = 20.0;
 /// Bonus of a server in the availability zone with most waiting requests, in milliseconds.
@@ -536,6 +538,7 @@
             merged: self.book.merged(input.config, now),
             spaces: self.spaces(now, input),
             taken: misplaced.iter().cloned().collect(),
+            placed: Vec::new(),
             budget: self.budget(input),
             decisions: misplaced
                 .into_iter()
@@ -595,6 +598,7 @@
             spaces: &spaces,
             merged: &merged,
             taken: &BTreeSet::new(),
+            placed: &[],
         };
         let room = match self.choose(&need, now, input, &pass) {
             Some(choice) if choice.fits_now => 0,
@@ -639,6 +643,7 @@
             spaces: &round.spaces,
             merged: &round.merged,
             taken: &round.taken,
+            placed: &round.placed,
         };
         let Some(choice) = self.choose(&need, now, input, &pass) else {
             return;
@@ -654,6 +659,7 @@
             spaces: &round.spaces,
             merged: &round.merged,
             taken: &round.taken,
+            placed: &round.placed,
         };
         let choice = self.choose(&need, now, input, &pass).filter(|it| it.fits_now);
         if let Some(choice) = choice {
@@ -713,6 +719,8 @@
     merged: BTreeMap<(ModelName, Option<AdapterName>), Merged>,
     spaces: BTreeMap<ServerName, Space>,
     taken: BTreeSet<ReplicaId>,
+    /// Models with the servers on which this round loads them.
+    placed: Vec<(ModelName, ServerName)>,
     budget: Budget,
     decisions: Vec<Decision>,
 }
@@ -738,6 +746,7 @@
         };
         if choice.fits_now {
             space.free -= need.bytes;
+            self.placed.push((need.model.clone(), choice.server.clone()));
             let want = need.reservation(choice.server);
             self.decisions.push(Decision::Load { want, permit });
             return;
@@ -846,7 +855,14 @@
 fn preference(server: &ServerName, need: &Need<'_>, input: &Input<'_>, pass: &Pass<'_>) -> f64 {
     let zone = input.zone(server);
     let others = input.supply(need.model, need.adapter);
-    let same_zone = others.iter().any(|(_, it)| input.zone(&it.server) == zone);
+    let placed = pass.placed.iter().filter(|(model, _)| model == need.model);
+    let others: BTreeSet<&ServerName> = others
+        .iter()
+        .map(|(_, it)| &it.server)
+        .chain(placed.map(|(_, server)| server))
+        .collect();
+    let same_zone = others.iter().any(|it| input.zone(it) == zone);
+    let same_server = others.contains(server);
     let demand = pass.merged.get(&(need.model.clone(), need.adapter.cloned()));
     let busiest = demand.and_then(|it| it.zones.iter().max_by_key(|(_, waiting)| **waiting));
     let is_busiest = busiest.is_some_and(|(it, _)| Some(it) == zone);
@@ -860,9 +876,10 @@
         .count();
     let zone_penalty = if same_zone { SAME_ZONE_PENALTY_MS } else { 0.0 };
     let zone_bonus = if is_busiest { DEMAND_ZONE_BONUS_MS } else { 0.0 };
+    let server_penalty = if same_server { SAME_SERVER_PENALTY_MS } else { 0.0 };
     let server = &input.plan.servers[server];
     let used = server.reserved_bytes as f64 / server.memory_bytes.max(1) as f64;
-    zone_penalty - zone_bonus - ADAPTER_BONUS_MS * adapters as f64 + used
+    server_penalty + zone_penalty - zone_bonus - ADAPTER_BONUS_MS * adapters as f64 + used
 }
 
 /// State of one pass over the wants.
@@ -871,6 +888,7 @@
     spaces: &'a BTreeMap<ServerName, Space>,
     merged: &'a BTreeMap<(ModelName, Option<AdapterName>), Merged>,
     taken: &'a BTreeSet<ReplicaId>,
+    placed: &'a [(ModelName, ServerName)],
 }
 
 /// Replicas that demand asks for beyond the present supply.
@@ -883,6 +901,10 @@
     if have == 0 {
         return 1;
     }
+    // What queues behind a load in progress says nothing about how many replicas the model needs.
+    if supply.iter().any(|(_, it)| it.state == ReplicaState::Loading) {
+        return 0;
+    }
     let at_engines: u32 = supply
         .iter()
         .filter_map(|(id, it)| input.engines.get(&it.server).and_then(|view| view.replica(id)))
--- a/crates/core/tests/plan.rs
+++ b/crates/core/tests/plan.rs
@@ -505,7 +505,7 @@
             .find(|it| server_name(*it) == sent.due.server)
             .unwrap();
         // Engines that forget cannot be protected from copies that the network makes by itself; TCP makes none.
-        if !(keep && !self.engines[server].forgets) {
+        if !keep || self.engines[server].forgets {
             self.network.remove(index);
         }
         let answer = self.engines[server].order(&sent, self.now);
@@ -642,7 +642,7 @@
                 let server = (0..ENGINES.len())
                     .find(|it| server_name(*it) == sent.due.server)
                     .unwrap();
-                if !(keep && !self.engines[server].forgets) {
+                if !keep || self.engines[server].forgets {
                     self.network.remove(index);
                 }
                 self.engines[server].order(&sent, self.now);
