--- a/crates/controller/tests/controller.rs
+++ b/crates/controller/tests/controller.rs
@@ -24,7 +24,7 @@
 use tokio::sync::{broadcast, watch};
 
 /// Longest wait for anything; only a failing test takes this long.
-const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_mins(1);
 const MODEL_BYTES: u64 = 60;
 const MEMORY: u64 = 100;
 
