--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,116 @@
+//! HTTP client of the administration API.
+
+use bytes::Bytes;
+use http::{Method, Request, header};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use percent_encoding::{AsciiSet, CONTROLS, utf8_percent_encode};
+use serde_json::Value;
+
+use crate::config::Cli;
+use crate::error::CtlError;
+
+/// Bytes that must be encoded within a path segment or a query value.
+const RESERVED: &AsciiSet = &CONTROLS
+    .add(b' ')
+    .add(b'"')
+    .add(b'%')
+    .add(b'/')
+    .add(b'?')
+    .add(b'#')
+    .add(b'&')
+    .add(b'=');
+
+/// One call to the administration API.
+#[derive(Debug)]
+pub struct Call<'a> {
+    method: Method,
+    path: String,
+    version: Option<u64>,
+    body: Option<&'a Value>,
+}
+
+impl<'a> Call<'a> {
+    /// Call of `method` at the path with the given segments.
+    pub fn new(method: Method, segments: &[&str]) -> Self {
+        let path = segments.iter().flat_map(|it| ["/".to_owned(), encode(it)]).collect();
+        Self {
+            method,
+            path,
+            version: None,
+            body: None,
+        }
+    }
+
+    /// GET at the path with the given segments.
+    pub fn get(segments: &[&str]) -> Self {
+        Self::new(Method::GET, segments)
+    }
+
+    /// Adds query parameters that have a value.
+    pub fn query(mut self, pairs: &[(&str, Option<&str>)]) -> Self {
+        let given = pairs
+            .iter()
+            .filter_map(|(key, value)| value.map(|value| format!("{key}={}", encode(value))));
+        let query: Vec<_> = given.collect();
+        if !query.is_empty() {
+            self.path = format!("{}?{}", self.path, query.join("&"));
+        }
+        self
+    }
+
+    /// Makes the call conditional on a version.
+    pub fn if_match(mut self, version: u64) -> Self {
+        self.version = Some(version);
+        self
+    }
+
+    /// Adds a JSON body.
+    pub fn body(mut self, body: &'a Value) -> Self {
+        self.body = Some(body);
+        self
+    }
+
+    /// Sends the call and returns the JSON answer.
+    pub fn send(self, cli: &Cli) -> Result<Value, CtlError> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        runtime.block_on(self.send_async(cli))
+    }
+
+    async fn send_async(self, cli: &Cli) -> Result<Value, CtlError> {
+        let uri = format!("http://{}/admin/v1{}", cli.admin_addr, self.path);
+        let mut req = Request::builder()
+            .method(self.method)
+            .uri(uri)
+            .header(header::AUTHORIZATION, format!("Bearer {}", cli.admin_token));
+        if let Some(version) = self.version {
+            req = req.header(header::IF_MATCH, format!("\"{version}\""));
+        }
+        let body = self.body.map(Value::to_string).unwrap_or_default();
+        let req = req
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| CtlError::Usage(error.to_string()))?;
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let res = client
+            .request(req)
+            .await
+            .map_err(|error| CtlError::Unreachable(error.to_string()))?;
+        let status = res.status().as_u16();
+        let body = res
+            .into_body()
+            .collect()
+            .await
+            .map_err(|error| CtlError::Unreachable(error.to_string()))?;
+        let body: Value = serde_json::from_slice(&body.to_bytes())?;
+        if (200..300).contains(&status) {
+            Ok(body)
+        } else {
+            Err(CtlError::Refused(status, body))
+        }
+    }
+}
+
+fn encode(text: &str) -> String {
+    utf8_percent_encode(text, RESERVED).to_string()
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/loglevel.rs
@@ -0,0 +1,35 @@
+//! `guavactl log-level`.
+
+use http::Method;
+use serde_json::json;
+
+use crate::client::Call;
+use crate::config::Cli;
+use crate::error::CtlError;
+
+/// Usage text.
+pub const USAGE: &str = "\
+Changes the log level of a running process.
+
+Usage:
+    guavactl log-level vm-1 router debug";
+
+/// Arguments.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// VM.
+    vm: String,
+    /// Role: router, controller or admin.
+    role: String,
+    /// Level: error, warn, info, debug or trace.
+    level: String,
+}
+
+/// Runs the command.
+pub fn run(cli: &Cli, args: &Args) -> Result<(), CtlError> {
+    let body = json!({ "level": args.level });
+    let path = ["members", &args.vm, &args.role, "log-level"];
+    let answer = Call::new(Method::PUT, &path).body(&body).send(cli)?;
+    println!("{answer}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/config.rs
@@ -0,0 +1,95 @@
+//! Settings and commands.
+
+use std::net::SocketAddr;
+
+use clap::{Parser, Subcommand, ValueEnum};
+
+use crate::cmd;
+
+/// Operates a guavaarch deployment through its administration API.
+#[derive(Debug, Parser)]
+#[command(name = "guavactl", version, about, after_help = EXIT_CODES)]
+pub struct Cli {
+    /// Address of the administration API.
+    #[arg(long, env = "GUAVA_ADMIN_ADDR", default_value = "127.0.0.1:7300", global = true)]
+    pub admin_addr: SocketAddr,
+    /// Operator's token.
+    #[arg(
+        long,
+        env = "GUAVA_ADMIN_TOKEN",
+        default_value = "",
+        hide_env_values = true,
+        global = true
+    )]
+    pub admin_token: String,
+    /// Output format.
+    #[arg(long, short, value_enum, default_value_t = Format::Table, global = true)]
+    pub output: Format,
+    /// Command.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+const EXIT_CODES: &str = "Exit codes: 0 ok, 1 other, 2 usage, 3 not found, 4 conflict, 5 refused, 6 unavailable.";
+
+/// Output format.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    /// JSON as the API sent it.
+    Json,
+    /// Aligned columns.
+    Table,
+}
+
+/// Commands.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Checks files of objects without sending anything.
+    #[command(long_about = cmd::check::USAGE)]
+    Check(cmd::check::Args),
+    /// Creates the objects of a file, in order.
+    #[command(long_about = cmd::create::USAGE)]
+    Create(cmd::create::Args),
+    /// Shows one object with its version.
+    #[command(long_about = cmd::show::USAGE)]
+    Show(cmd::show::Args),
+    /// Lists the objects of a kind.
+    #[command(long_about = cmd::list::USAGE)]
+    List(cmd::list::Args),
+    /// Replaces an object, on condition that it still has the given version.
+    #[command(long_about = cmd::edit::USAGE)]
+    Edit(cmd::edit::Args),
+    /// Deletes an object, on condition that it still has the given version.
+    #[command(long_about = cmd::delete::USAGE)]
+    Delete(cmd::delete::Args),
+    /// Prints the changes of a kind, one JSON line each, until interrupted.
+    #[command(long_about = cmd::watch::USAGE)]
+    Watch(cmd::watch::Args),
+    /// Grants an organisation a new key and prints it; it cannot be shown again.
+    #[command(long_about = cmd::grant::USAGE)]
+    Grant(cmd::grant::Args),
+    /// Withdraws a key; it stops working within seconds.
+    #[command(long_about = cmd::withdraw::USAGE)]
+    Withdraw(cmd::withdraw::Args),
+    /// Drains a backend server: it gets no new work, running requests finish.
+    #[command(long_about = cmd::drain::USAGE)]
+    Drain(cmd::drain::Args),
+    /// Shows every member and whether the newest configuration is in force there.
+    #[command(long_about = cmd::status::USAGE)]
+    Status(cmd::status::Args),
+    /// Says why a request would be refused or where it would go.
+    #[command(long_about = cmd::explain::USAGE)]
+    Explain(cmd::explain::Args),
+    /// Shows the events of all processes for one request or one model, in order.
+    #[command(long_about = cmd::timeline::USAGE)]
+    Timeline(cmd::timeline::Args),
+    /// Changes the log level of a running process.
+    #[command(long_about = cmd::loglevel::USAGE)]
+    LogLevel(cmd::loglevel::Args),
+    /// Prints a completion script for a shell.
+    #[command(long_about = cmd::completions::USAGE)]
+    Completions(cmd::completions::Args),
+    /// Prints the manual page.
+    #[command(long_about = cmd::man::USAGE)]
+    Man(cmd::man::Args),
+}
