--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -33,6 +33,7 @@
     pub node: Node,
 }
 
+#[expect(clippy::unused_async, reason = "the bodies are being written")]
 impl Runtime {
     /// Opens the gossip socket and starts membership, gossip, leases and platform watches.
     ///
