--- /dev/null
+++ b/crates/load/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+//! Commands, one file each.
+
+pub mod generate;
+pub mod run;
