Add the platform stand-ins and their HTTP adapters

Routers, controllers and the process runtime need an object service, a VM list and a weight store to run against, in process and over HTTP.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,26 @@
 use guava_core::{derive_scalar, derive_value};
 use quick_error::quick_error;
 
+pub mod client;
+mod faults;
+mod front;
+mod http_lists;
+mod http_objects;
+mod objects;
+mod recover;
+mod vms;
+mod weights;
+mod wire;
+
+pub use faults::Faults;
+pub use front::{PlatformCounts, PlatformFaults, PlatformFront, StandInPlatform, serve_platform};
+pub use http_lists::{HttpVmList, HttpWeightStore};
+pub use http_objects::HttpObjectStore;
+pub use objects::{CallCounts, MemoryObjectStore, RateLimit, VALUE_LIMIT_BYTES};
+pub use recover::put_recovered;
+pub use vms::MemoryVmList;
+pub use weights::{CheckpointKind, MemoryWeightStore, WeightStoreRecord, WeightStoreSpeed, checkpoint_name};
+
 quick_error! {
     /// Failure of a call to the platform.
     #[derive(Debug, Clone, PartialEq, Eq)]
--- /dev/null
+++ b/crates/platform/src/recover.rs
@@ -0,0 +1,64 @@
+//! Writes that survive a lost answer.
+
+use guava_core::config::Kind;
+use guava_core::ids::OperationId;
+
+use crate::{Expect, ObjectStore, PlatformError};
+
+/// Attempts at a write before its outcome is reported as unknown.
+const ATTEMPTS: u32 = 4;
+
+/// Writes an object and, when the answer is lost, reads it back and decides by the operation id.
+///
+/// A repeat keeps condition and operation id, so that at most one attempt takes effect. A conflict is ambiguous only
+/// when another writer has replaced this write meanwhile; the caller then reads the object, as after any conflict.
+///
+/// # Errors
+///
+/// `OutcomeUnknown` remains when reading back fails as well.
+pub async fn put_recovered(
+    store: &dyn ObjectStore,
+    kind: Kind,
+    name: &str,
+    spec: &serde_json::Value,
+    expect: Expect,
+    operation: &OperationId,
+) -> Result<u64, PlatformError> {
+    let mut outcome = store.put(kind, name, spec, expect, operation).await;
+    let mut may_have_run = false;
+    for _ in 1..ATTEMPTS {
+        match &outcome {
+            Err(PlatformError::OutcomeUnknown(_)) => may_have_run = true,
+            Err(PlatformError::Conflict(_)) if may_have_run => (),
+            Err(_) if may_have_run => return Err(PlatformError::OutcomeUnknown("write not confirmed".to_owned())),
+            _ => return outcome,
+        }
+        let current = match store.get(kind, name).await {
+            Ok(current) => current,
+            Err(error) => return Err(PlatformError::OutcomeUnknown(error.to_string())),
+        };
+        let version = current.as_ref().map(|it| it.version);
+        if let Some(object) = current.filter(|it| it.operation == *operation) {
+            return Ok(object.version);
+        }
+        if version != expected_version(expect) {
+            return Err(PlatformError::Conflict(version));
+        }
+        outcome = store.put(kind, name, spec, expect, operation).await;
+    }
+    match outcome {
+        Err(PlatformError::Conflict(_) | PlatformError::Unavailable(_) | PlatformError::RateLimited)
+            if may_have_run =>
+        {
+            Err(PlatformError::OutcomeUnknown("write not confirmed".to_owned()))
+        }
+        outcome => outcome,
+    }
+}
+
+fn expected_version(expect: Expect) -> Option<u64> {
+    match expect {
+        Expect::Absent => None,
+        Expect::Version(version) => Some(version),
+    }
+}
