Add the stand-in engine, the stand-in service and the HTTP engine adapter

The router and the controller need engines that refuse old terms, remember cancelled replica ids, batch, cache prefixes and cut answers.

The fronts use hyper's server. xitca-web was ruled out here: its dispatcher does not look at the connection while a handler runs or a body waits, so a closed connection would not cancel a request. Unloading lets running requests finish and keeps their memory until then; reports show such a replica as ready. A down engine closes its listener, so that callers meet refused connections; a control address stays open to end the fault.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,6 +9,26 @@
 use guava_core::{derive_scalar, derive_value};
 use quick_error::quick_error;
 
+mod batch;
+mod completion;
+mod engine_front;
+mod front;
+mod http_engine;
+mod prefix;
+mod record;
+mod service;
+mod settings;
+mod standin;
+
+pub use engine_front::{serve_engine, serve_engine_control};
+pub use front::Front;
+pub use http_engine::HttpEngine;
+pub use prefix::{CacheEvent, CacheEventKind, CacheEvents};
+pub use record::{EngineRecord, OrderOutcome, OrderRecord, Overcommit, RequestRecord, RequestState};
+pub use service::{CallRecord, ServiceRecord, StandInService, serve_service, serve_service_control};
+pub use settings::{EngineFaults, EngineSettings};
+pub use standin::{StandInEngine, StandInEngines};
+
 quick_error! {
     /// Failure of a call to an engine.
     #[derive(Debug, Clone, PartialEq, Eq)]
--- /dev/null
+++ b/crates/engine/src/standin.rs
@@ -0,0 +1,676 @@
+//! Stand-in engine: orders, loads, reports and answers.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use guava_core::ids::{AdapterName, ModelName, ReplicaId, Term};
+use guava_platform::{WeightStore, checkpoint_name};
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+use crate::batch::Batch;
+use crate::prefix::{CacheEvents, PrefixCache};
+use crate::record::{EngineRecord, Overcommit, Recorder};
+use crate::settings::{EngineFaults, EngineSettings};
+use crate::{
+    Action, CachedCheckpoint, Engine, EngineError, EngineReplica, EngineReplicaState, EngineReport, EngineRole, Order,
+    Tier,
+};
+
+/// Old states kept for lagging reports.
+const SNAPSHOT_LIMIT: usize = 4_096;
+
+/// Stand-in engine.
+#[derive(Debug)]
+pub struct StandInEngine {
+    pub(crate) settings: EngineSettings,
+    weights: Option<Arc<dyn WeightStore>>,
+    core: Mutex<Core>,
+    /// Replicas that take requests, by name of model or adapter.
+    serving: RwLock<HashMap<String, Vec<Arc<Replica>>>>,
+    faults: Mutex<EngineFaults>,
+    /// False while all faults are off, so that requests take no lock for them.
+    has_faults: AtomicBool,
+    down: watch::Sender<bool>,
+    pub(crate) prefixes: PrefixCache,
+    pub(crate) recorder: Recorder,
+}
+
+/// A replica that takes requests.
+#[derive(Debug)]
+pub(crate) struct Replica {
+    pub(crate) id: ReplicaId,
+    /// Slots; an adapter shares those of its model.
+    pub(crate) batch: Arc<Batch>,
+    /// Requests running or waiting.
+    active: AtomicU32,
+    /// Requests waiting.
+    pub(crate) waiting: AtomicU32,
+    closing: AtomicBool,
+}
+
+#[derive(Debug)]
+struct Core {
+    term: Term,
+    role: EngineRole,
+    held: BTreeMap<ReplicaId, Held>,
+    used_bytes: u64,
+    tiers: Tiers,
+    snapshots: VecDeque<(Instant, Arc<Vec<Entry>>)>,
+}
+
+/// A replica in any state.
+#[derive(Debug)]
+struct Held {
+    state: HeldState,
+    model: ModelName,
+    version: u64,
+    adapter: Option<AdapterName>,
+    bytes: u64,
+    /// Replica of the model that an adapter belongs to.
+    base: Option<Arc<Replica>>,
+    replica: Option<Arc<Replica>>,
+    load: Option<AbortHandle>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HeldState {
+    Loading,
+    Ready,
+    /// Unloaded by order, held until its running requests have finished.
+    Draining,
+    Failed,
+    Ended,
+}
+
+/// A replica as a report shows it, with the source of its request counts.
+#[derive(Debug, Clone)]
+struct Entry {
+    shown: EngineReplica,
+    replica: Option<Arc<Replica>>,
+}
+
+impl Held {
+    fn name(&self) -> &str {
+        self.adapter.as_ref().map_or(self.model.as_str(), AdapterName::as_str)
+    }
+
+    fn entry(&self, id: &ReplicaId) -> Entry {
+        let state = match self.state {
+            HeldState::Loading => EngineReplicaState::Loading,
+            HeldState::Ready | HeldState::Draining => EngineReplicaState::Ready,
+            HeldState::Failed => EngineReplicaState::Failed,
+            HeldState::Ended => EngineReplicaState::Ended,
+        };
+        let shown = EngineReplica {
+            replica: id.clone(),
+            state,
+            model: self.model.clone(),
+            version: self.version,
+            adapter: self.adapter.clone(),
+            bytes: self.bytes,
+            running: 0,
+            waiting: 0,
+        };
+        Entry {
+            shown,
+            replica: self.replica.clone(),
+        }
+    }
+
+    /// A replica id that was cancelled before its load order came.
+    fn cancelled() -> Self {
+        Self {
+            state: HeldState::Ended,
+            model: ModelName::new(""),
+            version: 0,
+            adapter: None,
+            bytes: 0,
+            base: None,
+            replica: None,
+            load: None,
+        }
+    }
+}
+
+impl Entry {
+    fn report(&self) -> EngineReplica {
+        let mut shown = self.shown.clone();
+        if let Some(replica) = &self.replica {
+            let active = replica.active.load(Ordering::Relaxed);
+            shown.waiting = replica.waiting.load(Ordering::Relaxed);
+            shown.running = active.saturating_sub(shown.waiting);
+        }
+        shown
+    }
+}
+
+impl StandInEngine {
+    /// Creates an engine that loads remote checkpoints from `weights`.
+    pub fn new(settings: EngineSettings, weights: Option<Arc<dyn WeightStore>>) -> Arc<Self> {
+        let event_delay = Duration::from_millis(settings.event_delay_ms);
+        let core = Core {
+            term: Term(0),
+            role: EngineRole::Mixed,
+            held: BTreeMap::new(),
+            used_bytes: 0,
+            tiers: Tiers::new(&settings),
+            snapshots: VecDeque::from([(Instant::now(), Arc::default())]),
+        };
+        Arc::new(Self {
+            weights,
+            core: Mutex::new(core),
+            serving: RwLock::default(),
+            faults: Mutex::default(),
+            has_faults: AtomicBool::new(false),
+            down: watch::Sender::new(false),
+            prefixes: PrefixCache::new(settings.prefix_blocks, event_delay, settings.event_gap_every),
+            recorder: Recorder::new(settings.record),
+            settings,
+        })
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.has_faults
+            .store(faults != EngineFaults::default(), Ordering::Release);
+        self.down.send_replace(faults.down);
+        *self.faults.lock() = faults;
+    }
+
+    /// Faults in force.
+    pub fn faults(&self) -> EngineFaults {
+        if !self.has_faults.load(Ordering::Acquire) {
+            return EngineFaults::default();
+        }
+        self.faults.lock().clone()
+    }
+
+    /// What the engine was asked and did.
+    pub fn record(&self) -> EngineRecord {
+        let mut record = self.recorder.read();
+        record.memory_bytes = self.core.lock().used_bytes;
+        record
+    }
+
+    /// Switches the record of single requests on or off.
+    pub fn set_recording(&self, enabled: bool) {
+        self.recorder.set_enabled(enabled);
+    }
+
+    /// Cache events published after `since`.
+    pub fn cache_events(&self, since: u64) -> CacheEvents {
+        self.prefixes.events(since)
+    }
+
+    /// Takes an order.
+    ///
+    /// # Errors
+    ///
+    /// See [`Engine::order`].
+    pub fn take_order(self: &Arc<Self>, order: &Order) -> Result<(), EngineError> {
+        let result = self.apply(order);
+        self.recorder.order(order, &result);
+        result?;
+        let is_lost = self.has_faults.load(Ordering::Acquire) && self.faults.lock().take_lost_order();
+        if is_lost {
+            return Err(EngineError::OutcomeUnknown("answer lost".to_owned()));
+        }
+        Ok(())
+    }
+
+    /// Report as it is now published.
+    pub fn current_report(&self) -> EngineReport {
+        let lag = Duration::from_millis(self.settings.report_lag_ms);
+        let core = self.core.lock();
+        let old_enough = core.snapshots.iter().rev().find(|(at, _)| at.elapsed() >= lag);
+        let (_, entries) = old_enough.unwrap_or(&core.snapshots[0]);
+        EngineReport {
+            instance: self.settings.instance.clone(),
+            term: core.term,
+            leaving: self.faults().leave,
+            role: core.role,
+            memory_bytes: self.settings.memory_bytes,
+            replicas: entries.iter().map(Entry::report).collect(),
+            cached: core.tiers.cached(),
+        }
+    }
+
+    pub(crate) fn watch_down(&self) -> watch::Receiver<bool> {
+        self.down.subscribe()
+    }
+
+    /// Takes one of the answers that a fault cuts.
+    pub(crate) fn take_death(&self) -> Option<u32> {
+        if !self.has_faults.load(Ordering::Acquire) {
+            return None;
+        }
+        self.faults.lock().take_death()
+    }
+
+    /// Names of the models and adapters that take requests.
+    pub(crate) fn model_names(&self) -> Vec<String> {
+        let mut names = self.serving.read().keys().cloned().collect::<Vec<_>>();
+        names.sort();
+        names
+    }
+
+    /// Joins the replica that serves `model`, or the one with the id in `wanted`.
+    pub(crate) fn join(self: &Arc<Self>, model: &str, wanted: Option<&str>) -> Option<Membership> {
+        let serving = self.serving.read();
+        let replicas = serving.get(model)?;
+        let replica = match wanted {
+            Some(id) => replicas.iter().find(|it| it.id.as_str() == id),
+            None => replicas.iter().min_by_key(|it| it.active.load(Ordering::Relaxed)),
+        }?;
+        replica.active.fetch_add(1, Ordering::SeqCst);
+        let membership = Membership {
+            engine: Arc::clone(self),
+            replica: Arc::clone(replica),
+        };
+        // Dropping the membership after this check ends a drain that waits for it.
+        (!replica.closing.load(Ordering::SeqCst)).then_some(membership)
+    }
+
+    /// Whether any replica serves `model`.
+    pub(crate) fn serves(&self, model: &str) -> bool {
+        self.serving.read().contains_key(model)
+    }
+
+    fn apply(self: &Arc<Self>, order: &Order) -> Result<(), EngineError> {
+        let faults = self.faults();
+        if faults.down {
+            return Err(EngineError::Unreachable("stand-in is down".to_owned()));
+        }
+        if order.instance.as_ref().is_some_and(|it| *it != self.settings.instance) {
+            return Err(EngineError::Refused("the order is for another instance".to_owned()));
+        }
+        let mut core = self.core.lock();
+        if self.settings.checks_fence && order.term < core.term {
+            return Err(EngineError::Fenced(core.term));
+        }
+        core.term = core.term.max(order.term);
+        match &order.action {
+            Action::Load { .. } => self.load(&mut core, order, &faults),
+            Action::Unload => {
+                self.unload(&mut core, &order.replica);
+                Ok(())
+            }
+            Action::SetRole { role } => {
+                core.role = *role;
+                Ok(())
+            }
+            Action::Fence => Ok(()),
+        }
+    }
+
+    fn load(self: &Arc<Self>, core: &mut Core, order: &Order, faults: &EngineFaults) -> Result<(), EngineError> {
+        let Action::Load {
+            model,
+            version,
+            adapter,
+            bytes,
+        } = &order.action
+        else {
+            return Ok(());
+        };
+        let id = &order.replica;
+        match core.held.get(id).map(|it| it.state) {
+            None => (),
+            Some(HeldState::Ended | HeldState::Draining) => {
+                return Err(EngineError::Refused("the replica id has ended".to_owned()));
+            }
+            Some(_) => return Ok(()),
+        }
+        let base = adapter.as_ref().map(|_| core.ready_model(model));
+        let refusal = match &base {
+            Some(None) => Some("the model of the adapter is not ready"),
+            _ if faults.leave => Some("the engine is leaving"),
+            _ => None,
+        };
+        if let Some(reason) = refusal {
+            self.remember_ended(core, id);
+            return Err(EngineError::Refused(reason.to_owned()));
+        }
+        let mut held = Held {
+            state: HeldState::Loading,
+            model: model.clone(),
+            version: *version,
+            adapter: adapter.clone(),
+            bytes: *bytes,
+            base: base.flatten(),
+            replica: None,
+            load: None,
+        };
+        let free = self.settings.memory_bytes.saturating_sub(core.used_bytes);
+        if *bytes > free {
+            held.state = HeldState::Failed;
+            self.recorder.edit(|it| {
+                it.overcommits.push(Overcommit {
+                    replica: id.clone(),
+                    bytes: *bytes,
+                    free,
+                });
+            });
+        } else {
+            core.used_bytes += bytes;
+            let used = core.used_bytes;
+            self.recorder.edit(|it| {
+                it.loads += 1;
+                it.peak_memory_bytes = it.peak_memory_bytes.max(used);
+            });
+            let tier = core.tiers.find(model, *version).filter(|_| adapter.is_none());
+            let loading = Arc::clone(self).run_load(id.clone(), held.name().to_owned(), *version, tier);
+            held.load = Some(tokio::spawn(loading).abort_handle());
+        }
+        core.held.insert(id.clone(), held);
+        self.publish(core);
+        Ok(())
+    }
+
+    async fn run_load(self: Arc<Self>, id: ReplicaId, name: String, version: u64, tier: Option<Tier>) {
+        let read = match (tier, &self.weights) {
+            (Some(Tier::Memory), _) => Ok(()),
+            (Some(Tier::Disk), _) => {
+                self.pause(self.settings.disk_load_ms).await;
+                Ok(())
+            }
+            (_, Some(weights)) => weights.fetch(&checkpoint_name(&name, version)).await.map(drop),
+            (_, None) => {
+                self.pause(self.settings.remote_load_ms).await;
+                Ok(())
+            }
+        };
+        // An adapter is small; its whole load time is the read.
+        let is_adapter = self.core.lock().held.get(&id).is_some_and(|it| it.adapter.is_some());
+        if !is_adapter {
+            self.pause(self.settings.memory_load_ms).await;
+        }
+        if let Err(error) = &read {
+            log::debug!("load of {id} failed: {error}");
+        }
+        let is_loaded = read.is_ok() && !self.faults().fail_loads;
+        self.finish_load(&id, is_loaded);
+    }
+
+    async fn pause(&self, millis: u64) {
+        let duration = self.faults().slowed(Duration::from_millis(millis));
+        if !duration.is_zero() {
+            tokio::time::sleep(duration).await;
+        }
+    }
+
+    fn finish_load(&self, id: &ReplicaId, is_loaded: bool) {
+        let mut core = self.core.lock();
+        let core = &mut *core;
+        let Some(held) = core.held.get_mut(id).filter(|it| it.state == HeldState::Loading) else {
+            return;
+        };
+        held.load = None;
+        if !is_loaded {
+            held.state = HeldState::Failed;
+            core.used_bytes -= held.bytes;
+            self.publish(core);
+            return;
+        }
+        let batch = match &held.base {
+            Some(base) => Arc::clone(&base.batch),
+            None => Batch::new(self.settings.slots),
+        };
+        let replica = Arc::new(Replica {
+            id: id.clone(),
+            batch,
+            active: AtomicU32::new(0),
+            waiting: AtomicU32::new(0),
+            closing: AtomicBool::new(false),
+        });
+        held.state = HeldState::Ready;
+        held.replica = Some(Arc::clone(&replica));
+        if held.adapter.is_none() {
+            core.tiers.store(&held.model, held.version, held.bytes);
+        }
+        self.serving
+            .write()
+            .entry(held.name().to_owned())
+            .or_default()
+            .push(replica);
+        self.recorder.edit(|it| it.loaded += 1);
+        self.publish(core);
+    }
+
+    fn unload(&self, core: &mut Core, id: &ReplicaId) {
+        let Some(held) = core.held.get(id) else {
+            self.remember_ended(core, id);
+            self.publish(core);
+            return;
+        };
+        let adapters = match &held.replica {
+            Some(replica) => core.adapters_of(replica),
+            None => Vec::new(),
+        };
+        for adapter in adapters {
+            self.close(core, &adapter);
+        }
+        self.close(core, id);
+        self.publish(core);
+    }
+
+    /// Ends a replica, at once when it has no requests.
+    fn close(&self, core: &mut Core, id: &ReplicaId) {
+        let Some(held) = core.held.get_mut(id) else { return };
+        match held.state {
+            HeldState::Loading => {
+                if let Some(load) = held.load.take() {
+                    load.abort();
+                }
+                self.end(core, id);
+            }
+            HeldState::Failed => self.end(core, id),
+            HeldState::Ready => {
+                let Some(replica) = held.replica.clone() else { return };
+                held.state = HeldState::Draining;
+                self.stop_serving(held.name(), id);
+                replica.closing.store(true, Ordering::SeqCst);
+                if replica.active.load(Ordering::SeqCst) == 0 {
+                    self.end(core, id);
+                }
+            }
+            HeldState::Draining | HeldState::Ended => (),
+        }
+    }
+
+    fn stop_serving(&self, name: &str, id: &ReplicaId) {
+        let mut serving = self.serving.write();
+        if let Some(replicas) = serving.get_mut(name) {
+            replicas.retain(|it| it.id != *id);
+            if replicas.is_empty() {
+                serving.remove(name);
+            }
+        }
+    }
+
+    /// Frees the memory of a replica and marks its id as ended.
+    fn end(&self, core: &mut Core, id: &ReplicaId) {
+        let Some(held) = core.held.get_mut(id) else { return };
+        if matches!(held.state, HeldState::Loading | HeldState::Draining) {
+            core.used_bytes -= held.bytes;
+        }
+        held.state = HeldState::Ended;
+        held.replica = None;
+        held.base = None;
+        held.bytes = 0;
+        self.recorder.edit(|it| it.unloads += 1);
+        if self.settings.forgets_orders {
+            core.held.remove(id);
+        }
+    }
+
+    fn remember_ended(&self, core: &mut Core, id: &ReplicaId) {
+        if !self.settings.forgets_orders {
+            core.held.insert(id.clone(), Held::cancelled());
+        }
+    }
+
+    /// Ends a replica whose last request has finished.
+    fn finish_drain(&self, id: &ReplicaId) {
+        let mut core = self.core.lock();
+        let is_draining = core.held.get(id).is_some_and(|it| it.state == HeldState::Draining);
+        if is_draining {
+            self.end(&mut core, id);
+            self.publish(&mut core);
+        }
+    }
+
+    /// Makes the current state visible to reports once their lag has passed.
+    fn publish(&self, core: &mut Core) {
+        let entries = core.held.iter().map(|(id, held)| held.entry(id)).collect();
+        core.snapshots.push_back((Instant::now(), Arc::new(entries)));
+        if self.settings.report_lag_ms == 0 || core.snapshots.len() > SNAPSHOT_LIMIT {
+            core.snapshots.pop_front();
+        }
+    }
+}
+
+impl Core {
+    fn ready_model(&self, model: &ModelName) -> Option<Arc<Replica>> {
+        let mut ready = self.held.values().filter(|it| it.state == HeldState::Ready);
+        let found = ready.find(|it| it.adapter.is_none() && it.model == *model)?;
+        found.replica.clone()
+    }
+
+    fn adapters_of(&self, base: &Arc<Replica>) -> Vec<ReplicaId> {
+        let uses_base = |held: &Held| held.base.as_ref().is_some_and(|it| Arc::ptr_eq(it, base));
+        let adapters = self.held.iter().filter(|(_, held)| uses_base(held));
+        adapters.map(|(id, _)| id.clone()).collect()
+    }
+}
+
+/// A request's place at a replica; dropping it may end a drain.
+#[derive(Debug)]
+pub(crate) struct Membership {
+    pub(crate) engine: Arc<StandInEngine>,
+    pub(crate) replica: Arc<Replica>,
+}
+
+impl Drop for Membership {
+    fn drop(&mut self) {
+        let was_last = self.replica.active.fetch_sub(1, Ordering::SeqCst) == 1;
+        if was_last && self.replica.closing.load(Ordering::SeqCst) {
+            self.engine.finish_drain(&self.replica.id);
+        }
+    }
+}
+
+/// Checkpoints cached in memory and on disk, least recently used first.
+#[derive(Debug)]
+struct Tiers {
+    memory: TierCache,
+    disk: TierCache,
+}
+
+#[derive(Debug)]
+struct TierCache {
+    limit: u64,
+    entries: VecDeque<(ModelName, u64, u64)>,
+}
+
+impl Tiers {
+    fn new(settings: &EngineSettings) -> Self {
+        let with_limit = |limit| TierCache {
+            limit,
+            entries: VecDeque::new(),
+        };
+        let mut tiers = Self {
+            memory: with_limit(settings.memory_tier_bytes),
+            disk: with_limit(settings.disk_tier_bytes),
+        };
+        for it in &settings.cached {
+            match it.tier {
+                Tier::Memory => tiers.memory.store(&it.model, it.version, 0),
+                Tier::Disk => tiers.disk.store(&it.model, it.version, 0),
+                Tier::Remote => (),
+            }
+        }
+        tiers
+    }
+
+    fn find(&self, model: &ModelName, version: u64) -> Option<Tier> {
+        let in_memory = self.memory.contains(model, version).then_some(Tier::Memory);
+        in_memory.or_else(|| self.disk.contains(model, version).then_some(Tier::Disk))
+    }
+
+    fn store(&mut self, model: &ModelName, version: u64, bytes: u64) {
+        self.memory.store(model, version, bytes);
+        self.disk.store(model, version, bytes);
+    }
+
+    fn cached(&self) -> Vec<CachedCheckpoint> {
+        let only_on_disk = self.disk.entries.iter().filter(|it| !self.memory.contains(&it.0, it.1));
+        let memory = self.memory.entries.iter().map(|it| (it, Tier::Memory));
+        let disk = only_on_disk.map(|it| (it, Tier::Disk));
+        let checkpoint = |((model, version, _), tier): (&(ModelName, u64, u64), Tier)| CachedCheckpoint {
+            model: model.clone(),
+            version: *version,
+            tier,
+        };
+        memory.chain(disk).map(checkpoint).collect()
+    }
+}
+
+impl TierCache {
+    fn contains(&self, model: &ModelName, version: u64) -> bool {
+        self.entries.iter().any(|it| it.0 == *model && it.1 == version)
+    }
+
+    fn store(&mut self, model: &ModelName, version: u64, bytes: u64) {
+        self.entries.retain(|it| !(it.0 == *model && it.1 == version));
+        self.entries.push_back((model.clone(), version, bytes));
+        let mut total = self.entries.iter().map(|it| it.2).sum::<u64>();
+        while total > self.limit
+            && let Some((_, _, freed)) = self.entries.pop_front()
+        {
+            total -= freed;
+        }
+    }
+}
+
+/// Stand-in engines in this process, by address.
+#[derive(Debug, Default)]
+pub struct StandInEngines {
+    engines: RwLock<HashMap<SocketAddr, Arc<StandInEngine>>>,
+}
+
+impl StandInEngines {
+    /// Makes `engine` answer at `addr`, in place of any earlier one.
+    pub fn set(&self, addr: SocketAddr, engine: Arc<StandInEngine>) {
+        self.engines.write().insert(addr, engine);
+    }
+
+    /// Removes the engine at `addr`.
+    pub fn remove(&self, addr: SocketAddr) {
+        self.engines.write().remove(&addr);
+    }
+
+    fn find(&self, addr: SocketAddr) -> Result<Arc<StandInEngine>, EngineError> {
+        let found = self.engines.read().get(&addr).cloned();
+        found
+            .filter(|it| !it.faults().down)
+            .ok_or_else(|| EngineError::Unreachable(format!("no engine at {addr}")))
+    }
+}
+
+#[async_trait]
+impl Engine for StandInEngines {
+    async fn order(&self, server: SocketAddr, order: &Order) -> Result<(), EngineError> {
+        self.find(server)?.take_order(order)
+    }
+
+    async fn report(&self, server: SocketAddr) -> Result<EngineReport, EngineError> {
+        Ok(self.find(server)?.current_report())
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/answers.rs
@@ -0,0 +1,350 @@
+//! Answers of the stand-in engine and service over HTTP.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use guava_core::ids::{ModelName, ReplicaId, Term};
+use guava_engine::{
+    Action, CacheEventKind, EngineFaults, EngineReplicaState, EngineSettings, Front, HttpEngine, Order, RequestState,
+    StandInEngine, StandInService, serve_engine, serve_service,
+};
+use http_body_util::{BodyExt as _, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use rstest::rstest;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+fn loopback() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+async fn ready_engine(settings: EngineSettings) -> (Arc<StandInEngine>, Front) {
+    let settings = EngineSettings {
+        memory_load_ms: 0,
+        remote_load_ms: 0,
+        ..settings
+    };
+    let engine = StandInEngine::new(settings, None);
+    let order = Order {
+        replica: ReplicaId::new("r1"),
+        term: Term(1),
+        instance: None,
+        action: Action::Load {
+            model: ModelName::new("m"),
+            version: 1,
+            adapter: None,
+            bytes: 1,
+        },
+    };
+    engine.take_order(&order).unwrap();
+    while engine.current_report().replicas[0].state != EngineReplicaState::Ready {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let front = serve_engine(&engine, loopback()).await.unwrap();
+    (engine, front)
+}
+
+/// Status and body; a body that was cut gives `None`.
+async fn post(addr: SocketAddr, path: &str, headers: &[(&str, &str)], body: &Value) -> Option<(u16, Bytes)> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let mut request = http::Request::post(format!("http://{addr}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::from(body.to_string())).unwrap();
+    let response = client.request(request).await.ok()?;
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.ok()?;
+    Some((status, body.to_bytes()))
+}
+
+async fn ask(front: &Front, id: &str, body: &Value) -> Option<(u16, Bytes)> {
+    post(front.addr(), "/v1/chat/completions", &[("x-request-id", id)], body).await
+}
+
+fn chat(tokens: u32, stream: bool) -> Value {
+    json!({
+        "model": "m",
+        "messages": [{"role": "user", "content": "How is a valve seat checked?"}],
+        "max_tokens": tokens,
+        "stream": stream,
+        "stream_options": {"include_usage": true},
+    })
+}
+
+/// Text and usage of a streamed answer, and whether it ended as it must.
+fn read_stream(body: &[u8]) -> (String, Value, bool) {
+    let text = std::str::from_utf8(body).unwrap();
+    let lines = text.split("\n\n").filter_map(|it| it.strip_prefix("data: "));
+    let events = lines
+        .clone()
+        .filter_map(|it| serde_json::from_str::<Value>(it).ok())
+        .collect::<Vec<_>>();
+    let content = events
+        .iter()
+        .filter_map(|it| it["choices"][0]["delta"]["content"].as_str());
+    let usage = events.last().map(|it| it["usage"].clone()).unwrap_or_default();
+    (content.collect(), usage, lines.last() == Some("[DONE]"))
+}
+
+/// Guards against whole and streamed answers that differ or belong to another request.
+#[tokio::test]
+async fn whole_and_streamed_answers_agree() {
+    let (engine, front) = ready_engine(EngineSettings::default()).await;
+
+    let (status, whole) = ask(&front, "req\"1", &chat(20, false)).await.unwrap();
+    let (_, streamed) = ask(&front, "req\"1", &chat(20, true)).await.unwrap();
+    let prompt = json!({"model": "m", "prompt": "abcd", "max_tokens": 2});
+    let headers = [
+        ("x-request-id", "req-2"),
+        ("x-guava-replica", "r1"),
+        ("idempotency-key", "k"),
+    ];
+    let (_, text) = post(front.addr(), "/v1/completions", &headers, &prompt).await.unwrap();
+
+    let whole: Value = serde_json::from_slice(&whole).unwrap();
+    let (content, usage, is_done) = read_stream(&streamed);
+    let text: Value = serde_json::from_slice(&text).unwrap();
+    assert_eq!(status, 200);
+    assert_eq!(whole["choices"][0]["message"]["content"], content);
+    assert!(content.starts_with("req\"1 1 2 ") && is_done, "{content}");
+    assert_eq!(whole["usage"]["completion_tokens"], 20);
+    assert_eq!(usage["prompt_tokens"], whole["usage"]["prompt_tokens"]);
+    assert_eq!(text["choices"][0]["text"], "req-2 1");
+    let record = engine.record();
+    let last = &record.requests[2];
+    assert_eq!(
+        (last.idempotency_key.as_deref(), last.replica.as_str()),
+        (Some("k"), "r1")
+    );
+    assert!(last.headers.iter().any(|it| it == "x-guava-replica"));
+    assert!(record.requests.iter().all(|it| it.state == RequestState::Finished));
+}
+
+/// Guards against running requests that a replica does not serve.
+#[rstest]
+#[case(json!({"model": "other"}), "r1", 404)]
+#[case(json!({"model": "m"}), "r2", 409)]
+#[case(json!({"model": 7}), "r1", 400)]
+#[tokio::test]
+async fn wrong_requests_do_not_run(#[case] body: Value, #[case] replica: &str, #[case] expected: u16) {
+    let (engine, front) = ready_engine(EngineSettings::default()).await;
+
+    let answer = post(front.addr(), "/v1/completions", &[("x-guava-replica", replica)], &body).await;
+
+    assert_eq!(answer.unwrap().0, expected);
+    assert_eq!(engine.record().request_count, 0);
+}
+
+/// Guards against a cut answer that looks whole, and against cuts that hit later requests.
+#[rstest]
+#[case(false, 0)]
+#[case(false, 3)]
+#[case(true, 0)]
+#[case(true, 3)]
+#[tokio::test]
+async fn cut_answers_are_never_whole(#[case] stream: bool, #[case] tokens: u32) {
+    let (engine, front) = ready_engine(EngineSettings::default()).await;
+    let cut = EngineFaults {
+        die_after_tokens: Some(tokens),
+        die_next: Some(1),
+        ..EngineFaults::default()
+    };
+    engine.set_faults(cut);
+
+    let first = ask(&front, "a", &chat(10, stream)).await;
+    let second = ask(&front, "b", &chat(10, stream)).await;
+
+    assert_eq!(first, None);
+    assert_eq!(second.unwrap().0, 200);
+    let states = engine.record().requests.iter().map(|it| it.state).collect::<Vec<_>>();
+    assert_eq!(states, [RequestState::Died, RequestState::Finished]);
+}
+
+/// Guards against work for callers that have gone, both while the answer is prepared and while it is streamed.
+#[rstest]
+#[case(false)]
+#[case(true)]
+#[tokio::test]
+async fn closed_connections_cancel_requests(#[case] stream: bool) {
+    let settings = EngineSettings {
+        decode_us: 50_000,
+        ..EngineSettings::default()
+    };
+    let (engine, front) = ready_engine(settings).await;
+    let mut connection = TcpStream::connect(front.addr()).await.unwrap();
+    let body = chat(1_000_000, stream).to_string();
+    let length = body.len();
+    let head = format!("POST /v1/chat/completions HTTP/1.1\r\nhost: e\r\ncontent-length: {length}\r\n\r\n{body}");
+
+    connection.write_all(head.as_bytes()).await.unwrap();
+    if stream {
+        connection.read_exact(&mut [0; 16]).await.unwrap();
+    }
+    while engine.record().requests.is_empty() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let running = engine.current_report().replicas[0].running;
+    drop(connection);
+    while engine.record().requests[0].state == RequestState::Running {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+
+    assert_eq!(running, 1);
+    assert_eq!(engine.record().requests[0].state, RequestState::Cancelled);
+    while engine.current_report().replicas[0].running != 0 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Guards against an unload that interrupts a running request or frees its memory too early.
+#[tokio::test]
+async fn unload_lets_running_requests_finish() {
+    let settings = EngineSettings {
+        decode_us: 5_000,
+        ..EngineSettings::default()
+    };
+    let (engine, front) = ready_engine(settings).await;
+    let addr = front.addr();
+    let running = tokio::spawn(async move { post(addr, "/v1/chat/completions", &[], &chat(40, false)).await });
+    while engine.record().requests.is_empty() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+
+    let unload = Order {
+        replica: ReplicaId::new("r1"),
+        term: Term(1),
+        instance: None,
+        action: Action::Unload,
+    };
+    engine.take_order(&unload).unwrap();
+    let refused = ask(&front, "late", &chat(1, false)).await.unwrap().0;
+    let held = engine.record().memory_bytes;
+    let finished = running.await.unwrap().unwrap().0;
+
+    assert_eq!((refused, held, finished), (404, 1, 200));
+    while engine.current_report().replicas[0].state != EngineReplicaState::Ended {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(engine.record().memory_bytes, 0);
+}
+
+/// Guards against a batch that exceeds its slots or ignores priorities.
+#[tokio::test]
+async fn waiting_requests_run_by_priority() {
+    let settings = EngineSettings {
+        slots: 1,
+        decode_us: 20_000,
+        ..EngineSettings::default()
+    };
+    let (engine, front) = ready_engine(settings).await;
+    let addr = front.addr();
+    let send = |priority: i64, tokens: u32| {
+        let mut body = chat(tokens, false);
+        body["priority"] = priority.into();
+        tokio::spawn(async move { post(addr, "/v1/chat/completions", &[], &body).await })
+    };
+    let waiting = |count| {
+        let engine = Arc::clone(&engine);
+        async move {
+            while engine.current_report().replicas[0].waiting != count {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+    };
+
+    let first = send(0, 30);
+    while engine.current_report().replicas[0].running != 1 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let low = send(1, 100_000);
+    waiting(1).await;
+    let high = send(2, 1);
+    waiting(2).await;
+
+    // The low one runs for half an hour; the high one can only end when it goes first.
+    assert_eq!(first.await.unwrap().unwrap().0, 200);
+    assert_eq!(high.await.unwrap().unwrap().0, 200);
+    low.abort();
+}
+
+/// Guards against a prefix cache that never hits, never evicts, or whose events come early or complete.
+#[tokio::test]
+async fn prefix_cache_is_limited_and_its_events_lag_and_have_gaps() {
+    let late = EngineSettings {
+        prefix_blocks: 4,
+        event_delay_ms: 600_000,
+        ..EngineSettings::default()
+    };
+    let prompt = EngineSettings {
+        prefix_blocks: 4,
+        event_delay_ms: 0,
+        event_gap_every: 2,
+        ..EngineSettings::default()
+    };
+    let (engine, front) = ready_engine(prompt).await;
+    let (_, late_front) = ready_engine(late).await;
+    let request = |letter: &str| json!({"model": "m", "prompt": letter.repeat(200), "max_tokens": 1});
+    let cached = async |letter: &str| {
+        let (_, body) = post(front.addr(), "/v1/completions", &[], &request(letter))
+            .await
+            .unwrap();
+        let body: Value = serde_json::from_slice(&body).unwrap();
+        body["usage"]["prompt_tokens_details"]["cached_tokens"]
+            .as_u64()
+            .unwrap()
+    };
+    post(late_front.addr(), "/v1/completions", &[], &request("a"))
+        .await
+        .unwrap();
+
+    let tokens = [
+        cached("a").await,
+        cached("a").await,
+        cached("b").await,
+        cached("a").await,
+    ];
+    let client = HttpEngine::new();
+    let events = client.cache_events(front.addr(), 0).await.unwrap();
+    let rest = client.cache_events(front.addr(), events.next).await.unwrap();
+    let late = client.cache_events(late_front.addr(), 0).await.unwrap();
+
+    assert_eq!(tokens, [0, 48, 0, 0]);
+    assert!(events.events.iter().all(|it| it.sequence % 2 == 1));
+    assert!(events.events.iter().any(|it| it.kind == CacheEventKind::Evicted));
+    assert_eq!(rest.events, vec![]);
+    assert_eq!(late.events, vec![]);
+    assert!(engine.record().request_count == 4);
+}
+
+/// Guards against a service that loses count of calls whose answer was cut.
+#[tokio::test]
+async fn service_counts_calls_by_id() {
+    let service = StandInService::new(0);
+    let front = serve_service(&service, loopback()).await.unwrap();
+
+    let by_query = post(front.addr(), "/book?id=7", &[("x-request-id", "q")], &json!({}))
+        .await
+        .unwrap();
+    service.set_faults(EngineFaults {
+        die_after_tokens: Some(0),
+        ..EngineFaults::default()
+    });
+    let cut = post(front.addr(), "/book", &[], &json!({"id": "7"})).await;
+    service.set_faults(EngineFaults {
+        die_after_tokens: Some(1),
+        ..EngineFaults::default()
+    });
+    let halved = post(front.addr(), "/book", &[], &json!({"id": 8})).await;
+
+    let answer: Value = serde_json::from_slice(&by_query.1).unwrap();
+    let record = service.record();
+    assert_eq!(answer, json!({"id": "7", "count": 1, "request": "q"}));
+    assert_eq!((cut, halved), (None, None));
+    assert_eq!((record.counts["7"], record.counts["8"]), (2, 1));
+    assert_eq!(record.calls[1].state, RequestState::Died);
+}
