--- a/crates/core/src/codes.rs
+++ b/crates/core/src/codes.rs
@@ -49,6 +49,8 @@
     MethodNotAllowed = 1010, 405, "The path does not accept this method.";
     InvalidIdempotencyKey = 1011, 400, "The idempotency key is empty, too long or not printable ASCII.";
     MissingIdempotencyKey = 1012, 400, "The profile or route requires an idempotency key.";
+    TruncatedBody = 1013, 400, "The body ended before its announced length.";
+    InvalidHeader = 1014, 400, "A header has an unaccepted value.";
 
     // 11xx: keys and names.
     MissingKey = 1101, 401, "The request carries no key.";
@@ -78,6 +80,7 @@
     RecordUnavailable = 1307, 503, "The idempotency record could not be written.";
     JobNotAccepted = 1308, 503, "The job could not be stored and was not accepted.";
     AnswerTooLarge = 1309, 502, "The answer is larger than the limit for stored answers.";
+    AnswerMismatch = 1310, 502, "The backend server's answer belongs to another request.";
 
     // 14xx: state of the VM.
     Isolated = 1401, 503, "This VM has lost contact with the platform and the other VMs.";
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -40,10 +40,10 @@
 events! {
     // 1xxx: router.
     RequestAdmitted = 1001, Debug, "A request was admitted.";
-    RequestRefused = 1002, Info, "A request was refused.";
+    RequestRefused = 1002, Debug, "A request was refused.";
     RequestQueued = 1003, Debug, "A request waits for a replica.";
     RequestSent = 1004, Debug, "A request was sent to a backend server.";
-    RequestRetried = 1005, Info, "An idempotent request is tried on another backend server.";
+    RequestRetried = 1005, Debug, "An idempotent request is tried on another backend server.";
     RequestFinished = 1006, Debug, "The whole answer was passed on.";
     RequestFailed = 1007, Warn, "A request failed after it was sent.";
     CallerLeft = 1008, Debug, "The caller closed its connection before the answer was whole.";
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,251 @@
+//! Waiting requests of one model.
+//!
+//! Each organisation has its own bounded sub-queue, so a burst of one cannot push out the requests of another. Between
+//! organisations the order is start-time fair queuing in tokens; within one it is by priority, then by deadline. Start
+//! tags belong to organisations and not to requests, because priorities may change which request of an organisation
+//! is next.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use quick_error::quick_error;
+
+use crate::ids::{OrganisationName, RequestId};
+use crate::units::Millis;
+
+/// Scale of virtual time, so that division by a weight keeps its fraction.
+const TAG_SCALE: u128 = 1 << 20;
+/// Share of a new measurement in the average service time.
+const SERVICE_TIME_GAIN: f64 = 0.1;
+
+quick_error! {
+    /// Refusal to queue a request.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum QueueError {
+        /// The organisation's sub-queue is full.
+        Full(limit: u32) {
+            display("the organisation has {limit} requests waiting")
+        }
+        /// A request with this id is waiting already.
+        Duplicate {
+            display("a request with this id is waiting already")
+        }
+    }
+}
+
+derive_value! {
+    /// A waiting request.
+    pub struct Waiting {
+        /// Request.
+        pub request: RequestId,
+        /// Organisation.
+        pub organisation: OrganisationName,
+        /// Weight of the organisation.
+        pub weight: u32,
+        /// Tokens that it reserves.
+        pub tokens: u64,
+        /// Order within the organisation; larger goes first.
+        pub priority: u8,
+        /// Time by which it must be sent.
+        pub deadline: Millis,
+        /// Time at which it began to wait.
+        pub since: Millis,
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    inverse_priority: u8,
+    deadline: Millis,
+    arrival: u64,
+}
+
+#[derive(Debug, Default)]
+struct SubQueue {
+    start: u128,
+    tokens: u64,
+    weight: u32,
+    waiting: BTreeMap<Rank, Waiting>,
+}
+
+/// Waiting requests by organisation.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    virtual_time: u128,
+    arrivals: u64,
+    organisations: BTreeMap<OrganisationName, SubQueue>,
+    ranks: HashMap<RequestId, (OrganisationName, Rank)>,
+    deadlines: BTreeSet<(Millis, RequestId)>,
+}
+
+impl FairQueue {
+    /// Adds a request unless its organisation already has `limit` waiting.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the sub-queue is full or the request is waiting already.
+    pub fn push(&mut self, item: Waiting, limit: u32) -> Result<(), QueueError> {
+        if self.ranks.contains_key(&item.request) {
+            return Err(QueueError::Duplicate);
+        }
+        if self.waiting_of(&item.organisation) >= limit as usize {
+            return Err(QueueError::Full(limit));
+        }
+        self.arrivals += 1;
+        let rank = Rank {
+            inverse_priority: u8::MAX - item.priority,
+            deadline: item.deadline,
+            arrival: self.arrivals,
+        };
+        let queue = self.organisations.entry(item.organisation.clone()).or_default();
+        if queue.waiting.is_empty() {
+            queue.start = queue.start.max(self.virtual_time);
+        }
+        queue.weight = item.weight.max(1);
+        queue.tokens += item.tokens;
+        self.ranks
+            .insert(item.request.clone(), (item.organisation.clone(), rank.clone()));
+        self.deadlines.insert((item.deadline, item.request.clone()));
+        queue.waiting.insert(rank, item);
+        Ok(())
+    }
+
+    /// Takes the next request. Call [`FairQueue::expire`] first.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        let backlogged = self.organisations.iter().filter(|(_, it)| !it.waiting.is_empty());
+        let name = backlogged.min_by_key(|(_, it)| it.start)?.0.clone();
+        let queue = self.organisations.get_mut(&name)?;
+        let (_, item) = queue.waiting.pop_first()?;
+        self.virtual_time = self.virtual_time.max(queue.start);
+        queue.start += u128::from(item.tokens.max(1)) * TAG_SCALE / u128::from(queue.weight);
+        queue.tokens -= item.tokens;
+        self.forget(&item);
+        self.prune();
+        Some(item)
+    }
+
+    /// Removes a request; returns it when it was waiting.
+    pub fn cancel(&mut self, request: &RequestId) -> Option<Waiting> {
+        let (name, rank) = self.ranks.get(request)?.clone();
+        let queue = self.organisations.get_mut(&name)?;
+        let item = queue.waiting.remove(&rank)?;
+        queue.tokens -= item.tokens;
+        self.forget(&item);
+        self.prune();
+        Some(item)
+    }
+
+    /// Removes and returns the requests whose deadline has come.
+    pub fn expire(&mut self, now: Millis) -> Vec<Waiting> {
+        let mut expired = Vec::new();
+        while let Some((deadline, request)) = self.deadlines.first() {
+            if *deadline > now {
+                break;
+            }
+            let request = request.clone();
+            expired.extend(self.cancel(&request));
+        }
+        expired
+    }
+
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.ranks.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.ranks.is_empty()
+    }
+
+    /// Number of waiting requests of an organisation.
+    pub fn waiting_of(&self, organisation: &OrganisationName) -> usize {
+        self.organisations.get(organisation).map_or(0, |it| it.waiting.len())
+    }
+
+    /// Waiting requests and their tokens by organisation.
+    pub fn by_organisation(&self) -> impl Iterator<Item = (&OrganisationName, usize, u64)> {
+        let backlogged = self.organisations.iter().filter(|(_, it)| !it.waiting.is_empty());
+        backlogged.map(|(name, it)| (name, it.waiting.len(), it.tokens))
+    }
+
+    /// Time at which the oldest waiting request began to wait.
+    pub fn oldest(&self) -> Option<Millis> {
+        let all = self.organisations.values().flat_map(|it| it.waiting.values());
+        all.map(|it| it.since).min()
+    }
+
+    /// Tokens expected to be served before a new request of an organisation.
+    ///
+    /// While the organisation's own requests ahead are served, each other organisation gets at most its weight's share
+    /// and at most what it has waiting.
+    pub fn tokens_ahead(&self, organisation: &OrganisationName, weight: u32, priority: u8) -> u64 {
+        let weight = u64::from(weight.max(1));
+        let goes_first = |rank: &Rank| u8::MAX - rank.inverse_priority >= priority;
+        let own: u64 = self.organisations.get(organisation).map_or(0, |it| {
+            let ahead = it.waiting.iter().filter(|(rank, _)| goes_first(rank));
+            ahead.map(|(_, item)| item.tokens).sum()
+        });
+        let others = self.organisations.iter().filter(|(name, _)| *name != organisation);
+        let others: u64 = others
+            .map(|(_, it)| it.tokens.min(own.saturating_mul(u64::from(it.weight)) / weight))
+            .sum();
+        own.saturating_add(others)
+    }
+
+    fn forget(&mut self, item: &Waiting) {
+        self.ranks.remove(&item.request);
+        self.deadlines.remove(&(item.deadline, item.request.clone()));
+    }
+
+    /// Forgets idle organisations whose tag gives them no debt.
+    fn prune(&mut self) {
+        let now = self.virtual_time;
+        if self.ranks.is_empty() {
+            self.organisations.clear();
+            self.virtual_time = 0;
+        } else {
+            self.organisations
+                .retain(|_, it| !it.waiting.is_empty() || it.start > now);
+        }
+    }
+}
+
+/// Average time that a replica's slot is busy for a token.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServiceTime {
+    ms_per_token: Option<f64>,
+}
+
+impl ServiceTime {
+    /// Takes in a finished request.
+    pub fn observe(&mut self, tokens: u64, duration_ms: u64) {
+        let sample = duration_ms as f64 / tokens.max(1) as f64;
+        self.ms_per_token = Some(match self.ms_per_token {
+            Some(average) => average + SERVICE_TIME_GAIN * (sample - average),
+            None => sample,
+        });
+    }
+
+    /// Expected wait behind `tokens_ahead` on `slots`, or `None` before the first measurement.
+    pub fn wait_ms(self, tokens_ahead: u64, slots: u64) -> Option<u64> {
+        let per_token = self.ms_per_token?;
+        Some((tokens_ahead as f64 * per_token / slots.max(1) as f64) as u64)
+    }
+}
+
+/// What an early refusal is decided from.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitEstimate {
+    /// Time until a replica is ready, when none is and the controller gave an estimate, in milliseconds.
+    pub ready_in_ms: Option<u64>,
+    /// Expected wait in the queue, in milliseconds.
+    pub queue_ms: Option<u64>,
+}
+
+impl WaitEstimate {
+    /// Whether a request with this deadline cannot be served in time. Without any estimate it is not refused.
+    pub fn misses(self, now: Millis, deadline: Millis) -> bool {
+        let wait = self.ready_in_ms.unwrap_or(0).saturating_add(self.queue_ms.unwrap_or(0));
+        now + wait > deadline
+    }
+}
