Add the administration API as a program

Cause: operators need conditional edits, keys, status, explanations and the timeline over HTTP. Change: crates/admin on xitca-web; a write whose answer was lost is resolved by its operation id; an accepted change goes into the spread at once. Measured: it builds; it has not run against a platform yet. Conclusion: the development program can embed it.

--- /dev/null
+++ b/crates/admin/src/keys.rs
@@ -0,0 +1,82 @@
+//! Grant and withdraw callers' keys, and drain backend servers.
+//!
+//! These are edits that operators make in a hurry, so they need no version: they read the current object, change one
+//! field and repeat when another edit came between.
+
+use guava_core::codes::Code;
+use guava_core::config::{Kind, Object};
+use guava_core::ids::OrganisationName;
+use guava_core::keys;
+use guava_platform::Expect;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::Admin;
+use crate::reply::{ApiRequest, Failure, Reply};
+
+/// Attempts of an edit that loses against other edits.
+const EDIT_ATTEMPTS: u32 = 8;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GrantRequest {
+    organisation: OrganisationName,
+}
+
+impl Admin {
+    /// Creates a key and returns its secret, which is stored nowhere.
+    pub(crate) async fn grant_key(&self, req: &ApiRequest) -> Result<Reply, Failure> {
+        let grant: GrantRequest =
+            serde_json::from_value(req.json()?).map_err(|error| Failure::new(Code::InvalidField, error.to_string()))?;
+        if !self.snapshot().organisations.contains_key(&grant.organisation) {
+            return Err(Failure::new(
+                Code::UnknownReference,
+                format!("organisation {}", grant.organisation),
+            ));
+        }
+        let id = self.random_id();
+        let new = keys::new_key(&self.hasher, &id, &grant.organisation, &mut *self.rng.lock());
+        let mut shown = self.create_object(&Object::Key(new.key)).await?;
+        if let Value::Object(fields) = &mut shown {
+            fields.insert("key".to_owned(), json!(new.text));
+        }
+        Ok(Reply::created(shown))
+    }
+
+    /// Withdraws a key.
+    pub(crate) async fn withdraw_key(&self, id: &str) -> Result<Reply, Failure> {
+        self.change(Kind::Key, id, |object| {
+            if let Object::Key(key) = object {
+                key.withdrawn = true;
+            }
+        })
+        .await
+    }
+
+    /// Drains a backend server, or takes it back into service.
+    pub(crate) async fn drain_server(&self, name: &str, draining: bool) -> Result<Reply, Failure> {
+        self.change(Kind::Server, name, |object| {
+            if let Object::Server(server) = object {
+                server.draining = draining;
+            }
+        })
+        .await
+    }
+
+    async fn change(&self, kind: Kind, name: &str, apply: impl Fn(&mut Object)) -> Result<Reply, Failure> {
+        for _ in 0..EDIT_ATTEMPTS {
+            let stored = self.read(kind, name).await?;
+            let mut object = Object::from_spec(kind, stored.spec)
+                .map_err(|message| Failure::new(Code::Internal, format!("stored object: {message}")))?;
+            apply(&mut object);
+            match self.write(&object, Expect::Version(stored.version)).await {
+                Err(failure) if failure.code == Code::VersionConflict => {}
+                result => return result.map(Reply::ok),
+            }
+        }
+        Err(Failure::new(
+            Code::VersionConflict,
+            "other edits came between; try again",
+        ))
+    }
+}
--- /dev/null
+++ b/crates/admin/src/objects.rs
@@ -0,0 +1,281 @@
+//! Create, show, list, edit, delete and watch configuration objects.
+//!
+//! A write whose answer was lost is resolved by reading the object back and comparing its operation id. Only when that
+//! fails as well is the operator told that the outcome is unknown.
+
+use std::time::Duration;
+
+use guava_core::codes::Code;
+use guava_core::config::{Kind, Object};
+use guava_core::events::Event;
+use guava_core::ids::{OperationId, Term};
+use guava_core::snapshot::Snapshot;
+use guava_core::spread::{Entry, EntryKey, Version};
+
+use guava_platform::{Change, Expect, PlatformError, StoredObject, put_recovered};
+use serde_json::{Value, json};
+
+use crate::Admin;
+use crate::reply::{ApiRequest, Failure, Reply};
+
+/// Longest wait of one watch call.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
+/// Attempts to read an object back after a lost answer.
+const READ_BACK_ATTEMPTS: u32 = 5;
+/// Wait before the first repeat of a read-back; doubles each time.
+const READ_BACK_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Configuration kind with the given plural name.
+///
+/// # Errors
+///
+/// Returns `UnknownKind` for other names, those of the system's own kinds included.
+pub fn config_kind(plural: &str) -> Result<Kind, Failure> {
+    Kind::from_plural(plural)
+        .filter(|kind| Kind::CONFIG.contains(kind))
+        .ok_or_else(|| {
+            let known: Vec<_> = Kind::CONFIG.into_iter().map(Kind::plural).collect();
+            Failure::new(Code::UnknownKind, format!("known kinds: {}", known.join(", ")))
+        })
+}
+
+fn shown(object: &StoredObject) -> Value {
+    json!({ "kind": object.kind, "name": object.name, "version": object.version, "spec": object.spec })
+}
+
+impl Admin {
+    /// Lists the objects of a kind, or waits for changes after `?watch=<version>`.
+    pub(crate) async fn list(&self, kind: Kind, req: &ApiRequest) -> Result<Reply, Failure> {
+        if let Some(since) = req.param("watch") {
+            let since = since
+                .parse()
+                .map_err(|_error| Failure::new(Code::InvalidField, "watch: a version"))?;
+            return self.watch(kind, since).await;
+        }
+        let list = self.node.store.list(kind).await?;
+        let items: Vec<_> = list.items.iter().map(shown).collect();
+        Ok(Reply::ok(json!({ "version": list.version, "items": items })))
+    }
+
+    async fn watch(&self, kind: Kind, since: u64) -> Result<Reply, Failure> {
+        let changes = self.node.store.watch(kind, since, WATCH_TIMEOUT).await?;
+        let items: Vec<_> = changes
+            .iter()
+            .map(|change| match change {
+                Change::Put(object) => json!({ "change": "put", "object": shown(object) }),
+                Change::Deleted { name, version, .. } => {
+                    json!({ "change": "deleted", "name": name, "version": version })
+                }
+            })
+            .collect();
+        Ok(Reply::ok(json!({ "changes": items })))
+    }
+
+    /// Shows one object.
+    pub(crate) async fn show(&self, kind: Kind, name: &str) -> Result<Reply, Failure> {
+        let object = self.read(kind, name).await?;
+        Ok(Reply::ok(shown(&object)))
+    }
+
+    pub(crate) async fn read(&self, kind: Kind, name: &str) -> Result<StoredObject, Failure> {
+        let found = self.node.store.get(kind, name).await?;
+        found.ok_or_else(|| Failure::new(Code::UnknownObject, format!("{} {name}", kind.plural())))
+    }
+
+    /// Creates an object from the request's body.
+    pub(crate) async fn create(&self, kind: Kind, req: &ApiRequest) -> Result<Reply, Failure> {
+        let object = self.checked(kind, req.json()?)?;
+        self.create_object(&object).await.map(Reply::created)
+    }
+
+    pub(crate) async fn create_object(&self, object: &Object) -> Result<Value, Failure> {
+        self.write(object, Expect::Absent)
+            .await
+            .map_err(|failure| match failure.code {
+                Code::VersionConflict => Failure {
+                    code: Code::AlreadyExists,
+                    ..failure
+                },
+                _ => failure,
+            })
+    }
+
+    /// Replaces an object of the version named by `If-Match`.
+    pub(crate) async fn edit(&self, kind: Kind, name: &str, req: &ApiRequest) -> Result<Reply, Failure> {
+        let version = required_version(req)?;
+        let object = self.checked(kind, req.json()?)?;
+        if object.name() != name {
+            return Err(Failure::new(
+                Code::ConflictingFields,
+                "the name in the path and in the body differ",
+            ));
+        }
+        self.write(&object, Expect::Version(version)).await.map(Reply::ok)
+    }
+
+    /// Deletes an object of the version named by `If-Match`.
+    pub(crate) async fn delete(&self, kind: Kind, name: &str, req: &ApiRequest) -> Result<Reply, Failure> {
+        let version = required_version(req)?;
+        if let Some(user) = self.user_of(kind, name) {
+            return Err(Failure::new(Code::StillReferenced, user));
+        }
+        let deleted = match self.node.store.delete(kind, name, version).await {
+            Ok(deleted) => deleted,
+            Err(PlatformError::OutcomeUnknown(reason)) => self.read_back_deletion(kind, name, version, reason).await?,
+            Err(PlatformError::Conflict(None)) => {
+                return Err(Failure::new(Code::UnknownObject, format!("{} {name}", kind.plural())));
+            }
+            Err(error) => return Err(error.into()),
+        };
+        self.spread(kind, name, deleted, Vec::new());
+        self.node.timeline.record(
+            Event::ObjectWritten,
+            None,
+            None,
+            &format!("deleted {} {name}", kind.plural()),
+        );
+        Ok(Reply::ok(json!({ "name": name, "version": deleted })))
+    }
+
+    fn checked(&self, kind: Kind, spec: Value) -> Result<Object, Failure> {
+        let object = Object::from_spec(kind, spec).map_err(|message| Failure::new(Code::InvalidField, message))?;
+        let faults = object.check();
+        if !faults.is_empty() {
+            return Err(Failure::new(Code::InvalidObject, "see faults").with(json!({ "faults": faults })));
+        }
+        self.missing_reference(&object)
+            .map_or(Ok(object), |missing| Err(Failure::new(Code::UnknownReference, missing)))
+    }
+
+    /// Writes an object and puts it into the spread.
+    pub(crate) async fn write(&self, object: &Object, expect: Expect) -> Result<Value, Failure> {
+        let (kind, name, spec) = (object.kind(), object.name(), object.spec());
+        let operation = OperationId::new(self.random_id());
+        let version = match put_recovered(&*self.node.store, kind, name, &spec, expect, &operation).await {
+            Ok(version) => version,
+            Err(PlatformError::Conflict(None)) if expect != Expect::Absent => {
+                return Err(Failure::new(Code::UnknownObject, format!("{} {name}", kind.plural())));
+            }
+            Err(error) => return Err(error.into()),
+        };
+        self.spread(kind, name, version, spec.to_string().into_bytes());
+        self.node.timeline.record(
+            Event::ObjectWritten,
+            None,
+            None,
+            &format!("{} {name} {version}", kind.plural()),
+        );
+        Ok(json!({ "kind": kind, "name": name, "version": version, "spec": spec }))
+    }
+
+    /// Version for a deletion whose answer was lost, if the object is gone.
+    async fn read_back_deletion(&self, kind: Kind, name: &str, from: u64, reason: String) -> Result<u64, Failure> {
+        match self.read_repeatedly(kind, name).await {
+            // The platform's watch carries the real version of the deletion; the next one after the deleted object's
+            // suffices to hide that object until then.
+            Some(None) => Ok(from + 1),
+            _ => Err(Failure::new(Code::PlatformOutcomeUnknown, reason)),
+        }
+    }
+
+    async fn read_repeatedly(&self, kind: Kind, name: &str) -> Option<Option<StoredObject>> {
+        let mut backoff = READ_BACK_BACKOFF;
+        for _ in 0..READ_BACK_ATTEMPTS {
+            if let Ok(found) = self.node.store.get(kind, name).await {
+                return Some(found);
+            }
+            tokio::time::sleep(backoff).await;
+            backoff *= 2;
+        }
+        None
+    }
+
+    fn spread(&self, kind: Kind, name: &str, version: u64, value: Vec<u8>) {
+        let version = Version {
+            term: Term(0),
+            sequence: version,
+        };
+        let key = EntryKey::Config(kind, name.to_owned());
+        self.node.spread.put(Entry { key, version, value });
+    }
+
+    /// Configuration known to this process.
+    pub(crate) fn snapshot(&self) -> Snapshot {
+        let mut snapshot = Snapshot::default();
+        for entry in self.node.spread.entries() {
+            snapshot.apply(&entry);
+        }
+        snapshot
+    }
+
+    /// An object that `object` names and that is not known.
+    ///
+    /// The check reads the spread and can miss an edit made at the same moment; routers refuse requests for which a
+    /// referenced object is missing.
+    fn missing_reference(&self, object: &Object) -> Option<String> {
+        let known = self.snapshot();
+        let missing = |exists: bool, what: &str, name: &str| (!exists).then(|| format!("{what} {name}"));
+        match object {
+            Object::Model(it) => missing(known.pools.contains_key(&it.pool), "pool", it.pool.as_str())
+                .or_else(|| missing(known.profiles.contains_key(&it.profile), "profile", it.profile.as_str())),
+            Object::Adapter(it) => missing(known.models.contains_key(&it.model), "model", it.model.as_str()),
+            Object::Key(it) => missing(
+                known.organisations.contains_key(&it.organisation),
+                "organisation",
+                it.organisation.as_str(),
+            ),
+            Object::Server(it) => missing(known.pools.contains_key(&it.pool), "pool", it.pool.as_str()),
+            Object::Route(it) => missing(known.pools.contains_key(&it.pool), "pool", it.pool.as_str()),
+            Object::Profile(_) | Object::Organisation(_) | Object::Pool(_) => None,
+        }
+    }
+
+    /// An object that names the object `name` of `kind`.
+    fn user_of(&self, kind: Kind, name: &str) -> Option<String> {
+        let known = self.snapshot();
+        match kind {
+            Kind::Pool => {
+                let model = known
+                    .models
+                    .values()
+                    .find(|it| it.pool.as_str() == name)
+                    .map(|it| it.name.to_string());
+                let server = || {
+                    known
+                        .servers
+                        .values()
+                        .find(|it| it.pool.as_str() == name)
+                        .map(|it| it.name.to_string())
+                };
+                let route = || {
+                    known
+                        .routes
+                        .values()
+                        .find(|it| it.pool.as_str() == name)
+                        .map(|it| it.name.to_string())
+                };
+                model.or_else(server).or_else(route)
+            }
+            Kind::Profile => known
+                .models
+                .values()
+                .find(|it| it.profile.as_str() == name)
+                .map(|it| it.name.to_string()),
+            Kind::Model => known
+                .adapters
+                .values()
+                .find(|it| it.model.as_str() == name)
+                .map(|it| it.name.to_string()),
+            Kind::Organisation => {
+                let is_used = |it: &&guava_core::config::Key| it.organisation.as_str() == name && !it.withdrawn;
+                known.keys.values().find(is_used).map(|it| it.id.to_string())
+            }
+            _ => None,
+        }
+    }
+}
+
+fn required_version(req: &ApiRequest) -> Result<u64, Failure> {
+    req.version
+        .ok_or_else(|| Failure::new(Code::MissingVersion, "send If-Match with the version that was shown"))
+}
