--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Fakes and fixtures of the runtime's tests.
 
+#![allow(dead_code, reason = "each test program uses a part of the fixtures")]
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,17 +10,17 @@
 
 use async_trait::async_trait;
 use guava_core::config::Kind;
-use guava_core::ids::{OperationId, Role};
+use guava_core::ids::{OperationId, Role, VmName, Zone};
 use guava_node::runtime::Runtime;
 use guava_node::settings::CommonArgs;
-use guava_platform::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
+use guava_platform::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList, VmState};
 use jsonrpsee::RpcModule;
 use parking_lot::Mutex;
 use serde_json::Value;
 use tokio::sync::Notify;
 
 /// Limit of every wait; generous, because tests run on busy machines.
-const WAIT: Duration = Duration::from_secs(60);
+const WAIT: Duration = Duration::from_mins(1);
 
 /// Objects and VMs in memory.
 #[derive(Debug, Default)]
@@ -47,6 +49,18 @@
         !self.lose_answers.load(Ordering::SeqCst)
     }
 
+    /// Lists VMs as live.
+    pub fn list_vms(&self, names: &[&str]) {
+        let vms = names.iter().map(|name| VmInfo {
+            name: VmName::new(name),
+            instance: format!("{name}-1"),
+            zone: Zone::new("z1"),
+            addr: "127.0.0.1:9".parse().unwrap(),
+            state: VmState::Live,
+        });
+        *self.vms.lock() = vms.collect();
+    }
+
     fn check(&self) -> Result<(), PlatformError> {
         if self.down.load(Ordering::SeqCst) {
             return Err(PlatformError::Unavailable("outage".to_owned()));
