Add the stand-in program

Tests with real processes need the stand-ins outside their own process.

guava-standin has the commands platform, engine and service.

--- /dev/null
+++ b/crates/standin/src/cmd/mod.rs
@@ -0,0 +1,5 @@
+//! Commands, one file each.
+
+pub(crate) mod engine;
+pub(crate) mod platform;
+pub(crate) mod service;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,23 @@
-//! Program entry.
+//! Stand-ins of guavaarch as a program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser as _;
+
+mod cmd;
+mod config;
+mod util;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    let config = config::Config::parse();
+    match config.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("guava-standin: {error}");
+            error.exit_code()
+        }
+    }
+}
