Add the request path of the router

The router serves callers on xitca-web and forwards by hyper over its own sockets, which count written and read bytes: the outcome rule needs to know whether any byte of a request was written, and a pooled client does not tell.

--- /dev/null
+++ b/crates/router/src/forward.rs
@@ -0,0 +1,438 @@
+//! Calls to backend servers.
+//!
+//! Connections count the bytes they write and read, because the outcome rule needs to know whether anything of a
+//! request was written. Idempotent requests use idle connections of the current thread's pool; others open their own.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use guava_core::codes::Code;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use quick_error::quick_error;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::answer::WholeAnswer;
+
+/// Header that identifies a request to backend servers and callers.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Headers of answers that callers receive.
+const ANSWER_HEADERS: [HeaderName; 7] = [
+    header::CONTENT_TYPE,
+    header::CONTENT_LANGUAGE,
+    header::CACHE_CONTROL,
+    header::ETAG,
+    header::LAST_MODIFIED,
+    header::LOCATION,
+    header::RETRY_AFTER,
+];
+const IDLE_LIMIT_PER_SERVER: usize = 64;
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_ANSWER_HEADERS: usize = 128;
+
+quick_error! {
+    /// Why a call has no whole answer.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum FailureKind {
+        /// No connection could be opened.
+        Connect {
+            display("no connection")
+        }
+        /// The connection broke.
+        Broken {
+            display("connection broke")
+        }
+        /// The time ran out.
+        Timeout {
+            display("timeout")
+        }
+        /// The answer names another request.
+        Mismatch {
+            display("answer belongs to another request")
+        }
+        /// The answer is larger than the limit.
+        TooLarge {
+            display("answer too large")
+        }
+    }
+}
+
+impl FailureKind {
+    /// Code that callers see when no other attempt is made.
+    pub fn code(self) -> Code {
+        match self {
+            Self::Connect => Code::NoCapacity,
+            Self::Broken => Code::BackendFailed,
+            Self::Timeout => Code::TimedOut,
+            Self::Mismatch => Code::AnswerMismatch,
+            Self::TooLarge => Code::AnswerTooLarge,
+        }
+    }
+}
+
+/// What went over the wire for one call; readable after the call was given up.
+#[derive(Debug, Default)]
+pub struct Progress {
+    baseline: Mutex<Option<Baseline>>,
+}
+
+#[derive(Debug)]
+struct Baseline {
+    counters: Arc<Counters>,
+    written: u64,
+    read: u64,
+}
+
+impl Progress {
+    /// Bytes of the request that were written.
+    pub fn bytes_sent(&self) -> u64 {
+        let baseline = self.baseline.lock();
+        baseline
+            .as_ref()
+            .map_or(0, |it| it.counters.written.load(Ordering::Relaxed) - it.written)
+    }
+
+    /// Bytes of the answer that were read.
+    pub fn bytes_received(&self) -> u64 {
+        let baseline = self.baseline.lock();
+        baseline
+            .as_ref()
+            .map_or(0, |it| it.counters.read.load(Ordering::Relaxed) - it.read)
+    }
+
+    fn start(&self, counters: &Arc<Counters>) {
+        *self.baseline.lock() = Some(Baseline {
+            counters: Arc::clone(counters),
+            written: counters.written.load(Ordering::Relaxed),
+            read: counters.read.load(Ordering::Relaxed),
+        });
+    }
+}
+
+/// A call to a backend server.
+#[derive(Debug, Clone, Copy)]
+pub struct Call<'a> {
+    /// Address of the backend server.
+    pub addr: SocketAddr,
+    /// Method.
+    pub method: &'a Method,
+    /// Path and query without keys.
+    pub path: &'a str,
+    /// Identifier of the request.
+    pub request_id: &'a str,
+    /// Allowed headers.
+    pub headers: &'a HeaderMap,
+    /// Body.
+    pub body: &'a Bytes,
+    /// Whether an idle connection may be used.
+    pub reuse: bool,
+    /// Time left to connect.
+    pub connect_timeout: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    written: AtomicU64,
+    read: AtomicU64,
+}
+
+/// Socket that counts the bytes it writes and reads.
+#[derive(Debug)]
+struct CountingStream {
+    inner: TcpStream,
+    counters: Arc<Counters>,
+}
+
+impl AsyncRead for CountingStream {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<std::io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
+        self.counters.read.fetch_add(read as u64, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl AsyncWrite for CountingStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<std::io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.count_written(&polled);
+        polled
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.count_written(&polled);
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
+impl CountingStream {
+    fn count_written(&self, polled: &Poll<std::io::Result<usize>>) {
+        if let Poll::Ready(Ok(written)) = polled {
+            self.counters.written.fetch_add(*written as u64, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Connection to a backend server, used by one call at a time.
+#[derive(Debug)]
+struct Connection {
+    addr: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    counters: Arc<Counters>,
+    idle_since: Instant,
+}
+
+thread_local! {
+    static IDLE: RefCell<HashMap<SocketAddr, Vec<Connection>>> = RefCell::default();
+}
+
+impl Connection {
+    async fn open(addr: SocketAddr) -> std::io::Result<Self> {
+        let inner = TcpStream::connect(addr).await?;
+        inner.set_nodelay(true)?;
+        let counters = Arc::new(Counters::default());
+        let stream = CountingStream {
+            inner,
+            counters: Arc::clone(&counters),
+        };
+        let mut builder = http1::Builder::new();
+        builder.max_headers(MAX_ANSWER_HEADERS);
+        let (sender, driver) = builder
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
+        tokio::spawn(async move {
+            if let Err(error) = driver.await {
+                log::trace!("connection to {addr} ended: {error}");
+            }
+        });
+        Ok(Self {
+            addr,
+            sender,
+            counters,
+            idle_since: Instant::now(),
+        })
+    }
+
+    async fn checkout(call: &Call<'_>) -> std::io::Result<Self> {
+        if call.reuse {
+            while let Some(mut idle) = Self::pop_idle(call.addr) {
+                if idle.sender.ready().await.is_ok() {
+                    return Ok(idle);
+                }
+            }
+        }
+        Self::open(call.addr).await
+    }
+
+    fn pop_idle(addr: SocketAddr) -> Option<Self> {
+        IDLE.with_borrow_mut(|idle| {
+            let connections = idle.get_mut(&addr)?;
+            let usable = |it: &Self| !it.sender.is_closed() && it.idle_since.elapsed() < IDLE_TIMEOUT;
+            while let Some(connection) = connections.pop() {
+                if usable(&connection) {
+                    return Some(connection);
+                }
+            }
+            None
+        })
+    }
+
+    fn put_back(mut self) {
+        if self.sender.is_closed() {
+            return;
+        }
+        self.idle_since = Instant::now();
+        IDLE.with_borrow_mut(|idle| {
+            let connections = idle.entry(self.addr).or_default();
+            if connections.len() < IDLE_LIMIT_PER_SERVER {
+                connections.push(self);
+            }
+        });
+    }
+}
+
+/// An answer whose head has arrived.
+#[derive(Debug)]
+pub struct Arriving {
+    connection: Connection,
+    reuse: bool,
+    response: Response<Incoming>,
+    no_body: bool,
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// # Errors
+///
+/// Fails when no head arrives or it names another request.
+pub async fn send(call: Call<'_>, progress: &Progress) -> Result<Arriving, FailureKind> {
+    let mut connection = match tokio::time::timeout(call.connect_timeout, Connection::checkout(&call)).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => {
+            log::debug!("connect to {}: {error}", call.addr);
+            return Err(FailureKind::Connect);
+        }
+        Err(_) => return Err(FailureKind::Connect),
+    };
+    let request = build(&call).ok_or(FailureKind::Connect)?;
+    progress.start(&connection.counters);
+    let response = connection.sender.send_request(request).await.map_err(|error| {
+        log::debug!("call to {}: {error}", call.addr);
+        FailureKind::Broken
+    })?;
+    let echoed = response.headers().get(REQUEST_ID_HEADER);
+    if echoed.is_some_and(|it| it.as_bytes() != call.request_id.as_bytes()) {
+        return Err(FailureKind::Mismatch);
+    }
+    let status = response.status();
+    let no_body =
+        *call.method == Method::HEAD || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
+    Ok(Arriving {
+        connection,
+        reuse: call.reuse,
+        response,
+        no_body,
+    })
+}
+
+fn build(call: &Call<'_>) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.path.parse().ok()?;
+    let headers = request.headers_mut();
+    *headers = call.headers.clone();
+    headers.insert(header::HOST, HeaderValue::from_str(&call.addr.to_string()).ok()?);
+    headers.insert(REQUEST_ID_HEADER, HeaderValue::from_str(call.request_id).ok()?);
+    Some(request)
+}
+
+impl Arriving {
+    /// Status.
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// Whether the answer is a stream of server-sent events.
+    pub fn is_event_stream(&self) -> bool {
+        let content_type = self.response.headers().get(header::CONTENT_TYPE);
+        content_type.is_some_and(|it| it.as_bytes().starts_with(b"text/event-stream"))
+    }
+
+    /// Headers that callers receive.
+    pub fn caller_headers(&self) -> Vec<(HeaderName, HeaderValue)> {
+        let all = self.response.headers();
+        let allowed = ANSWER_HEADERS.iter();
+        allowed
+            .filter_map(|name| all.get(name).map(|value| (name.clone(), value.clone())))
+            .collect()
+    }
+
+    /// Whether the end of the body is marked, so that a cut can be told from a complete answer.
+    fn end_is_marked(&self) -> bool {
+        let chunked = self.response.headers().contains_key(header::TRANSFER_ENCODING);
+        self.no_body || chunked || self.response.body().size_hint().exact().is_some()
+    }
+
+    /// Reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer is cut, its end cannot be told or it is larger than `limit`.
+    pub async fn whole(mut self, limit: usize) -> Result<WholeAnswer, FailureKind> {
+        if !self.end_is_marked() {
+            return Err(FailureKind::Broken);
+        }
+        let body = self.read_all(limit).await?;
+        let answer = WholeAnswer {
+            status: self.status(),
+            headers: self.caller_headers(),
+            body,
+        };
+        self.finish();
+        Ok(answer)
+    }
+
+    async fn read_all(&mut self, limit: usize) -> Result<Bytes, FailureKind> {
+        let announced = self.response.body().size_hint().lower();
+        if announced > limit as u64 {
+            return Err(FailureKind::TooLarge);
+        }
+        let mut first = Bytes::new();
+        let mut rest = BytesMut::new();
+        while let Some(part) = self.next_part().await? {
+            if first.len() + rest.len() + part.len() > limit {
+                return Err(FailureKind::TooLarge);
+            }
+            if first.is_empty() {
+                first = part;
+                continue;
+            }
+            if rest.is_empty() {
+                rest.reserve(first.len() + part.len());
+                rest.extend_from_slice(&first);
+            }
+            rest.extend_from_slice(&part);
+        }
+        Ok(if rest.is_empty() { first } else { rest.freeze() })
+    }
+
+    /// Next part of the body, or `None` at its marked end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks or the end cannot be told.
+    pub async fn next_part(&mut self) -> Result<Option<Bytes>, FailureKind> {
+        if !self.end_is_marked() {
+            return Err(FailureKind::Broken);
+        }
+        loop {
+            match self.response.body_mut().frame().await {
+                None => return Ok(None),
+                Some(Err(_)) => return Err(FailureKind::Broken),
+                Some(Ok(frame)) => {
+                    if let Ok(part) = frame.into_data() {
+                        return Ok(Some(part));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Keeps the connection for another call. Call it only after the end of the body.
+    pub fn finish(self) {
+        if self.reuse {
+            self.connection.put_back();
+        }
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,6 +2,27 @@
 //!
 //! The request path talks to quota, idempotency records and jobs through the traits here.
 
+pub mod answer;
+pub mod api;
+pub mod args;
+pub mod config;
+mod demand;
+pub mod dispatch;
+mod executor;
+pub mod explain;
+pub mod forward;
+mod guards;
+pub mod input;
+mod metrics;
+mod path;
+pub mod refusal;
+pub mod serve;
+mod server;
+mod usage;
+
+pub use args::RouterArgs;
+pub use serve::{JobsFactory, RouterError, RouterHandle, RouterParts, serve};
+
 use async_trait::async_trait;
 use guava_core::codes::Code;
 use guava_core::derive_value;
