--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 mod guards;
 pub mod input;
+mod listener;
 mod metrics;
 mod path;
 pub mod refusal;
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -32,6 +32,7 @@
 use crate::api::{Endpoint, Head, model_list};
 use crate::forward::REQUEST_ID_HEADER;
 use crate::input;
+use crate::listener::Unregistered;
 use crate::path::{InFlight, Router};
 use crate::refusal::Refusal;
 
@@ -179,7 +180,7 @@
     if router.args.worker_threads > 0 {
         builder = builder.worker_threads(router.args.worker_threads);
     }
-    builder.listen("callers", listener, service).build()
+    builder.listen("callers", Unregistered(listener), service).build()
 }
 
 /// Middleware that watches accepted sockets.
