--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod request;
 pub mod routing;
 pub mod scheduler;
+pub mod quota;
 pub mod snapshot;
 pub mod spread;
 pub mod termination;
