--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use guava_core::keys::KeyHasher;
+use guava_core::keys::{KeyHasher, MIN_PEPPER_BYTES};
 use guava_node::Node;
 use guava_node::health::Health;
 use guava_node::runtime::NodeError;
@@ -43,8 +43,8 @@
     }
 }
 
-/// Shortest accepted operator token and pepper, in bytes.
-const MIN_SECRET_BYTES: usize = 8;
+/// Shortest accepted operator token, in bytes.
+const MIN_TOKEN_BYTES: usize = 8;
 
 /// Settings of the administration API.
 #[derive(Debug, Clone, clap::Args)]
@@ -57,20 +57,18 @@
     pub admin_token: String,
     /// Secret under which callers' keys are hashed; the same for all processes of a deployment.
     #[arg(long, env = "GUAVA_PEPPER", hide_env_values = true)]
-    pub admin_pepper: String,
+    pub pepper: String,
 }
 
 impl AdminArgs {
     /// All faults of the settings, with the accepted range.
     pub fn check(&self) -> Vec<String> {
-        [
-            ("--admin-token", &self.admin_token),
-            ("--admin-pepper", &self.admin_pepper),
-        ]
-        .into_iter()
-        .filter(|(_, value)| value.len() < MIN_SECRET_BYTES)
-        .map(|(name, _)| format!("{name}: accepted are {MIN_SECRET_BYTES} bytes or more"))
-        .collect()
+        let settings = [
+            ("--admin-token (GUAVA_ADMIN_TOKEN)", self.admin_token.len(), MIN_TOKEN_BYTES),
+            ("--pepper (GUAVA_PEPPER)", self.pepper.len(), MIN_PEPPER_BYTES),
+        ];
+        let short = settings.into_iter().filter(|(_, len, least)| len < least);
+        short.map(|(name, _, least)| format!("{name}: accepted is {least} bytes or more")).collect()
     }
 }
 
@@ -91,7 +89,7 @@
             node,
             health,
             token: args.admin_token.clone(),
-            hasher: KeyHasher::new(args.admin_pepper.as_bytes()),
+            hasher: KeyHasher::new(args.pepper.as_bytes()),
             rng: Mutex::new(StdRng::from_os_rng()),
         }
     }
--- /dev/null
+++ b/crates/dev/src/config.rs
@@ -0,0 +1,29 @@
+//! Settings of the development program.
+
+use std::path::PathBuf;
+
+/// Runs the whole system on loopback, with stand-ins for the platform, engines, weight store and plain services.
+#[derive(Debug, Parser)]
+#[command(name = "guava-dev", version, about, after_help = "Exit codes: 0 ok, 1 other, 2 usage or settings.")]
+pub struct Args {
+    /// File of objects to start with; the Welsh example when left out.
+    #[arg(long, env = "GUAVA_DEV_CONFIG")]
+    pub config: Option<PathBuf>,
+    /// Entry VMs, each with a router, a controller and an administration API.
+    #[arg(long, env = "GUAVA_DEV_VMS", default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=6))]
+    pub vms: u16,
+    /// Port of the first router; the next ones follow.
+    #[arg(long, env = "GUAVA_DEV_ROUTER_PORT", default_value_t = 7_100)]
+    pub router_port: u16,
+    /// Port of the first administration API; the next ones follow.
+    #[arg(long, env = "GUAVA_DEV_ADMIN_PORT", default_value_t = 7_300)]
+    pub admin_port: u16,
+    /// Log level.
+    #[arg(long, env = "GUAVA_LOG_LEVEL", default_value = "warn")]
+    pub log_level: log::LevelFilter,
+    /// Only check the settings and exit.
+    #[arg(long)]
+    pub check: bool,
+}
+
+use clap::Parser;
--- /dev/null
+++ b/crates/dev/src/standins.rs
@@ -0,0 +1,106 @@
+//! Stand-ins for the platform and the backend servers.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use guava_core::config::{BackendServer, Key, Kind, Object};
+use guava_core::ids::{KeyId, OperationId, OrganisationName, VmName, Zone};
+use guava_core::keys::KeyHasher;
+use guava_engine::{EngineSettings, Front, StandInEngine, StandInService, serve_engine, serve_service};
+use guava_platform::{CheckpointKind, Expect, ObjectStore, StandInPlatform, VmInfo, VmState, checkpoint_name};
+
+use crate::error::DevError;
+
+/// Key that every organisation of the development program has: `gv_<organisation>_demonstration`.
+const DEMO_SECRET: &str = "demonstration";
+/// Time per generated token of the stand-in engines, in microseconds.
+const DECODE_US: u64 = 2_000;
+/// Delay of the stand-in plain service.
+const SERVICE_LATENCY: Duration = Duration::from_millis(1);
+
+/// Running backend servers.
+#[derive(Debug, Default)]
+pub struct Backends {
+    fronts: Vec<Front>,
+}
+
+impl Backends {
+    /// Closes all backend servers.
+    pub async fn stop(self) {
+        for front in self.fronts {
+            front.stop().await;
+        }
+    }
+}
+
+/// Starts a backend server for each server object and writes its real address into the object.
+pub async fn start_backends(objects: &mut [Object], platform: &StandInPlatform) -> Result<Backends, DevError> {
+    let mut backends = Backends::default();
+    for object in objects {
+        match object {
+            Object::Server(server) => {
+                let front = start_backend(server, platform).await?;
+                server.addr = front.addr();
+                platform.vms.set(vm(server.name.as_str(), &server.zone, server.addr));
+                backends.fronts.push(front);
+            }
+            Object::Model(it) => {
+                platform.weights.add(&checkpoint_name(it.name.as_str(), it.version), CheckpointKind::Model, it.bytes);
+            }
+            Object::Adapter(it) => {
+                let name = checkpoint_name(it.name.as_str(), it.version);
+                platform.weights.add(&name, CheckpointKind::Adapter, it.bytes);
+            }
+            _ => {}
+        }
+    }
+    Ok(backends)
+}
+
+async fn start_backend(server: &BackendServer, platform: &StandInPlatform) -> Result<Front, DevError> {
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    if server.memory_bytes == 0 {
+        let service = StandInService::new(SERVICE_LATENCY.as_millis() as u64);
+        return Ok(serve_service(&service, addr).await?);
+    }
+    let settings = EngineSettings {
+        memory_bytes: server.memory_bytes,
+        checks_fence: server.checks_fence,
+        forgets_orders: server.forgets_orders,
+        decode_us: DECODE_US,
+        ..EngineSettings::default()
+    };
+    let engine = StandInEngine::new(settings, Some(platform.weights.clone()));
+    Ok(serve_engine(&engine, addr).await?)
+}
+
+/// Entry of the list of VMs.
+pub fn vm(name: &str, zone: &Zone, addr: SocketAddr) -> VmInfo {
+    VmInfo { name: VmName::new(name), instance: "1".to_owned(), zone: zone.clone(), addr, state: VmState::Live }
+}
+
+/// Key object that every organisation of the development program has.
+pub fn demo_key(organisation: &OrganisationName, pepper: &str) -> Object {
+    Object::Key(Key {
+        id: KeyId::new(organisation.as_str()),
+        organisation: organisation.clone(),
+        hash: KeyHasher::new(pepper.as_bytes()).hash(DEMO_SECRET),
+        withdrawn: false,
+    })
+}
+
+/// Writes objects into the stand-in object service.
+pub async fn write_objects(objects: &[Object], store: &dyn ObjectStore) -> Result<(), DevError> {
+    for (index, object) in objects.iter().enumerate() {
+        let operation = OperationId::new(format!("start-{index}"));
+        let (kind, name): (Kind, &str) = (object.kind(), object.name());
+        store.put(kind, name, &object.spec(), Expect::Absent, &operation).await?;
+    }
+    Ok(())
+}
+
+/// Shares one stand-in as the traits that the process runtime takes.
+pub fn object_store(platform: &StandInPlatform) -> Arc<dyn ObjectStore> {
+    Arc::<guava_platform::MemoryObjectStore>::clone(&platform.objects)
+}
