--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -24,7 +24,9 @@
 pub use front::Front;
 pub use http_engine::HttpEngine;
 pub use prefix::{CacheEvent, CacheEventKind, CacheEvents};
-pub use record::{EngineRecord, OrderOutcome, OrderRecord, Overcommit, RequestRecord, RequestState};
+pub use record::{
+    EngineRecord, OrderOutcome, OrderRecord, Overcommit, ReplicaEvent, ReplicaEventKind, RequestRecord, RequestState,
+};
 pub use service::{CallRecord, ServiceRecord, StandInService, serve_service, serve_service_control};
 pub use settings::{EngineFaults, EngineSettings};
 pub use standin::{StandInEngine, StandInEngines};
--- a/crates/engine/src/record.rs
+++ b/crates/engine/src/record.rs
@@ -1,6 +1,7 @@
 //! What a stand-in engine was asked and did, for tests to assert on.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use guava_core::ids::{ReplicaId, Term};
 use guava_core::{derive_scalar, derive_value};
@@ -10,7 +11,7 @@
 use crate::{Action, EngineError, Order};
 
 /// Requests and orders kept; later ones are only counted.
-const RECORD_LIMIT: usize = 500_000;
+pub(crate) const RECORD_LIMIT: usize = 200_000;
 
 /// Header with the organisation a request runs for.
 const ORGANISATION_HEADER: &str = "x-guava-organisation";
@@ -30,7 +31,34 @@
     }
 }
 
+derive_scalar! {
+    /// What happened to a replica.
+    #[serde(rename_all = "snake_case")]
+    pub enum ReplicaEventKind {
+        /// Its memory was taken and its load started.
+        LoadStarted,
+        /// It is ready.
+        Loaded,
+        /// Its load failed.
+        LoadFailed,
+        /// It was unloaded or its load was cancelled.
+        Unloaded,
+    }
+}
+
 derive_value! {
+    /// A change of a replica.
+    pub struct ReplicaEvent {
+        /// Wall time in milliseconds since the epoch.
+        pub wall_ms: u64,
+        /// Replica.
+        pub replica: ReplicaId,
+        /// Model or adapter.
+        pub model: String,
+        /// Change.
+        pub event: ReplicaEventKind,
+    }
+
     /// How an order was answered.
     #[serde(rename_all = "snake_case")]
     pub enum OrderOutcome {
@@ -44,6 +72,8 @@
 
     /// An order as it arrived.
     pub struct OrderRecord {
+        /// Wall time in milliseconds since the epoch.
+        pub wall_ms: u64,
         /// Replica.
         pub replica: ReplicaId,
         /// Term.
@@ -66,6 +96,8 @@
 
     /// A request as it arrived.
     pub struct RequestRecord {
+        /// Wall time in milliseconds since the epoch.
+        pub wall_ms: u64,
         /// `x-request-id`.
         pub request: String,
         /// `Idempotency-Key`.
@@ -97,6 +129,8 @@
         pub peak_memory_bytes: u64,
         /// Loads that did not fit into memory.
         pub overcommits: Vec<Overcommit>,
+        /// Changes of replicas.
+        pub replicas: Vec<ReplicaEvent>,
         /// Orders in order of arrival.
         pub orders: Vec<OrderRecord>,
         /// Requests in order of arrival.
@@ -141,6 +175,24 @@
         change(&mut self.record.lock());
     }
 
+    pub(crate) fn replica(&self, replica: &ReplicaId, model: &str, event: ReplicaEventKind) {
+        let mut record = self.record.lock();
+        match event {
+            ReplicaEventKind::LoadStarted => record.loads += 1,
+            ReplicaEventKind::Loaded => record.loaded += 1,
+            ReplicaEventKind::Unloaded => record.unloads += 1,
+            ReplicaEventKind::LoadFailed => (),
+        }
+        if record.replicas.len() < RECORD_LIMIT {
+            record.replicas.push(ReplicaEvent {
+                wall_ms: wall_ms(),
+                replica: replica.clone(),
+                model: model.to_owned(),
+                event,
+            });
+        }
+    }
+
     pub(crate) fn order(&self, order: &Order, result: &Result<(), EngineError>) {
         let outcome = match result {
             Err(EngineError::Fenced(_)) => OrderOutcome::Fenced,
@@ -150,6 +202,7 @@
         let mut record = self.record.lock();
         if record.orders.len() < RECORD_LIMIT {
             record.orders.push(OrderRecord {
+                wall_ms: wall_ms(),
                 replica: order.replica.clone(),
                 term: order.term,
                 action: order.action.clone(),
@@ -164,6 +217,7 @@
             return RequestSlot(None);
         }
         let entry = RequestRecord {
+            wall_ms: wall_ms(),
             request: request.to_owned(),
             idempotency_key: header(headers, "idempotency-key"),
             model: model.to_owned(),
@@ -188,6 +242,12 @@
     }
 }
 
+/// Wall time in milliseconds since the epoch.
+pub(crate) fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |it| it.as_millis() as u64)
+}
+
 /// Text of a header, lossily decoded.
 pub(crate) fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     let value = headers.get(name)?;
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -15,15 +15,14 @@
 use tokio::sync::watch;
 
 use crate::front::{AnswerBody, Cut, Front, Handler, HttpAnswer, Outage, json, parameter, read_body, refusal, serve};
-use crate::record::{RequestState, header, header_names};
+use crate::record::{RECORD_LIMIT, RequestState, header, header_names, wall_ms};
 use crate::settings::EngineFaults;
 
-/// Calls kept; later ones are only counted.
-const RECORD_LIMIT: usize = 500_000;
-
 derive_value! {
     /// A call as it arrived.
     pub struct CallRecord {
+        /// Wall time in milliseconds since the epoch.
+        pub wall_ms: u64,
         /// Id in the query or body; empty when there is none.
         pub id: String,
         /// Method.
@@ -112,6 +111,7 @@
     /// Lets a call take effect and returns how often its id has, with the call's place in the record.
     fn take_effect(&self, id: &str, parts: &Parts) -> (u64, Option<usize>) {
         let call = self.recording.load(Ordering::Relaxed).then(|| CallRecord {
+            wall_ms: wall_ms(),
             id: id.to_owned(),
             method: parts.method.to_string(),
             path: parts.uri.to_string(),
