--- a/crates/engine/src/engine_front.rs
+++ b/crates/engine/src/engine_front.rs
@@ -23,8 +23,9 @@
     AnswerBody, Cut, Front, Handler, HttpAnswer, Outage, answer, json, parameter, read_body, refusal, serve,
 };
 use crate::record::{RequestSlot, RequestState};
+use crate::replica::ReplicaGuard;
 use crate::settings::EngineFaults;
-use crate::standin::{Membership, StandInEngine};
+use crate::standin::StandInEngine;
 use crate::{EngineError, Order};
 
 /// Tokens computed between two looks at the batch.
@@ -144,13 +145,13 @@
         };
         let text = |name| headers.get(name).and_then(|it| it.to_str().ok());
         let wanted = text("x-guava-replica");
-        let Some(membership) = self.join(&parsed.model, wanted) else {
+        let Some(guard) = self.join(&parsed.model, wanted) else {
             return Ok(self.not_served(&parsed.model));
         };
         let request = text("x-request-id").unwrap_or("none");
         let slot = self
             .recorder
-            .request(request, &parsed.model, &membership.replica.id, headers);
+            .request(request, &parsed.model, &guard.replica.id, headers);
         let prompt = parsed.prompt();
         let (tokens, limited) = parsed.tokens(self.settings.default_tokens);
         let answer = Answer {
@@ -169,7 +170,7 @@
             batch_slot: None,
             death: self.take_death(),
             due: None,
-            membership,
+            guard,
             answer,
         };
         run.enter(parsed.priority).await;
@@ -200,13 +201,13 @@
     death: Option<u32>,
     /// When the work so far is due, once any of it takes time.
     due: Option<Instant>,
-    membership: Membership,
+    guard: ReplicaGuard,
     answer: Answer,
 }
 
 impl Drop for Run {
     fn drop(&mut self) {
-        self.membership.engine.recorder.end_request(self.slot, self.state);
+        self.guard.engine.recorder.end_request(self.slot, self.state);
     }
 }
 
@@ -230,23 +231,23 @@
     /// Waits for a slot and processes the prompt.
     async fn enter(&mut self, priority: i64) {
         let slot = {
-            let replica = &self.membership.replica;
+            let replica = &self.guard.replica;
             let _waiting = Waiting::new(&replica.waiting);
             replica.batch.enter(priority).await
         };
         self.batch_slot = Some(slot);
         let new_tokens = self.answer.prompt_tokens.saturating_sub(self.answer.cached_tokens);
-        let prefill = Duration::from_micros(self.membership.engine.settings.prefill_us) * new_tokens as u32;
+        let prefill = Duration::from_micros(self.guard.engine.settings.prefill_us) * new_tokens as u32;
         self.work(prefill).await;
     }
 
     /// Generates tokens.
     async fn generate(&mut self, tokens: u32) {
-        let settings = &self.membership.engine.settings;
+        let settings = &self.guard.engine.settings;
         if settings.decode_us == 0 && settings.decode_batch_us == 0 {
             return;
         }
-        let others = self.membership.replica.batch.running().saturating_sub(1);
+        let others = self.guard.replica.batch.running().saturating_sub(1);
         let micros = settings.decode_us + settings.decode_batch_us * u64::from(others);
         self.work(Duration::from_micros(micros) * tokens).await;
     }
@@ -267,7 +268,7 @@
             return;
         }
         let now = Instant::now();
-        let duration = self.membership.engine.faults().slowed(duration);
+        let duration = self.guard.engine.faults().slowed(duration);
         let due = self.due.unwrap_or(now) + duration;
         self.due = Some(due);
         if due > now + MIN_SLEEP {
@@ -276,7 +277,7 @@
     }
 
     async fn delay_answer(&self) {
-        let millis = self.membership.engine.faults().answer_late_ms;
+        let millis = self.guard.engine.faults().answer_late_ms;
         if millis > 0 {
             tokio::time::sleep(Duration::from_millis(millis)).await;
         }
@@ -345,7 +346,7 @@
         if self.next == 0 {
             self.run.delay_answer().await;
         }
-        let settings = &self.run.membership.engine.settings;
+        let settings = &self.run.guard.engine.settings;
         let takes_time = settings.decode_us > 0 || settings.decode_batch_us > 0;
         let step = if takes_time { 1 } else { STEP_TOKENS };
         let until = self.next.saturating_add(step).min(end);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,15 +12,19 @@
 mod batch;
 mod completion;
 mod engine_front;
+mod engines;
 mod front;
 mod http_engine;
 mod prefix;
 mod record;
+mod replica;
 mod service;
 mod settings;
 mod standin;
+mod tiers;
 
 pub use engine_front::{serve_engine, serve_engine_control};
+pub use engines::StandInEngines;
 pub use front::Front;
 pub use http_engine::HttpEngine;
 pub use prefix::{CacheEvent, CacheEventKind, CacheEvents};
@@ -29,7 +33,7 @@
 };
 pub use service::{CallRecord, ServiceRecord, StandInService, serve_service, serve_service_control};
 pub use settings::{EngineFaults, EngineSettings};
-pub use standin::{StandInEngine, StandInEngines};
+pub use standin::StandInEngine;
 
 quick_error! {
     /// Failure of a call to an engine.
--- a/crates/engine/src/standin.rs
+++ b/crates/engine/src/standin.rs
@@ -1,26 +1,22 @@
 //! Stand-in engine: orders, loads, reports and answers.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use async_trait::async_trait;
-use guava_core::ids::{AdapterName, ModelName, ReplicaId, Term};
+use guava_core::ids::{ModelName, ReplicaId, Term};
 use guava_platform::{WeightStore, checkpoint_name};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
 
 use crate::batch::Batch;
 use crate::prefix::{CacheEvents, PrefixCache};
 use crate::record::{EngineRecord, Overcommit, Recorder, ReplicaEventKind};
+use crate::replica::{Counts, Held, HeldState, Replica, ReplicaGuard};
 use crate::settings::{EngineFaults, EngineSettings};
-use crate::{
-    Action, CachedCheckpoint, Engine, EngineError, EngineReplica, EngineReplicaState, EngineReport, EngineRole, Order,
-    Tier,
-};
+use crate::tiers::Tiers;
+use crate::{Action, EngineError, EngineReplica, EngineReport, EngineRole, Order, Tier};
 
 /// Old states kept for lagging reports.
 const SNAPSHOT_LIMIT: usize = 4_096;
@@ -41,19 +37,6 @@
     pub(crate) recorder: Recorder,
 }
 
-/// A replica that takes requests.
-#[derive(Debug)]
-pub(crate) struct Replica {
-    pub(crate) id: ReplicaId,
-    /// Slots; an adapter shares those of its model.
-    pub(crate) batch: Arc<Batch>,
-    /// Requests running or waiting.
-    active: AtomicU32,
-    /// Requests waiting.
-    pub(crate) waiting: AtomicU32,
-    closing: AtomicBool,
-}
-
 #[derive(Debug)]
 struct Core {
     term: Term,
@@ -65,93 +48,6 @@
     counts: Counts,
 }
 
-/// A replica in any state.
-#[derive(Debug)]
-struct Held {
-    state: HeldState,
-    model: ModelName,
-    version: u64,
-    adapter: Option<AdapterName>,
-    bytes: u64,
-    /// Replica of the model that an adapter belongs to.
-    base: Option<Arc<Replica>>,
-    replica: Option<Arc<Replica>>,
-    load: Option<AbortHandle>,
-}
-
-/// Requests at each replica when they were last counted.
-#[derive(Debug)]
-struct Counts {
-    at: Instant,
-    requests: HashMap<ReplicaId, RequestCount>,
-}
-
-#[derive(Debug, Clone, Copy, Default)]
-struct RequestCount {
-    running: u32,
-    waiting: u32,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum HeldState {
-    Loading,
-    Ready,
-    /// Unloaded by order, held until its running requests have finished.
-    Draining,
-    Failed,
-    Ended,
-}
-
-impl Held {
-    fn name(&self) -> &str {
-        self.adapter.as_ref().map_or(self.model.as_str(), AdapterName::as_str)
-    }
-
-    fn report(&self, id: &ReplicaId) -> EngineReplica {
-        let state = match self.state {
-            HeldState::Loading => EngineReplicaState::Loading,
-            HeldState::Ready | HeldState::Draining => EngineReplicaState::Ready,
-            HeldState::Failed => EngineReplicaState::Failed,
-            HeldState::Ended => EngineReplicaState::Ended,
-        };
-        EngineReplica {
-            replica: id.clone(),
-            state,
-            model: self.model.clone(),
-            version: self.version,
-            adapter: self.adapter.clone(),
-            bytes: self.bytes,
-            running: 0,
-            waiting: 0,
-        }
-    }
-
-    /// A replica id that was cancelled before its load order came.
-    fn cancelled() -> Self {
-        Self {
-            state: HeldState::Ended,
-            model: ModelName::new(""),
-            version: 0,
-            adapter: None,
-            bytes: 0,
-            base: None,
-            replica: None,
-            load: None,
-        }
-    }
-}
-
-impl Replica {
-    fn count(&self) -> RequestCount {
-        let waiting = self.waiting.load(Ordering::Relaxed);
-        let active = self.active.load(Ordering::Relaxed);
-        RequestCount {
-            running: active.saturating_sub(waiting),
-            waiting,
-        }
-    }
-}
-
 impl StandInEngine {
     /// Creates an engine that loads remote checkpoints from `weights`.
     pub fn new(settings: EngineSettings, weights: Option<Arc<dyn WeightStore>>) -> Arc<Self> {
@@ -271,20 +167,26 @@
     }
 
     /// Joins the replica that serves `model`, or the one with the id in `wanted`.
-    pub(crate) fn join(self: &Arc<Self>, model: &str, wanted: Option<&str>) -> Option<Membership> {
+    pub(crate) fn join(self: &Arc<Self>, model: &str, wanted: Option<&str>) -> Option<ReplicaGuard> {
+        let replica = self.find_serving(model, wanted)?;
+        replica.active.fetch_add(1, Ordering::SeqCst);
+        let guard = ReplicaGuard {
+            engine: Arc::clone(self),
+            replica,
+        };
+        // An unload after this check sees the request and waits for it; dropping the guard ends that wait.
+        let is_closing = guard.replica.closing.load(Ordering::SeqCst);
+        (!is_closing).then_some(guard)
+    }
+
+    fn find_serving(&self, model: &str, wanted: Option<&str>) -> Option<Arc<Replica>> {
         let serving = self.serving.read();
         let replicas = serving.get(model)?;
-        let replica = match wanted {
+        let found = match wanted {
             Some(id) => replicas.iter().find(|it| it.id.as_str() == id),
             None => replicas.iter().min_by_key(|it| it.active.load(Ordering::Relaxed)),
-        }?;
-        replica.active.fetch_add(1, Ordering::SeqCst);
-        let membership = Membership {
-            engine: Arc::clone(self),
-            replica: Arc::clone(replica),
         };
-        // Dropping the membership after this check ends a drain that waits for it.
-        (!replica.closing.load(Ordering::SeqCst)).then_some(membership)
+        found.cloned()
     }
 
     /// Whether any replica serves `model`.
@@ -527,7 +429,7 @@
     }
 
     /// Ends a replica whose last request has finished.
-    fn finish_drain(&self, id: &ReplicaId) {
+    pub(crate) fn finish_drain(&self, id: &ReplicaId) {
         let mut core = self.core.lock();
         let is_draining = core.held.get(id).is_some_and(|it| it.state == HeldState::Draining);
         if is_draining {
@@ -546,17 +448,6 @@
     }
 }
 
-impl Counts {
-    fn add_to(&self, replica: &EngineReplica) -> EngineReplica {
-        let count = self.requests.get(&replica.replica).copied().unwrap_or_default();
-        EngineReplica {
-            running: count.running,
-            waiting: count.waiting,
-            ..replica.clone()
-        }
-    }
-}
-
 impl Core {
     fn count_requests(&mut self) {
         let serving = self
@@ -581,128 +472,3 @@
         adapters.map(|(id, _)| id.clone()).collect()
     }
 }
-
-/// A request's place at a replica; dropping it may end a drain.
-#[derive(Debug)]
-pub(crate) struct Membership {
-    pub(crate) engine: Arc<StandInEngine>,
-    pub(crate) replica: Arc<Replica>,
-}
-
-impl Drop for Membership {
-    fn drop(&mut self) {
-        let was_last = self.replica.active.fetch_sub(1, Ordering::SeqCst) == 1;
-        if was_last && self.replica.closing.load(Ordering::SeqCst) {
-            self.engine.finish_drain(&self.replica.id);
-        }
-    }
-}
-
-/// Checkpoints cached in memory and on disk, least recently used first.
-#[derive(Debug)]
-struct Tiers {
-    memory: TierCache,
-    disk: TierCache,
-}
-
-#[derive(Debug)]
-struct TierCache {
-    limit: u64,
-    entries: VecDeque<(ModelName, u64, u64)>,
-}
-
-impl Tiers {
-    fn new(settings: &EngineSettings) -> Self {
-        let with_limit = |limit| TierCache {
-            limit,
-            entries: VecDeque::new(),
-        };
-        let mut tiers = Self {
-            memory: with_limit(settings.memory_tier_bytes),
-            disk: with_limit(settings.disk_tier_bytes),
-        };
-        for it in &settings.cached {
-            match it.tier {
-                Tier::Memory => tiers.memory.store(&it.model, it.version, 0),
-                Tier::Disk => tiers.disk.store(&it.model, it.version, 0),
-                Tier::Remote => (),
-            }
-        }
-        tiers
-    }
-
-    fn find(&self, model: &ModelName, version: u64) -> Option<Tier> {
-        let in_memory = self.memory.contains(model, version).then_some(Tier::Memory);
-        in_memory.or_else(|| self.disk.contains(model, version).then_some(Tier::Disk))
-    }
-
-    fn store(&mut self, model: &ModelName, version: u64, bytes: u64) {
-        self.memory.store(model, version, bytes);
-        self.disk.store(model, version, bytes);
-    }
-
-    fn cached(&self) -> Vec<CachedCheckpoint> {
-        let only_on_disk = self.disk.entries.iter().filter(|it| !self.memory.contains(&it.0, it.1));
-        let memory = self.memory.entries.iter().map(|it| (it, Tier::Memory));
-        let disk = only_on_disk.map(|it| (it, Tier::Disk));
-        let checkpoint = |((model, version, _), tier): (&(ModelName, u64, u64), Tier)| CachedCheckpoint {
-            model: model.clone(),
-            version: *version,
-            tier,
-        };
-        memory.chain(disk).map(checkpoint).collect()
-    }
-}
-
-impl TierCache {
-    fn contains(&self, model: &ModelName, version: u64) -> bool {
-        self.entries.iter().any(|it| it.0 == *model && it.1 == version)
-    }
-
-    fn store(&mut self, model: &ModelName, version: u64, bytes: u64) {
-        self.entries.retain(|it| !(it.0 == *model && it.1 == version));
-        self.entries.push_back((model.clone(), version, bytes));
-        let mut total = self.entries.iter().map(|it| it.2).sum::<u64>();
-        while total > self.limit
-            && let Some((_, _, freed)) = self.entries.pop_front()
-        {
-            total -= freed;
-        }
-    }
-}
-
-/// Stand-in engines in this process, by address.
-#[derive(Debug, Default)]
-pub struct StandInEngines {
-    engines: RwLock<HashMap<SocketAddr, Arc<StandInEngine>>>,
-}
-
-impl StandInEngines {
-    /// Makes `engine` answer at `addr`, in place of any earlier one.
-    pub fn set(&self, addr: SocketAddr, engine: Arc<StandInEngine>) {
-        self.engines.write().insert(addr, engine);
-    }
-
-    /// Removes the engine at `addr`.
-    pub fn remove(&self, addr: SocketAddr) {
-        self.engines.write().remove(&addr);
-    }
-
-    fn find(&self, addr: SocketAddr) -> Result<Arc<StandInEngine>, EngineError> {
-        let found = self.engines.read().get(&addr).cloned();
-        found
-            .filter(|it| !it.faults().down)
-            .ok_or_else(|| EngineError::Unreachable(format!("no engine at {addr}")))
-    }
-}
-
-#[async_trait]
-impl Engine for StandInEngines {
-    async fn order(&self, server: SocketAddr, order: &Order) -> Result<(), EngineError> {
-        self.find(server)?.take_order(order)
-    }
-
-    async fn report(&self, server: SocketAddr) -> Result<EngineReport, EngineError> {
-        Ok(self.find(server)?.current_report())
-    }
-}
