--- /dev/null
+++ b/crates/core/tests/request.rs
@@ -0,0 +1,96 @@
+//! The rule for failed attempts against a naive account of what a backend server may have done, and the life of a
+//! request against its chart.
+
+use guava_core::codes::Run;
+use guava_core::request::{Attempt, Class, Lifecycle, RequestEvent, RequestState, Verdict};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// What a backend server that got some bytes may have done, in the worst case.
+#[derive(Debug, Clone, Copy, Default)]
+struct WorstCase {
+    runs: u32,
+    answers_seen_by_caller: u32,
+}
+
+/// Sends a request until the rule ends it, against backend servers that run it on the first byte.
+fn play(class: Class, failures: &[(u64, u64, u64)]) -> (WorstCase, Option<Verdict>) {
+    let mut world = WorstCase::default();
+    let mut last = None;
+    for (bytes_sent, bytes_received, bytes_passed_on) in failures {
+        // Nothing is passed on that was not received, and nothing is received before something was sent.
+        let bytes_received = if *bytes_sent == 0 { 0 } else { *bytes_received };
+        let bytes_passed_on = (*bytes_passed_on).min(bytes_received);
+        world.runs += u32::from(*bytes_sent > 0);
+        world.answers_seen_by_caller += u32::from(bytes_passed_on > 0);
+        let attempt = Attempt {
+            class,
+            bytes_sent: *bytes_sent,
+            bytes_received,
+            bytes_passed_on,
+        };
+        let verdict = attempt.verdict();
+        last = Some(verdict);
+        if verdict == Verdict::OutcomeUnknown {
+            break;
+        }
+    }
+    (world, last)
+}
+
+fn failures() -> impl Strategy<Value = Vec<(u64, u64, u64)>> {
+    let bytes = || prop_oneof![Just(0u64), 1u64..10_000];
+    prop::collection::vec((bytes(), bytes(), bytes()), 1..8)
+}
+
+proptest! {
+    /// Guards against a second run of a non-idempotent request, and against "not run" for one that may have run.
+    #[test]
+    fn a_non_idempotent_request_runs_at_most_once(failures in failures()) {
+        let (world, last) = play(Class::NonIdempotent, &failures);
+        prop_assert!(world.runs <= 1);
+        prop_assert_eq!(last == Some(Verdict::Retry { run: Run::NotRun }), world.runs == 0);
+    }
+
+    /// Guards against a caller that gets the beginnings of two answers, and against needless failures.
+    #[test]
+    fn an_idempotent_request_is_retried_until_bytes_were_passed_on(failures in failures()) {
+        let (world, last) = play(Class::Idempotent, &failures);
+        prop_assert!(world.answers_seen_by_caller <= 1);
+        prop_assert_eq!(last == Some(Verdict::OutcomeUnknown), world.answers_seen_by_caller == 1);
+    }
+
+    /// Guards against events that the chart does not allow: the state must not change.
+    #[test]
+    fn a_refused_event_keeps_the_state(events in prop::collection::vec(0..RequestEvent::ALL.len(), 0..20)) {
+        let chart = guava_core::chart::Chart::parse(guava_core::chart::REQUEST).expect("the chart is sound");
+        let mut lifecycle = Lifecycle::default();
+        for event in events.into_iter().map(|index| RequestEvent::ALL[index]) {
+            let before = lifecycle.state();
+            let expected = chart.next(before.as_str(), event.as_str());
+            let stepped = lifecycle.step(event);
+            prop_assert_eq!(stepped.ok().map(RequestState::as_str), expected);
+            prop_assert_eq!(lifecycle.state().as_str(), expected.unwrap_or(before.as_str()));
+        }
+    }
+}
+
+/// Guards against a lifecycle in which a usual path is not allowed.
+#[rstest]
+#[case(&["admit", "send", "answer", "finish"], RequestState::Finished)]
+#[case(&["admit", "send", "retry", "send", "answer", "fail"], RequestState::Failed)]
+#[case(&["admit", "refuse"], RequestState::Refused)]
+#[case(&["refuse"], RequestState::Refused)]
+fn usual_paths_are_allowed(#[case] path: &[&str], #[case] end: RequestState) {
+    let mut lifecycle = Lifecycle::default();
+
+    for name in path {
+        let event = RequestEvent::ALL
+            .iter()
+            .find(|it| it.as_str() == *name)
+            .expect("a known event");
+        lifecycle.step(*event).expect("the chart allows it");
+    }
+
+    assert_eq!(lifecycle.state(), end);
+}
--- a/crates/router/src/demand.rs
+++ b/crates/router/src/demand.rs
@@ -31,7 +31,9 @@
 impl Controllers {
     /// Reports demand to the holder of the pool's lease, else to the live controllers in turn.
     pub async fn report(&self, node: &Node, pool: &PoolName, demand: &Demand) -> Option<DemandReply> {
-        let params = serde_json::to_value(demand).ok()?;
+        let mut params = serde_json::to_value(demand).ok()?;
+        // Reports of one router replace each other at the controller.
+        params["router"] = node.members.me().id.to_string().into();
         let live: Vec<MemberInfo> = node
             .members
             .live()
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -9,7 +9,7 @@
 use guava_core::ids::Role;
 use guava_node::runtime::{NodeError, Runtime};
 use guava_node::settings::CommonArgs;
-use guava_platform::{ObjectStore, VmList};
+use guava_platform::{HttpObjectStore, HttpVmList, ObjectStore, VmList};
 use guava_router::{RouterArgs, RouterError, RouterParts, serve};
 use quick_error::quick_error;
 use tokio::signal::unix::{SignalKind, signal};
@@ -60,7 +60,7 @@
     let args = Args::parse();
     let faults = args.router.check();
     if !faults.is_empty() {
-        faults.iter().for_each(|fault| eprintln!("{fault}"));
+        eprintln!("{}", faults.join("\n"));
         return ExitCode::from(EXIT_SETTINGS);
     }
     match start(args) {
@@ -89,7 +89,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let notice = Duration::from_millis(args.common.balancer_notice_ms);
-    let (store, vms) = platform(args.common.platform_addr)?;
+    let (store, vms) = platform(args.common.platform_addr);
     let runtime = Arc::new(Runtime::start(&args.common, Role::Router, store, vms).await?);
     let router = serve(args.router, runtime.node.clone(), parts(&runtime)?).await?;
     runtime.serve_rpc(router.rpc_module()?).await?;
@@ -106,8 +106,8 @@
 }
 
 /// Platform as HTTP adapters reach it.
-fn platform(_addr: SocketAddr) -> Result<(Arc<dyn ObjectStore>, Arc<dyn VmList>), Error> {
-    Err(Error::Missing("platform adapters"))
+fn platform(addr: SocketAddr) -> (Arc<dyn ObjectStore>, Arc<dyn VmList>) {
+    (Arc::new(HttpObjectStore::new(addr)), Arc::new(HttpVmList::new(addr)))
 }
 
 /// Parts of the request path.
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -326,7 +326,11 @@
 fn readiness(router: &Router) -> WholeAnswer {
     let stopping = router.stopping.load(Ordering::Relaxed);
     let isolated = router.node.members.isolated();
-    if !stopping && !isolated && (router.ready)() {
+    let ready = (router.ready)();
+    if ready {
+        router.was_ready.store(true, Ordering::Relaxed);
+    }
+    if ready && !stopping && !isolated {
         return WholeAnswer::text(StatusCode::OK, "ready\n");
     }
     WholeAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
--- a/crates/router/tests/input.rs
+++ b/crates/router/tests/input.rs
@@ -148,7 +148,7 @@
         world.key
     );
     if framing.starts_with("transfer") {
-        text.push_str(&format!("{body:x}\r\n{}\r\n0\r\n\r\n", "x".repeat(body)));
+        text.extend([&format!("{body:x}\r\n"), "x".repeat(body).as_str(), "\r\n0\r\n\r\n"]);
     } else {
         text.push_str(&"x".repeat(body));
     }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -587,10 +587,10 @@
 pub fn request_text(method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("{method} {path} HTTP/1.1\r\nhost: router\r\nconnection: close\r\n");
     for (name, value) in headers {
-        text.push_str(&format!("{name}: {value}\r\n"));
+        text.extend([name, ": ", value, "\r\n"]);
     }
     if !headers.iter().any(|(name, _)| *name == "content-length") {
-        text.push_str(&format!("content-length: {}\r\n", body.len()));
+        text.extend(["content-length: ", &body.len().to_string(), "\r\n"]);
     }
     text.push_str("\r\n");
     let mut bytes = text.into_bytes();
@@ -776,7 +776,7 @@
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n".to_owned();
     for event in events {
         let event = format!("data: {event}\n\n");
-        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+        text.extend([&format!("{:x}", event.len()), "\r\n", &event, "\r\n"]);
     }
     if complete {
         text.push_str("0\r\n\r\n");
