--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -64,11 +64,17 @@
     /// All faults of the settings, with the accepted range.
     pub fn check(&self) -> Vec<String> {
         let settings = [
-            ("--admin-token (GUAVA_ADMIN_TOKEN)", self.admin_token.len(), MIN_TOKEN_BYTES),
+            (
+                "--admin-token (GUAVA_ADMIN_TOKEN)",
+                self.admin_token.len(),
+                MIN_TOKEN_BYTES,
+            ),
             ("--pepper (GUAVA_PEPPER)", self.pepper.len(), MIN_PEPPER_BYTES),
         ];
         let short = settings.into_iter().filter(|(_, len, least)| len < least);
-        short.map(|(name, _, least)| format!("{name}: accepted is {least} bytes or more")).collect()
+        short
+            .map(|(name, _, least)| format!("{name}: accepted is {least} bytes or more"))
+            .collect()
     }
 }
 
