Run the whole path: programs for router, controller and administration, and guava-dev

Cause: quota, records and jobs have arrived, so the parts can run together. Change: RouterProgram puts the router's real parts on the process runtime; the three programs share one entry that reports all faults of the settings; guava-dev embeds two entry VMs with stand-ins.

--- a/crates/admin/src/main.rs
+++ b/crates/admin/src/main.rs
@@ -7,6 +7,7 @@
 use clap::Parser;
 use guava_admin::{AdminArgs, AdminError, serve};
 use guava_core::ids::Role;
+use guava_node::program::{self, Checked};
 use guava_node::runtime::Runtime;
 use guava_node::settings::CommonArgs;
 use guava_node::signal::shutdown_signal;
@@ -16,9 +17,6 @@
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
-/// Exit code for faults in settings.
-const EXIT_SETTINGS: u8 = 2;
-
 /// Serves the administration API of one VM.
 #[derive(Debug, Parser)]
 #[command(
@@ -36,25 +34,16 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let faults: Vec<_> = cli.common.check().into_iter().chain(cli.admin.check()).collect();
-    if !faults.is_empty() {
-        eprintln!("guava-admin: {}", faults.join("\n"));
-        return ExitCode::from(EXIT_SETTINGS);
-    }
-    if cli.common.check {
-        return ExitCode::SUCCESS;
-    }
-    match run(&cli) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("guava-admin: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    let faults = cli.common.check().into_iter().chain(cli.admin.check()).collect();
+    let checked = Checked {
+        name: "guava-admin",
+        faults,
+        only_check: cli.common.check,
+    };
+    program::run(&checked, run(cli))
 }
 
-#[tokio::main(worker_threads = 2)]
-async fn run(cli: &Cli) -> Result<(), AdminError> {
+async fn run(cli: Cli) -> Result<(), AdminError> {
     let store = Arc::new(HttpObjectStore::new(cli.common.platform_addr));
     let vms = Arc::new(HttpVmList::new(cli.common.platform_addr));
     let runtime = Runtime::start(&cli.common, Role::Admin, store, vms).await?;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -11,6 +11,7 @@
 use guava_core::spread::{Entry, EntryKey};
 use guava_engine::Engine;
 use guava_node::Node;
+use guava_node::runtime::NodeError;
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RegisterMethodError;
 use opentelemetry::metrics::Meter;
@@ -49,6 +50,16 @@
         Settings(faults: Vec<String>) {
             display("settings: {}", faults.join("; "))
         }
+        /// The process runtime failed.
+        Node(error: NodeError) {
+            from()
+            display("{error}")
+        }
+        /// A signal handler could not be installed.
+        Signal(error: std::io::Error) {
+            from()
+            display("signal: {error}")
+        }
         /// A state chart has a fault.
         Chart(error: ChartError) {
             from()
--- a/crates/dev/src/config.rs
+++ b/crates/dev/src/config.rs
@@ -4,7 +4,12 @@
 
 /// Runs the whole system on loopback, with stand-ins for the platform, engines, weight store and plain services.
 #[derive(Debug, Parser)]
-#[command(name = "guava-dev", version, about, after_help = "Exit codes: 0 ok, 1 other, 2 usage or settings.")]
+#[command(
+    name = "guava-dev",
+    version,
+    about,
+    after_help = "Exit codes: 0 ok, 1 other, 2 usage or settings."
+)]
 pub struct Args {
     /// File of objects to start with; the Welsh example when left out.
     #[arg(long, env = "GUAVA_DEV_CONFIG")]
--- a/crates/dev/src/main.rs
+++ b/crates/dev/src/main.rs
@@ -1,3 +1,23 @@
-//! Program entry.
+//! The whole system in one process on loopback, with in-process stand-ins for everything outside.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+
+mod config;
+mod error;
+mod standins;
+mod system;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    match system::run(&config::Args::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("guava-dev: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- a/crates/dev/src/standins.rs
+++ b/crates/dev/src/standins.rs
@@ -46,7 +46,11 @@
                 backends.fronts.push(front);
             }
             Object::Model(it) => {
-                platform.weights.add(&checkpoint_name(it.name.as_str(), it.version), CheckpointKind::Model, it.bytes);
+                platform.weights.add(
+                    &checkpoint_name(it.name.as_str(), it.version),
+                    CheckpointKind::Model,
+                    it.bytes,
+                );
             }
             Object::Adapter(it) => {
                 let name = checkpoint_name(it.name.as_str(), it.version);
@@ -71,13 +75,22 @@
         decode_us: DECODE_US,
         ..EngineSettings::default()
     };
-    let engine = StandInEngine::new(settings, Some(platform.weights.clone()));
+    let engine = StandInEngine::new(
+        settings,
+        Some(Arc::<guava_platform::MemoryWeightStore>::clone(&platform.weights)),
+    );
     Ok(serve_engine(&engine, addr).await?)
 }
 
 /// Entry of the list of VMs.
 pub fn vm(name: &str, zone: &Zone, addr: SocketAddr) -> VmInfo {
-    VmInfo { name: VmName::new(name), instance: "1".to_owned(), zone: zone.clone(), addr, state: VmState::Live }
+    VmInfo {
+        name: VmName::new(name),
+        instance: "1".to_owned(),
+        zone: zone.clone(),
+        addr,
+        state: VmState::Live,
+    }
 }
 
 /// Key object that every organisation of the development program has.
@@ -95,7 +108,9 @@
     for (index, object) in objects.iter().enumerate() {
         let operation = OperationId::new(format!("start-{index}"));
         let (kind, name): (Kind, &str) = (object.kind(), object.name());
-        store.put(kind, name, &object.spec(), Expect::Absent, &operation).await?;
+        store
+            .put(kind, name, &object.spec(), Expect::Absent, &operation)
+            .await?;
     }
     Ok(())
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod metrics;
 mod peers;
 mod platform;
+pub mod program;
 pub mod runtime;
 mod server;
 pub mod settings;
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -79,7 +79,6 @@
     server: Mutex<Option<ServerHandle>>,
 }
 
-#[expect(clippy::unused_async, reason = "the bodies are being written")]
 impl Runtime {
     /// Opens the sockets and starts membership, gossip, leases and platform watches.
     ///
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 mod listener;
 mod metrics;
 mod path;
+pub mod program;
 pub mod refusal;
 pub mod serve;
 mod server;
--- /dev/null
+++ b/crates/router/src/program.rs
@@ -0,0 +1,59 @@
+//! The router with its real quota, idempotency records and jobs on a process runtime.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use guava_node::runtime::Runtime;
+
+use crate::idempotency::RecordService;
+use crate::jobs::JobService;
+use crate::quota::QuotaService;
+use crate::{RouterArgs, RouterError, RouterHandle, RouterParts, serve};
+
+/// A running router together with its quota service.
+#[derive(Debug)]
+pub struct RouterProgram {
+    /// Request path.
+    pub handle: RouterHandle,
+    quota: Arc<QuotaService>,
+}
+
+impl RouterProgram {
+    /// Starts all parts and the process's JSON-RPC server.
+    ///
+    /// # Errors
+    ///
+    /// Fails when settings have faults or a socket cannot be opened.
+    pub async fn start(args: RouterArgs, runtime: &Runtime) -> Result<Self, RouterError> {
+        let node = runtime.node.clone();
+        let quota = QuotaService::start(node.clone());
+        let records = RecordService::start(node.clone(), args.pepper.as_bytes());
+        let jobs_node = node.clone();
+        let (health, ready) = (runtime.health(), runtime.health());
+        let parts = RouterParts {
+            quota: Arc::<QuotaService>::clone(&quota),
+            records: Arc::new(records),
+            jobs: Box::new(move |executor| Arc::new(JobService::start(jobs_node, executor))),
+            meter: runtime.meter(),
+            metrics_text: Box::new(move || health.answer("/metrics").map(|it| it.body).unwrap_or_default()),
+            ready: Box::new(move || ready.ready()),
+        };
+        let handle = serve(args, node, parts).await?;
+        let mut rpc = handle.rpc_module()?;
+        rpc.merge(quota.rpc()?)?;
+        runtime.serve_rpc(rpc).await?;
+        Ok(Self { handle, quota })
+    }
+
+    /// Serves on for `notice`, finishes the requests at hand and hands over the quota shares.
+    ///
+    /// # Errors
+    ///
+    /// Fails when requests are still running at the end of the drain time.
+    pub async fn shutdown(self, notice: Duration) -> Result<(), RouterError> {
+        let drained = self.handle.shutdown(notice).await;
+        // Shares stay until the last request has been admitted, so that waiting requests can still reserve.
+        self.quota.shutdown().await;
+        drained
+    }
+}
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -8,6 +8,7 @@
 use guava_core::snapshot::Snapshot;
 use guava_core::spread::Entry;
 use guava_node::Node;
+use guava_node::runtime::NodeError;
 use jsonrpsee::RpcModule;
 use opentelemetry::metrics::Meter;
 use quick_error::quick_error;
@@ -37,6 +38,12 @@
             source(error)
             display("socket: {error}")
         }
+        /// The process runtime failed.
+        Node(error: NodeError) {
+            from()
+            source(error)
+            display("{error}")
+        }
         /// A JSON-RPC method could not be registered.
         Rpc(error: jsonrpsee::core::RegisterMethodError) {
             from()
