--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,12 +2,41 @@
 //!
 //! The request path talks to quota, idempotency records and jobs through the traits here.
 
+pub mod answer;
+pub mod api;
+pub mod args;
+pub mod config;
+mod demand;
+pub mod dispatch;
+mod executor;
+pub mod explain;
+pub mod forward;
+mod guards;
+pub mod input;
+mod listener;
+mod metrics;
+mod path;
+pub mod program;
+pub mod refusal;
+pub mod serve;
+mod server;
+mod usage;
+
+pub use args::RouterArgs;
+pub use serve::{JobsFactory, RouterError, RouterHandle, RouterParts, serve};
+
 use async_trait::async_trait;
 use guava_core::codes::Code;
 use guava_core::derive_value;
 use guava_core::ids::{JobId, OrganisationName, RequestId};
 use guava_core::units::Millis;
 
+pub mod idempotency;
+pub mod jobs;
+pub mod quota;
+
+mod stored;
+
 /// Refusal of a quota reservation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuotaRefusal {
