Mark the end of streams and wait for unreachable replicas to be replaced

A stream ended as complete when its task ended, so a task stopped with its runtime would have completed a cut answer; the end is now a part of its own. A replica that could not be reached had nothing in flight and was chosen first again, and three refused connects ended a request whose deadline was far away. It is now passed over for 1 s, and a request of which nothing was sent waits for another replica until its deadline.

--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -1,7 +1,6 @@
 //! Answers on their way to a caller.
 
 use bytes::Bytes;
-use guava_core::codes::Code;
 use http::{HeaderName, HeaderValue, StatusCode, header};
 use tokio::sync::mpsc;
 
@@ -64,19 +63,25 @@
 
 /// End of a stream before it was complete; the connection to the caller must be aborted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Cut {
-    /// Why the stream ended.
-    pub code: Code,
-}
+pub struct Cut;
 
 impl std::fmt::Display for Cut {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "stream ended early: {}", self.code)
+        f.write_str("the stream ended before it was complete")
     }
 }
 
 impl std::error::Error for Cut {}
 
+/// Part of a stream on its way to a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Part {
+    /// Bytes to pass on.
+    Data(Bytes),
+    /// Marked end of a complete answer.
+    End,
+}
+
 /// An answer that is passed on while it arrives.
 #[derive(Debug)]
 pub struct StreamAnswer {
@@ -84,8 +89,9 @@
     pub status: StatusCode,
     /// Headers.
     pub headers: Vec<(HeaderName, HeaderValue)>,
-    /// Parts of the body; a channel that closes without [`Cut`] ends a complete answer.
-    pub parts: mpsc::Receiver<Result<Bytes, Cut>>,
+    /// Parts of the body. A channel that closes without [`Part::End`] means a cut answer, so that a task that ends
+    /// unexpectedly cannot make one look complete.
+    pub parts: mpsc::Receiver<Part>,
 }
 
 /// Answer to a caller.
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -20,6 +20,9 @@
 
 use crate::refusal::Refusal;
 
+/// Time for which a replica that could not be reached is passed over while another has a free slot, in milliseconds.
+const SUSPECT_MS: u64 = 1_000;
+
 /// What a request is routed to.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct TargetKey {
@@ -107,6 +110,8 @@
     replicas: Vec<ReplicaAddress>,
     service_time: ServiceTime,
     ready_at: Option<Millis>,
+    /// Replicas that could not be reached, with the time until which others are preferred.
+    suspects: HashMap<ReplicaId, Millis>,
 }
 
 impl State {
@@ -243,10 +248,16 @@
         prefix: Option<u64>,
         avoid: &[ReplicaId],
     ) -> Option<Grant> {
+        let now = self.clock.now();
+        state.suspects.retain(|_, until| *until > now);
+        let mut all_avoided = Vec::new();
+        if !state.suspects.is_empty() {
+            all_avoided.extend(state.suspects.keys().chain(avoid).cloned());
+        }
         let preference = Preference {
             zone: &self.zone,
             prefix,
-            avoid,
+            avoid: if all_avoided.is_empty() { avoid } else { &all_avoided },
         };
         let replica = choose(&state.replicas, &state.slots, preference)?.clone();
         let acquired = state.slots.acquire(request, &replica.replica, replica.slots);
@@ -301,6 +312,19 @@
         self.hand_out(state);
     }
 
+    /// Prefers other replicas for a while. A replica that cannot be reached has nothing in flight and would otherwise
+    /// be chosen first.
+    pub fn suspect(&self, replica: &ReplicaId) {
+        let until = self.clock.now() + SUSPECT_MS;
+        self.state.lock().suspects.insert(replica.clone(), until);
+    }
+
+    /// Whether there is a replica besides the given ones.
+    pub fn has_other(&self, tried: &[ReplicaId]) -> bool {
+        let state = self.state.lock();
+        state.replicas.iter().any(|it| !tried.contains(&it.replica))
+    }
+
     /// Takes in how long a finished request kept its slot.
     pub fn observe(&self, tokens: u64, duration_ms: u64) {
         self.state.lock().service_time.observe(tokens, duration_ms);
--- a/crates/router/src/path.rs
+++ b/crates/router/src/path.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::answer::{Answer, Cut, StreamAnswer, WholeAnswer};
+use crate::answer::{Answer, Part, StreamAnswer, WholeAnswer};
 use crate::args::RouterArgs;
 use crate::config::Config;
 use crate::dispatch::{Claimant, Grant, Target, TargetKey, Targets};
@@ -34,6 +34,11 @@
 const STREAM_PARTS: usize = 16;
 /// Longest incomplete event of a stream.
 const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
+/// Longest wait for room for the error event of a cut stream.
+const ERROR_EVENT_WAIT: Duration = Duration::from_secs(1);
+/// First pause after a connection could not be opened; it doubles up to the largest.
+const CONNECT_PAUSE: Duration = Duration::from_millis(50);
+const MAX_CONNECT_PAUSE: Duration = Duration::from_secs(1);
 
 /// Who sent a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -430,6 +435,8 @@
         let work = Arc::clone(&running.work);
         let mut avoid = Vec::new();
         let mut may_have_run = false;
+        let mut pause = CONNECT_PAUSE;
+        let mut sendings = 0;
         loop {
             let Some(grant) = running.grant.take() else {
                 return refuse(running, Refusal::not_run(Code::Internal));
@@ -440,7 +447,7 @@
             let progress = Progress::default();
             let result = self.attempt(&work, &grant, &progress, avoid.is_empty()).await;
             let kind = match result {
-                Ok(Attempted::Whole(answer)) if !self.is_busy(&work, &answer, avoid.len()) => {
+                Ok(Attempted::Whole(answer)) if !self.is_busy(&work, &answer, sendings) => {
                     drop(grant);
                     return self.finish_whole(running, answer, sent_at).await;
                 }
@@ -454,14 +461,23 @@
             let verdict = verdict_of(work.class, &progress);
             let failed_on = grant.replica.replica.clone();
             drop(grant);
+            if kind == FailureKind::Connect {
+                running.target.suspect(&failed_on);
+            }
             avoid.push(failed_on);
             match verdict {
                 Verdict::OutcomeUnknown => return self.fail(running, outcome_unknown(kind)).await,
                 Verdict::Retry { run } => may_have_run |= run == Run::OutcomeUnknown,
             }
             let run = if may_have_run { Run::OutcomeUnknown } else { Run::NotRun };
-            let last = avoid.len() >= MAX_ATTEMPTS || kind == FailureKind::Timeout || kind == FailureKind::TooLarge;
-            if last {
+            // A replica that cannot be reached costs no sending: the pool's controller will replace it, and until the
+            // deadline the request may still be served.
+            let waits = kind == FailureKind::Connect && work.is_model();
+            let pauses = waits && !running.target.has_other(&avoid);
+            sendings += usize::from(!waits);
+            let last = sendings >= MAX_ATTEMPTS || kind == FailureKind::Timeout || kind == FailureKind::TooLarge;
+            let too_late = self.node.clock.now() + pause.as_millis() as u64 > work.times.send_by;
+            if last || (pauses && too_late) {
                 return self.fail(running, no_attempt_left(kind, run)).await;
             }
             running.step(RequestEvent::Retry);
@@ -475,6 +491,10 @@
                 Some(work.target.name()),
                 "",
             );
+            if pauses {
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MAX_CONNECT_PAUSE);
+            }
             if let Err(refusal) = self.take_slot(&mut running, &avoid).await {
                 let refusal = Refusal { run, ..refusal };
                 return self.fail(running, refusal).await;
@@ -634,7 +654,7 @@
     router: Arc<Router>,
     running: Running,
     reader: StreamReader,
-    tx: mpsc::Sender<Result<Bytes, Cut>>,
+    tx: mpsc::Sender<Part>,
     /// Copy of the answer for the idempotency record.
     kept: Vec<u8>,
     finish_at: Instant,
@@ -667,6 +687,8 @@
                     };
                     claim.finish(Outcome::Answered(answer.to_stored())).await;
                 }
+                // The caller may have left; the answer is complete all the same.
+                drop(tokio::time::timeout_at(self.finish_at, self.tx.send(Part::End)).await);
                 self.router.finished(&mut self.running);
             }
             Passed::Cut(kind) => self.cut(kind).await,
@@ -687,9 +709,12 @@
                     }
                     self.kept.extend_from_slice(&events);
                 }
-                let caller_left = self.tx.send(Ok(Bytes::from(events))).await.is_err();
-                if caller_left && cancel_with_caller {
-                    return Passed::CallerLeft;
+                // The timeout also ends a stream whose caller reads too slowly and would keep its slot.
+                let sent = self.tx.send(Part::Data(Bytes::from(events)));
+                match tokio::time::timeout_at(self.finish_at, sent).await {
+                    Err(_) => return Passed::Cut(FailureKind::Timeout),
+                    Ok(Err(_)) if cancel_with_caller => return Passed::CallerLeft,
+                    Ok(_) => {}
                 }
             }
             let next = tokio::time::timeout_at(self.finish_at, arriving.next_part());
@@ -730,9 +755,9 @@
         let mut event = b"event: error\ndata: ".to_vec();
         event.extend(Refusal::outcome_unknown(code).body());
         event.extend(b"\n\n");
-        // The caller may have left; then nobody needs the error.
-        drop(self.tx.send(Ok(Bytes::from(event))).await);
-        drop(self.tx.send(Err(Cut { code })).await);
+        // The caller may have left or may not read; then nobody needs the error.
+        let sent = self.tx.send(Part::Data(Bytes::from(event)));
+        drop(tokio::time::timeout(ERROR_EVENT_WAIT, sent).await);
     }
 }
 
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -28,7 +28,7 @@
 use xitca_web::service::ready::ReadyService;
 use xitca_web::service::{Service, ServiceExt, fn_service};
 
-use crate::answer::{Answer, Cut, WholeAnswer};
+use crate::answer::{Answer, Cut, Part, WholeAnswer};
 use crate::api::{Endpoint, Head, model_list};
 use crate::forward::REQUEST_ID_HEADER;
 use crate::input;
@@ -127,7 +127,7 @@
 enum Parts {
     Whole(Bytes),
     Stream {
-        rx: mpsc::Receiver<Result<Bytes, Cut>>,
+        rx: mpsc::Receiver<Part>,
         caller_left: Pin<Box<dyn Future<Output = ()>>>,
     },
 }
@@ -142,10 +142,14 @@
             Parts::Whole(bytes) => Poll::Ready(Some(Ok(Frame::Data(std::mem::take(bytes))))),
             Parts::Stream { rx, caller_left } => {
                 if let Poll::Ready(part) = rx.poll_recv(cx) {
-                    return Poll::Ready(part.map(|it| it.map(Frame::Data)));
+                    return Poll::Ready(match part {
+                        Some(Part::Data(bytes)) => Some(Ok(Frame::Data(bytes))),
+                        Some(Part::End) => None,
+                        None => Some(Err(Cut)),
+                    });
                 }
                 let left = caller_left.as_mut().poll(cx);
-                left.map(|()| Some(Err(Cut { code: Code::AnswerCut })))
+                left.map(|()| Some(Err(Cut)))
             }
         }
     }
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -595,3 +595,33 @@
     assert_eq!(unknown["code"], "G1104");
     assert_eq!(withdrawn["code"], "G1103");
 }
+
+/// Guards against a refusal while the controller replaces a replica that cannot be reached.
+#[tokio::test]
+async fn a_request_outlasts_an_unreachable_replica() {
+    let world = Arc::new(World::start().await);
+    let sound = Backend::answering(json_answer(&json!({"ok": 1}))).await;
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let closed_addr = closed.local_addr().expect("an address");
+    drop(closed);
+    world.place(&[closed_addr], 4);
+    let waiting = tokio::spawn({
+        let world = Arc::clone(&world);
+        async move {
+            world
+                .post("/v1/chat/completions", &[("x-guava-profile", "filing")], &chat_body())
+                .await
+        }
+    });
+    world
+        .until("several connects failed", |it| {
+            it.timeline.count(Event::RequestRetried) > 3
+        })
+        .await;
+
+    world.place(&[sound.addr], 4);
+
+    let reply = waiting.await.expect("an answer");
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert_eq!(sound.requests(), 1);
+}
