--- a/crates/engine/src/standin.rs
+++ b/crates/engine/src/standin.rs
@@ -1,26 +1,22 @@
 //! Stand-in engine: orders, loads, reports and answers.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use async_trait::async_trait;
-use guava_core::ids::{AdapterName, ModelName, ReplicaId, Term};
+use guava_core::ids::{ModelName, ReplicaId, Term};
 use guava_platform::{WeightStore, checkpoint_name};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
 
 use crate::batch::Batch;
 use crate::prefix::{CacheEvents, PrefixCache};
-use crate::record::{EngineRecord, Overcommit, Recorder};
+use crate::record::{EngineRecord, Overcommit, Recorder, ReplicaEventKind};
+use crate::replica::{Counts, Held, HeldState, Replica, ReplicaGuard};
 use crate::settings::{EngineFaults, EngineSettings};
-use crate::{
-    Action, CachedCheckpoint, Engine, EngineError, EngineReplica, EngineReplicaState, EngineReport, EngineRole, Order,
-    Tier,
-};
+use crate::tiers::Tiers;
+use crate::{Action, EngineError, EngineReplica, EngineReport, EngineRole, Order, Tier};
 
 /// Old states kept for lagging reports.
 const SNAPSHOT_LIMIT: usize = 4_096;
@@ -41,19 +37,6 @@
     pub(crate) recorder: Recorder,
 }
 
-/// A replica that takes requests.
-#[derive(Debug)]
-pub(crate) struct Replica {
-    pub(crate) id: ReplicaId,
-    /// Slots; an adapter shares those of its model.
-    pub(crate) batch: Arc<Batch>,
-    /// Requests running or waiting.
-    active: AtomicU32,
-    /// Requests waiting.
-    pub(crate) waiting: AtomicU32,
-    closing: AtomicBool,
-}
-
 #[derive(Debug)]
 struct Core {
     term: Term,
@@ -61,93 +44,8 @@
     held: BTreeMap<ReplicaId, Held>,
     used_bytes: u64,
     tiers: Tiers,
-    snapshots: VecDeque<(Instant, Arc<Vec<Entry>>)>,
-}
-
-/// A replica in any state.
-#[derive(Debug)]
-struct Held {
-    state: HeldState,
-    model: ModelName,
-    version: u64,
-    adapter: Option<AdapterName>,
-    bytes: u64,
-    /// Replica of the model that an adapter belongs to.
-    base: Option<Arc<Replica>>,
-    replica: Option<Arc<Replica>>,
-    load: Option<AbortHandle>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum HeldState {
-    Loading,
-    Ready,
-    /// Unloaded by order, held until its running requests have finished.
-    Draining,
-    Failed,
-    Ended,
-}
-
-/// A replica as a report shows it, with the source of its request counts.
-#[derive(Debug, Clone)]
-struct Entry {
-    shown: EngineReplica,
-    replica: Option<Arc<Replica>>,
-}
-
-impl Held {
-    fn name(&self) -> &str {
-        self.adapter.as_ref().map_or(self.model.as_str(), AdapterName::as_str)
-    }
-
-    fn entry(&self, id: &ReplicaId) -> Entry {
-        let state = match self.state {
-            HeldState::Loading => EngineReplicaState::Loading,
-            HeldState::Ready | HeldState::Draining => EngineReplicaState::Ready,
-            HeldState::Failed => EngineReplicaState::Failed,
-            HeldState::Ended => EngineReplicaState::Ended,
-        };
-        let shown = EngineReplica {
-            replica: id.clone(),
-            state,
-            model: self.model.clone(),
-            version: self.version,
-            adapter: self.adapter.clone(),
-            bytes: self.bytes,
-            running: 0,
-            waiting: 0,
-        };
-        Entry {
-            shown,
-            replica: self.replica.clone(),
-        }
-    }
-
-    /// A replica id that was cancelled before its load order came.
-    fn cancelled() -> Self {
-        Self {
-            state: HeldState::Ended,
-            model: ModelName::new(""),
-            version: 0,
-            adapter: None,
-            bytes: 0,
-            base: None,
-            replica: None,
-            load: None,
-        }
-    }
-}
-
-impl Entry {
-    fn report(&self) -> EngineReplica {
-        let mut shown = self.shown.clone();
-        if let Some(replica) = &self.replica {
-            let active = replica.active.load(Ordering::Relaxed);
-            shown.waiting = replica.waiting.load(Ordering::Relaxed);
-            shown.running = active.saturating_sub(shown.waiting);
-        }
-        shown
-    }
+    snapshots: VecDeque<(Instant, Arc<Vec<EngineReplica>>)>,
+    counts: Counts,
 }
 
 impl StandInEngine {
@@ -161,6 +59,10 @@
             used_bytes: 0,
             tiers: Tiers::new(&settings),
             snapshots: VecDeque::from([(Instant::now(), Arc::default())]),
+            counts: Counts {
+                at: Instant::now(),
+                requests: HashMap::new(),
+            },
         };
         Arc::new(Self {
             weights,
@@ -227,16 +129,20 @@
     /// Report as it is now published.
     pub fn current_report(&self) -> EngineReport {
         let lag = Duration::from_millis(self.settings.report_lag_ms);
-        let core = self.core.lock();
+        let mut core = self.core.lock();
+        if core.counts.at.elapsed() >= lag {
+            core.count_requests();
+        }
         let old_enough = core.snapshots.iter().rev().find(|(at, _)| at.elapsed() >= lag);
-        let (_, entries) = old_enough.unwrap_or(&core.snapshots[0]);
+        let (_, replicas) = old_enough.unwrap_or(&core.snapshots[0]);
+        let replicas = replicas.iter().map(|it| core.counts.add_to(it)).collect();
         EngineReport {
             instance: self.settings.instance.clone(),
             term: core.term,
             leaving: self.faults().leave,
             role: core.role,
             memory_bytes: self.settings.memory_bytes,
-            replicas: entries.iter().map(Entry::report).collect(),
+            replicas,
             cached: core.tiers.cached(),
         }
     }
@@ -261,20 +167,26 @@
     }
 
     /// Joins the replica that serves `model`, or the one with the id in `wanted`.
-    pub(crate) fn join(self: &Arc<Self>, model: &str, wanted: Option<&str>) -> Option<Membership> {
+    pub(crate) fn join(self: &Arc<Self>, model: &str, wanted: Option<&str>) -> Option<ReplicaGuard> {
+        let replica = self.find_serving(model, wanted)?;
+        replica.active.fetch_add(1, Ordering::SeqCst);
+        let guard = ReplicaGuard {
+            engine: Arc::clone(self),
+            replica,
+        };
+        // An unload after this check sees the request and waits for it; dropping the guard ends that wait.
+        let is_closing = guard.replica.closing.load(Ordering::SeqCst);
+        (!is_closing).then_some(guard)
+    }
+
+    fn find_serving(&self, model: &str, wanted: Option<&str>) -> Option<Arc<Replica>> {
         let serving = self.serving.read();
         let replicas = serving.get(model)?;
-        let replica = match wanted {
+        let found = match wanted {
             Some(id) => replicas.iter().find(|it| it.id.as_str() == id),
             None => replicas.iter().min_by_key(|it| it.active.load(Ordering::Relaxed)),
-        }?;
-        replica.active.fetch_add(1, Ordering::SeqCst);
-        let membership = Membership {
-            engine: Arc::clone(self),
-            replica: Arc::clone(replica),
         };
-        // Dropping the membership after this check ends a drain that waits for it.
-        (!replica.closing.load(Ordering::SeqCst)).then_some(membership)
+        found.cloned()
     }
 
     /// Whether any replica serves `model`.
@@ -360,10 +272,9 @@
         } else {
             core.used_bytes += bytes;
             let used = core.used_bytes;
-            self.recorder.edit(|it| {
-                it.loads += 1;
-                it.peak_memory_bytes = it.peak_memory_bytes.max(used);
-            });
+            self.recorder.replica(id, held.name(), ReplicaEventKind::LoadStarted);
+            self.recorder
+                .edit(|it| it.peak_memory_bytes = it.peak_memory_bytes.max(used));
             let tier = core.tiers.find(model, *version).filter(|_| adapter.is_none());
             let loading = Arc::clone(self).run_load(id.clone(), held.name().to_owned(), *version, tier);
             held.load = Some(tokio::spawn(loading).abort_handle());
@@ -415,6 +326,7 @@
         if !is_loaded {
             held.state = HeldState::Failed;
             core.used_bytes -= held.bytes;
+            self.recorder.replica(id, held.name(), ReplicaEventKind::LoadFailed);
             self.publish(core);
             return;
         }
@@ -439,14 +351,13 @@
             .entry(held.name().to_owned())
             .or_default()
             .push(replica);
-        self.recorder.edit(|it| it.loaded += 1);
+        self.recorder.replica(id, held.name(), ReplicaEventKind::Loaded);
         self.publish(core);
     }
 
     fn unload(&self, core: &mut Core, id: &ReplicaId) {
         let Some(held) = core.held.get(id) else {
             self.remember_ended(core, id);
-            self.publish(core);
             return;
         };
         let adapters = match &held.replica {
@@ -504,7 +415,7 @@
         held.replica = None;
         held.base = None;
         held.bytes = 0;
-        self.recorder.edit(|it| it.unloads += 1);
+        self.recorder.replica(id, held.name(), ReplicaEventKind::Unloaded);
         if self.settings.forgets_orders {
             core.held.remove(id);
         }
@@ -513,11 +424,12 @@
     fn remember_ended(&self, core: &mut Core, id: &ReplicaId) {
         if !self.settings.forgets_orders {
             core.held.insert(id.clone(), Held::cancelled());
+            self.publish(core);
         }
     }
 
     /// Ends a replica whose last request has finished.
-    fn finish_drain(&self, id: &ReplicaId) {
+    pub(crate) fn finish_drain(&self, id: &ReplicaId) {
         let mut core = self.core.lock();
         let is_draining = core.held.get(id).is_some_and(|it| it.state == HeldState::Draining);
         if is_draining {
@@ -528,7 +440,7 @@
 
     /// Makes the current state visible to reports once their lag has passed.
     fn publish(&self, core: &mut Core) {
-        let entries = core.held.iter().map(|(id, held)| held.entry(id)).collect();
+        let entries = core.held.iter().map(|(id, held)| held.report(id)).collect();
         core.snapshots.push_back((Instant::now(), Arc::new(entries)));
         if self.settings.report_lag_ms == 0 || core.snapshots.len() > SNAPSHOT_LIMIT {
             core.snapshots.pop_front();
@@ -537,6 +449,17 @@
 }
 
 impl Core {
+    fn count_requests(&mut self) {
+        let serving = self
+            .held
+            .iter()
+            .filter_map(|(id, held)| Some((id, held.replica.as_ref()?)));
+        self.counts = Counts {
+            at: Instant::now(),
+            requests: serving.map(|(id, replica)| (id.clone(), replica.count())).collect(),
+        };
+    }
+
     fn ready_model(&self, model: &ModelName) -> Option<Arc<Replica>> {
         let mut ready = self.held.values().filter(|it| it.state == HeldState::Ready);
         let found = ready.find(|it| it.adapter.is_none() && it.model == *model)?;
@@ -549,128 +472,3 @@
         adapters.map(|(id, _)| id.clone()).collect()
     }
 }
-
-/// A request's place at a replica; dropping it may end a drain.
-#[derive(Debug)]
-pub(crate) struct Membership {
-    pub(crate) engine: Arc<StandInEngine>,
-    pub(crate) replica: Arc<Replica>,
-}
-
-impl Drop for Membership {
-    fn drop(&mut self) {
-        let was_last = self.replica.active.fetch_sub(1, Ordering::SeqCst) == 1;
-        if was_last && self.replica.closing.load(Ordering::SeqCst) {
-            self.engine.finish_drain(&self.replica.id);
-        }
-    }
-}
-
-/// Checkpoints cached in memory and on disk, least recently used first.
-#[derive(Debug)]
-struct Tiers {
-    memory: TierCache,
-    disk: TierCache,
-}
-
-#[derive(Debug)]
-struct TierCache {
-    limit: u64,
-    entries: VecDeque<(ModelName, u64, u64)>,
-}
-
-impl Tiers {
-    fn new(settings: &EngineSettings) -> Self {
-        let with_limit = |limit| TierCache {
-            limit,
-            entries: VecDeque::new(),
-        };
-        let mut tiers = Self {
-            memory: with_limit(settings.memory_tier_bytes),
-            disk: with_limit(settings.disk_tier_bytes),
-        };
-        for it in &settings.cached {
-            match it.tier {
-                Tier::Memory => tiers.memory.store(&it.model, it.version, 0),
-                Tier::Disk => tiers.disk.store(&it.model, it.version, 0),
-                Tier::Remote => (),
-            }
-        }
-        tiers
-    }
-
-    fn find(&self, model: &ModelName, version: u64) -> Option<Tier> {
-        let in_memory = self.memory.contains(model, version).then_some(Tier::Memory);
-        in_memory.or_else(|| self.disk.contains(model, version).then_some(Tier::Disk))
-    }
-
-    fn store(&mut self, model: &ModelName, version: u64, bytes: u64) {
-        self.memory.store(model, version, bytes);
-        self.disk.store(model, version, bytes);
-    }
-
-    fn cached(&self) -> Vec<CachedCheckpoint> {
-        let only_on_disk = self.disk.entries.iter().filter(|it| !self.memory.contains(&it.0, it.1));
-        let memory = self.memory.entries.iter().map(|it| (it, Tier::Memory));
-        let disk = only_on_disk.map(|it| (it, Tier::Disk));
-        let checkpoint = |((model, version, _), tier): (&(ModelName, u64, u64), Tier)| CachedCheckpoint {
-            model: model.clone(),
-            version: *version,
-            tier,
-        };
-        memory.chain(disk).map(checkpoint).collect()
-    }
-}
-
-impl TierCache {
-    fn contains(&self, model: &ModelName, version: u64) -> bool {
-        self.entries.iter().any(|it| it.0 == *model && it.1 == version)
-    }
-
-    fn store(&mut self, model: &ModelName, version: u64, bytes: u64) {
-        self.entries.retain(|it| !(it.0 == *model && it.1 == version));
-        self.entries.push_back((model.clone(), version, bytes));
-        let mut total = self.entries.iter().map(|it| it.2).sum::<u64>();
-        while total > self.limit
-            && let Some((_, _, freed)) = self.entries.pop_front()
-        {
-            total -= freed;
-        }
-    }
-}
-
-/// Stand-in engines in this process, by address.
-#[derive(Debug, Default)]
-pub struct StandInEngines {
-    engines: RwLock<HashMap<SocketAddr, Arc<StandInEngine>>>,
-}
-
-impl StandInEngines {
-    /// Makes `engine` answer at `addr`, in place of any earlier one.
-    pub fn set(&self, addr: SocketAddr, engine: Arc<StandInEngine>) {
-        self.engines.write().insert(addr, engine);
-    }
-
-    /// Removes the engine at `addr`.
-    pub fn remove(&self, addr: SocketAddr) {
-        self.engines.write().remove(&addr);
-    }
-
-    fn find(&self, addr: SocketAddr) -> Result<Arc<StandInEngine>, EngineError> {
-        let found = self.engines.read().get(&addr).cloned();
-        found
-            .filter(|it| !it.faults().down)
-            .ok_or_else(|| EngineError::Unreachable(format!("no engine at {addr}")))
-    }
-}
-
-#[async_trait]
-impl Engine for StandInEngines {
-    async fn order(&self, server: SocketAddr, order: &Order) -> Result<(), EngineError> {
-        self.find(server)?.take_order(order)
-    }
-
-    async fn report(&self, server: SocketAddr) -> Result<EngineReport, EngineError> {
-        Ok(self.find(server)?.current_report())
-    }
-}
