--- a/crates/router/src/executor.rs
+++ b/crates/router/src/executor.rs
@@ -1,5 +1,6 @@
 //! Jobs on the router's normal path.
 
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Weak};
 
 use async_trait::async_trait;
@@ -25,10 +26,19 @@
     pub router: Weak<Router>,
 }
 
+impl Executor {
+    /// The router, unless it stops: then it starts no more jobs.
+    fn running(&self) -> Option<Arc<Router>> {
+        let router = self.router.upgrade()?;
+        let stopping = router.stopping.load(Ordering::Relaxed);
+        (!stopping).then_some(router)
+    }
+}
+
 #[async_trait]
 impl JobExecutor for Executor {
     async fn execute(&self, organisation: &OrganisationName, job: &JobId, request: &JobRequest) -> Outcome {
-        let Some(router) = self.router.upgrade() else {
+        let Some(router) = self.running() else {
             return Outcome::NotRun;
         };
         let work = match prepare(&router, organisation, request) {
@@ -44,7 +54,7 @@
     }
 
     fn has_idle_capacity(&self) -> bool {
-        let Some(router) = self.router.upgrade() else {
+        let Some(router) = self.running() else {
             return false;
         };
         let models = router.targets.all().into_iter();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,13 +12,17 @@
 pub mod explain;
 pub mod forward;
 mod guards;
+pub mod idempotency;
 pub mod input;
+pub mod jobs;
 mod listener;
 mod metrics;
 mod path;
+pub mod quota;
 pub mod refusal;
 pub mod serve;
 mod server;
+mod stored;
 mod usage;
 
 pub use args::RouterArgs;
@@ -30,12 +34,6 @@
 use guava_core::ids::{JobId, OrganisationName, RequestId};
 use guava_core::units::Millis;
 
-pub mod idempotency;
-pub mod jobs;
-pub mod quota;
-
-mod stored;
-
 /// Refusal of a quota reservation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuotaRefusal {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,6 +1,5 @@
 //! Program entry.
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,8 +8,12 @@
 use guava_core::ids::Role;
 use guava_node::runtime::{NodeError, Runtime};
 use guava_node::settings::CommonArgs;
-use guava_platform::{HttpObjectStore, HttpVmList, ObjectStore, VmList};
-use guava_router::{RouterArgs, RouterError, RouterParts, serve};
+use guava_platform::{HttpObjectStore, HttpVmList};
+use guava_router::idempotency::RecordService;
+use guava_router::jobs::JobService;
+use guava_router::quota::QuotaService;
+use guava_router::{Quota, RouterArgs, RouterError, RouterParts, serve};
+use jsonrpsee::core::RegisterMethodError;
 use quick_error::quick_error;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -44,9 +47,10 @@
             from()
             display("{error}")
         }
-        /// A part that this build does not contain.
-        Missing(part: &'static str) {
-            display("this build contains no {part}")
+        /// A JSON-RPC method could not be registered.
+        Rpc(error: RegisterMethodError) {
+            from()
+            display("JSON-RPC: {error}")
         }
         /// Signals or threads.
         Io(error: std::io::Error) {
@@ -58,7 +62,8 @@
 
 fn main() -> ExitCode {
     let args = Args::parse();
-    let faults = args.router.check();
+    let mut faults = args.common.check();
+    faults.extend(args.router.check());
     if !faults.is_empty() {
         eprintln!("{}", faults.join("\n"));
         return ExitCode::from(EXIT_SETTINGS);
@@ -89,28 +94,37 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let notice = Duration::from_millis(args.common.balancer_notice_ms);
-    let (store, vms) = platform(args.common.platform_addr);
-    let runtime = Arc::new(Runtime::start(&args.common, Role::Router, store, vms).await?);
-    let router = serve(args.router, runtime.node.clone(), parts(&runtime)?).await?;
-    runtime.serve_rpc(router.rpc_module()?).await?;
+    let addr = args.common.platform_addr;
+    let store = Arc::new(HttpObjectStore::new(addr));
+    let vms = Arc::new(HttpVmList::new(addr));
+    let runtime = Runtime::start(&args.common, Role::Router, store, vms).await?;
+    let quota = QuotaService::start(runtime.node.clone());
+    let parts = parts(&runtime, &quota, &args.router);
+    let router = serve(args.router, runtime.node.clone(), parts).await?;
+    let mut module = router.rpc_module()?;
+    module.merge(quota.rpc()?)?;
+    runtime.serve_rpc(module).await?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
     runtime.begin_shutdown();
     let stopped = router.shutdown(notice).await;
-    if let Ok(runtime) = Arc::try_unwrap(runtime) {
-        runtime.stop().await;
-    }
+    quota.shutdown().await;
+    runtime.stop().await;
     Ok(stopped?)
 }
 
-/// Platform as HTTP adapters reach it.
-fn platform(addr: SocketAddr) -> (Arc<dyn ObjectStore>, Arc<dyn VmList>) {
-    (Arc::new(HttpObjectStore::new(addr)), Arc::new(HttpVmList::new(addr)))
-}
-
-/// Parts of the request path.
-fn parts(_runtime: &Arc<Runtime>) -> Result<RouterParts, Error> {
-    Err(Error::Missing("quota, idempotency records and jobs"))
+fn parts(runtime: &Runtime, quota: &Arc<QuotaService>, args: &RouterArgs) -> RouterParts {
+    let node = runtime.node.clone();
+    let health = runtime.health();
+    let metrics = runtime.health();
+    RouterParts {
+        quota: Arc::clone(quota) as Arc<dyn Quota>,
+        records: Arc::new(RecordService::start(node.clone(), args.pepper.as_bytes())),
+        jobs: Box::new(move |executor| Arc::new(JobService::start(node, executor))),
+        meter: runtime.meter(),
+        metrics_text: Box::new(move || metrics.answer("/metrics").map(|it| it.body).unwrap_or_default()),
+        ready: Box::new(move || health.ready()),
+    }
 }
