--- a/crates/admin/src/main.rs
+++ b/crates/admin/src/main.rs
@@ -44,12 +44,13 @@
 }
 
 async fn run(cli: Cli) -> Result<(), AdminError> {
+    let stop = shutdown_signal()?;
     let store = Arc::new(HttpObjectStore::new(cli.common.platform_addr));
     let vms = Arc::new(HttpVmList::new(cli.common.platform_addr));
     let runtime = Runtime::start(&cli.common, Role::Admin, store, vms).await?;
     runtime.serve_rpc(RpcModule::new(())).await?;
     let handle = serve(&cli.admin, runtime.node.clone(), runtime.health())?;
-    shutdown_signal().await?;
+    stop.await;
     runtime.begin_shutdown();
     tokio::time::sleep(Duration::from_millis(cli.common.balancer_notice_ms)).await;
     handle.stop();
--- a/crates/node/src/signal.rs
+++ b/crates/node/src/signal.rs
@@ -2,17 +2,20 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 
-/// Waits for SIGTERM or SIGINT.
+/// Installs handlers for SIGTERM and SIGINT and returns a future that waits for either.
+///
+/// Programs call this before they start their parts, so that a signal during the start does not end them at once.
 ///
 /// # Errors
 ///
 /// Fails when the operating system refuses a signal handler.
-pub async fn shutdown_signal() -> std::io::Result<()> {
+pub fn shutdown_signal() -> std::io::Result<impl Future<Output = ()>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
+    Ok(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -44,11 +44,12 @@
 }
 
 async fn run(cli: Cli) -> Result<(), RouterError> {
+    let stop = shutdown_signal()?;
     let store = Arc::new(HttpObjectStore::new(cli.common.platform_addr));
     let vms = Arc::new(HttpVmList::new(cli.common.platform_addr));
     let runtime = Runtime::start(&cli.common, Role::Router, store, vms).await?;
     let router = RouterProgram::start(cli.router, &runtime).await?;
-    shutdown_signal().await?;
+    stop.await;
     runtime.begin_shutdown();
     let stopped = router
         .shutdown(Duration::from_millis(cli.common.balancer_notice_ms))
