--- a/crates/e2e/tests/fleet/mod.rs
+++ b/crates/e2e/tests/fleet/mod.rs
@@ -301,7 +301,9 @@
     pub async fn start(plan: &Plan) -> Self {
         let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         let subnet = (10 + (std::process::id() % 200) as u8, number);
-        let args: Vec<&str> = ["platform"]
+        let bytes = format!("--default-checkpoint-bytes={MODEL_BYTES}");
+        let own = ["platform", bytes.as_str()];
+        let args: Vec<&str> = own
             .into_iter()
             .chain(plan.platform.iter().map(String::as_str))
             .collect();
