--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -12,7 +12,7 @@
 use async_trait::async_trait;
 use guava_core::codes::Code;
 use guava_core::ids::{OrganisationName, RequestId};
-use guava_core::quota::{Limits, RouterLife};
+use guava_core::quota::{GATHER_MS, Limits, RouterLife};
 use guava_core::units::Millis;
 use guava_node::Node;
 use parking_lot::Mutex;
@@ -179,7 +179,7 @@
             armed: true,
         };
         let now = self.node.clock.now();
-        let until = deadline.min(now + account.longest_wait());
+        let until = deadline.min(now + GATHER_MS);
         let answer = account.wait(request.clone(), tokens, until);
         let limit = std::time::Duration::from_millis(until.since(now));
         let result = match tokio::time::timeout(limit, answer).await {
--- a/crates/router/src/quota/account.rs
+++ b/crates/router/src/quota/account.rs
@@ -60,9 +60,6 @@
     pub(super) unknown: bool,
 }
 
-/// Longest wait for the holders of an organisation to become known, which takes a second or two after a start.
-const UNKNOWN_HOLDERS_WAIT_MS: u64 = 5_000;
-
 #[derive(Debug, Clone)]
 pub(super) struct KnownMap {
     pub(super) version: u64,
@@ -145,16 +142,6 @@
         }
     }
 
-    /// Longest wait of a reservation. Nobody can have used the tokens of an organisation whose holders are not known
-    /// yet, so a reservation waits for them rather than being refused.
-    pub(super) fn longest_wait(&self) -> u64 {
-        if self.map.lock().is_some() {
-            GATHER_MS
-        } else {
-            UNKNOWN_HOLDERS_WAIT_MS
-        }
-    }
-
     /// Reason why tokens are missing: used up, or nobody answers for them.
     pub(super) fn shortage(&self) -> Code {
         let holds = self.ledger.lock().holds_any();
