Push only news, and in groups

Cause: a process that filled its map at start pushed every entry to three others. Ruled out: fewer receivers per push, which would leave more members to anti-entropy. Change: entries read at start or by whole buckets are not pushed; pushes go out in groups of 32.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -103,10 +103,21 @@
     }
 
     /// Keeps the entry when its version is larger than the known one, and queues it to be pushed.
+    pub fn merge(&mut self, entry: Entry) -> Option<Arc<Entry>> {
+        let entry = self.fill(entry)?;
+        if self.queued.insert(entry.key.clone()) {
+            self.queue.push_back(entry.key.clone());
+        }
+        Some(entry)
+    }
+
+    /// Keeps the entry when its version is larger than the known one, without pushing it.
+    ///
+    /// For entries that others have already, such as those a starting process reads; pushing them would flood the fleet.
     ///
     /// Of two values with the same version the larger one is kept, so that all members still converge when a writer
     /// uses a version twice.
-    pub fn merge(&mut self, entry: Entry) -> Option<Arc<Entry>> {
+    pub fn fill(&mut self, entry: Entry) -> Option<Arc<Entry>> {
         let known = self.entries.get(&entry.key);
         if known.is_some_and(|it| (it.version, &it.value) >= (entry.version, &entry.value)) {
             return None;
@@ -118,9 +129,6 @@
             let newest = self.newest.entry(*kind).or_default();
             *newest = entry.version.max(*newest);
         }
-        if self.queued.insert(entry.key.clone()) {
-            self.queue.push_back(entry.key.clone());
-        }
         if self.recent.len() == RECENT {
             self.recent.pop_front();
         }
@@ -186,14 +194,14 @@
         !self.queue.is_empty()
     }
 
-    /// Empties the queue into pushes of at most [`PUSH_BYTES`] each.
-    pub fn take_pushes(&mut self) -> Vec<Push> {
+    /// Takes queued changes as up to `limit` pushes of at most [`PUSH_BYTES`] each.
+    pub fn take_pushes(&mut self, limit: usize) -> Vec<Push> {
         let mut pushes = Vec::new();
         let mut push = Push::default();
         let mut bytes = 0;
         while let Some(key) = self.queue.pop_front() {
-            self.queued.remove(&key);
             let Some(entry) = self.entries.get(&key) else {
+                self.queued.remove(&key);
                 continue;
             };
             let whole = encoded_len(entry);
@@ -202,8 +210,13 @@
             if bytes + size > PUSH_BYTES && bytes > 0 {
                 pushes.push(std::mem::take(&mut push));
                 bytes = 0;
+                if pushes.len() >= limit {
+                    self.queue.push_front(key);
+                    break;
+                }
             }
             bytes += size;
+            self.queued.remove(&key);
             if fits {
                 push.entries.push(Arc::clone(entry));
             } else {
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -138,7 +138,9 @@
     };
     map.merge(large.clone());
 
-    let pushes = map.take_pushes();
+    let mut pushes = map.take_pushes(2);
+    assert_eq!(pushes.len(), 2);
+    pushes.extend(map.take_pushes(usize::MAX));
 
     assert!(
         pushes
--- a/crates/node/src/antientropy.rs
+++ b/crates/node/src/antientropy.rs
@@ -126,7 +126,10 @@
         let reply: PullReply = serde_json::from_value(answer).map_err(malformed)?;
         let entries: Vec<Entry> = from_hex(&reply.entries)?;
         for entry in entries {
-            shared.spread.put(entry);
+            match scope {
+                Scope::Recent => shared.spread.put(entry),
+                Scope::All => shared.spread.fill(entry),
+            };
         }
         let beliefs: Vec<Belief> = from_hex(&reply.members)?;
         let out = shared.members.merge(beliefs);
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -38,6 +38,10 @@
 const LONELY_SEED_MS: u64 = 1_000;
 /// Time for which changes are collected into one push.
 pub(crate) const PUSH_DELAY: Duration = Duration::from_millis(5);
+/// Pushes sent before a pause; a large import would otherwise overflow the receivers' socket buffers.
+const PUSHES_AT_ONCE: usize = 32;
+/// Pause between such groups.
+const PUSH_PAUSE: Duration = Duration::from_millis(20);
 /// Largest datagram that is read; members with long names send more than the usual 1,200 bytes.
 const DATAGRAM_BYTES: usize = 8_192;
 /// Pause after an error of the socket, so that a lasting one does not cause a busy loop.
@@ -194,16 +198,23 @@
     loop {
         shared.spread.queued.notified().await;
         tokio::time::sleep(PUSH_DELAY).await;
-        let members = shared.members.other_addrs();
-        for push in shared.spread.take_pushes() {
-            let receivers = choose_receivers(&members, &mut rand::rng());
-            let packet = Packet::Push {
-                from: shared.me().id.clone(),
-                push,
-            };
-            for receiver in receivers {
-                shared.sender.send(receiver, &packet).await;
-            }
+        while shared.spread.has_queued() {
+            push_some(&shared).await;
+            tokio::time::sleep(PUSH_PAUSE).await;
+        }
+    }
+}
+
+async fn push_some(shared: &Shared) {
+    let members = shared.members.other_addrs();
+    for push in shared.spread.take_pushes(PUSHES_AT_ONCE) {
+        let receivers = choose_receivers(&members, &mut rand::rng());
+        let packet = Packet::Push {
+            from: shared.me().id.clone(),
+            push,
+        };
+        for receiver in receivers {
+            shared.sender.send(receiver, &packet).await;
         }
     }
 }
--- a/crates/node/src/spread.rs
+++ b/crates/node/src/spread.rs
@@ -92,8 +92,30 @@
         map.entries_of(&map.differing(theirs), limit)
     }
 
-    pub(crate) fn take_pushes(&self) -> Vec<Push> {
-        self.map.lock().take_pushes()
+    pub(crate) fn take_pushes(&self, limit: usize) -> Vec<Push> {
+        self.map.lock().take_pushes(limit)
+    }
+
+    pub(crate) fn has_queued(&self) -> bool {
+        self.map.lock().has_queued()
+    }
+
+    /// Merges an entry that others have already, without pushing it.
+    pub(crate) fn fill(&self, entry: Entry) -> bool {
+        self.accept(|map| map.fill(entry))
+    }
+
+    fn accept(&self, merge: impl FnOnce(&mut GossipMap) -> Option<Arc<Entry>>) -> bool {
+        let mut map = self.map.lock();
+        let Some(entry) = merge(&mut map) else {
+            return false;
+        };
+        // Sent under the lock, so that subscribers see the versions of a key in order. Without subscribers it fails.
+        let _ = self.changes.send(Arc::clone(&entry));
+        drop(map);
+        self.changed.store(self.clock.now().0, Ordering::Release);
+        self.note(&entry);
+        true
     }
 
     /// Known entries of a kind with a value, by name.
@@ -131,17 +153,11 @@
     }
 
     fn put(&self, entry: Entry) -> bool {
-        let mut map = self.map.lock();
-        let Some(entry) = map.merge(entry) else {
-            return false;
-        };
-        // Sent under the lock, so that subscribers see the versions of a key in order. Without subscribers it fails.
-        let _ = self.changes.send(Arc::clone(&entry));
-        drop(map);
-        self.changed.store(self.clock.now().0, Ordering::Release);
-        self.queued.notify_one();
-        self.note(&entry);
-        true
+        let accepted = self.accept(|map| map.merge(entry));
+        if accepted {
+            self.queued.notify_one();
+        }
+        accepted
     }
 
     fn subscribe(&self) -> broadcast::Receiver<Arc<Entry>> {
--- a/crates/node/src/watchers.rs
+++ b/crates/node/src/watchers.rs
@@ -154,14 +154,22 @@
         });
     }
     for object in list.items {
-        put(shared, object);
+        let entry = entry_of(object);
+        // Before this process has its configuration, what it lists is news to itself only.
+        if shared.is_configured() {
+            shared.spread.put(entry);
+        } else {
+            shared.spread.fill(entry);
+        }
     }
     Some(list.version)
 }
 
 fn apply(shared: &Shared, change: Change) {
     match change {
-        Change::Put(object) => put(shared, object),
+        Change::Put(object) => {
+            shared.spread.put(entry_of(object));
+        }
         Change::Deleted { kind, name, version } => {
             shared.spread.put(Entry {
                 key: key_of(kind, name),
@@ -175,16 +183,15 @@
     }
 }
 
-fn put(shared: &Shared, object: StoredObject) {
-    let entry = Entry {
+fn entry_of(object: StoredObject) -> Entry {
+    Entry {
         version: Version {
             term: Term(0),
             sequence: object.version,
         },
         value: object.spec.to_string().into_bytes(),
         key: key_of(object.kind, object.name),
-    };
-    shared.spread.put(entry);
+    }
 }
 
 fn version_of(change: &Change) -> u64 {
