--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -252,9 +252,13 @@
         digest
     }
 
-    /// Drops pings without an answer: after a pause of the process their answers may wait unread.
-    pub fn forget_pings(&mut self) {
+    /// Starts all waits again after a pause of this process: answers and refutations may wait unread.
+    pub fn resume(&mut self, now: Millis) {
         self.pending.clear();
+        let suspects = self.records.values_mut();
+        for record in suspects.filter(|it| it.belief.standing == Standing::Suspect) {
+            record.since = now;
+        }
     }
 
     /// Advances the timers. An eager process pings several members per period.
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -228,6 +228,28 @@
     assert_eq!(standing(&table), (6, Standing::Alive));
 }
 
+/// Guards against a process that resumes from a pause and believes everybody down before it has read their answers.
+#[test]
+fn pause_of_this_process_brings_nobody_down() {
+    let mut network = Network::new(6, 17);
+    network.run(20_000);
+    network.stopped[1] = true;
+    network.run(6_500);
+    network.stopped[0] = true;
+    network.run(1_000);
+    network.stopped[1] = false;
+    network.run(30_000);
+    network.stopped[0] = false;
+    network.events.clear();
+
+    let now = network.now;
+    network.members[0].resume(now);
+    network.run(10_000);
+
+    let is_down = |it: &(usize, MemberEvent)| it.0 == 0 && matches!(it.1, MemberEvent::Down(_));
+    assert!(!network.events.iter().any(is_down));
+}
+
 /// Guards against a process that goes on although a later life of it exists.
 #[test]
 fn later_life_of_the_same_member_is_noticed() {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -254,7 +254,7 @@
     if gap >= PAUSE_MS {
         let detail = format!("{gap} ms");
         shared.timeline.record(Event::PauseDetected, None, None, &detail);
-        shared.members.forget_pings();
+        shared.members.resume();
     }
     let age = shared.members.age();
     let out = shared.members.tick(age >= EAGER_MS);
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -106,8 +106,8 @@
         out
     }
 
-    pub(crate) fn forget_pings(&self) {
-        self.membership.lock().forget_pings();
+    pub(crate) fn resume(&self) {
+        self.membership.lock().resume(self.clock.now());
     }
 
     pub(crate) fn leave(&self) -> Output {
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -139,6 +139,37 @@
     assert_eq!(last.leases.holder(&name).as_ref(), Some(&last.members.me().id));
 }
 
+/// Guards against a restarted holder whose earlier life keeps the lease, although its end is proved.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart_proves_the_end_of_the_earlier_life() {
+    let platform = Arc::new(FakePlatform::default());
+    let other = start(&settings("vm0", Vec::new()), &platform).await;
+    let cfg = settings("vm1", vec![other.node.members.me().gossip_addr]);
+    let first = start(&cfg, &platform).await;
+    let earlier = first.node.members.me().clone();
+    let name = LeaseName::new("pool-a");
+    first.node.leases.compete(&name);
+    eventually("first life holds", || first.node.leases.held(&name) == Some(Term(1))).await;
+    let spread = &other.node.spread;
+    eventually("holder is spread", || {
+        spread.get(&EntryKey::Lease(name.clone())).is_some()
+    })
+    .await;
+    assert_eq!(other.node.leases.holder(&name).as_ref(), Some(&earlier.id));
+    assert!(!other.node.members.has_ended(&earlier.id, earlier.incarnation));
+    drop(first);
+
+    let second = start(&cfg, &platform).await;
+    second.node.leases.compete(&name);
+
+    let members = &other.node.members;
+    eventually("end is proved", || members.has_ended(&earlier.id, earlier.incarnation)).await;
+    let me = second.node.members.me();
+    assert!(me.incarnation > earlier.incarnation);
+    assert!(!members.has_ended(&me.id, me.incarnation));
+    eventually("second life holds", || second.node.leases.held(&name) == Some(Term(2))).await;
+}
+
 /// Guards against service without any contact, and against refusals while only the platform is down.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn process_without_platform_and_majority_is_isolated() {
@@ -207,11 +238,13 @@
     let status: Status = serde_json::from_value(call("status", json!({})).await.unwrap()).unwrap();
     let events = call("timeline.events", json!({})).await.unwrap();
     let level = call("log.level", json!({ "level": "loud" })).await;
+    let accepted = call("log.level", json!({ "level": "warn" })).await.unwrap();
 
     assert_eq!(status.member, other.id);
     assert_eq!(status.members.len(), 2);
     assert!(status.ready);
     assert!(events.to_string().contains("4001"));
+    assert_eq!(accepted["level"], "warn");
     assert!(level.unwrap_err().to_string().contains("info"));
     assert!(runtimes[0].metrics_text().contains("guava_members_live"));
     runtimes[0].begin_shutdown();
