--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -18,8 +18,8 @@
 /// Time for which a job waits for idle capacity, in milliseconds; then it runs beside other work.
 pub const PATIENCE_MS: u64 = 3_600_000;
 
-/// Routers that compete for the lease of a shard. Two suffice while one ends, and more would load the platform.
-pub const SHARD_CANDIDATES: usize = 2;
+/// Routers that compete for a lease. Two suffice while one ends, and more would load the platform.
+pub const LEASE_CANDIDATES: usize = 2;
 
 derive_value! {
     /// Stage of a job.
@@ -130,10 +130,10 @@
     LeaseName::new(format!("jobs/{shard}"))
 }
 
-/// Whether a router is among those that compete for the lease of a shard.
-pub fn is_candidate(shard: u64, router: &MemberId, live: &[MemberId]) -> bool {
-    let weight = |it: &MemberId| xxh3_64(format!("jobs/{shard}\n{it}").as_bytes());
+/// Whether a router is among those that compete for a lease.
+pub fn is_candidate(lease: &LeaseName, router: &MemberId, live: &[MemberId]) -> bool {
+    let weight = |it: &MemberId| xxh3_64(format!("{lease}\n{it}").as_bytes());
     let own = weight(router);
     let ahead = live.iter().filter(|it| *it != router && weight(it) > own).count();
-    ahead < SHARD_CANDIDATES
+    ahead < LEASE_CANDIDATES
 }
--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::{
-    AVOID_MS, GRANT_VALID_MS, GrantKey, Handover, Limits, Report, RouterLife, SHARES, Share, SlotRegistry,
+    AVOID_MS, GRANT_VALID_MS, GrantKey, Handover, Limits, Report, RouterLife, SHARES, Share, ShareMap, SlotRegistry,
     UNITS_PER_TOKEN, WALLET_DIVISOR, WALLET_MS, Wallet,
 };
 use crate::ids::{RequestId, Term};
@@ -362,10 +362,15 @@
         holders
     }
 
-    /// Forgets open requests and levels of routers that hold nothing any more.
-    pub fn retain_holders(&mut self, holders: &[RouterLife]) {
+    /// Forgets requests, levels and accounts of routers that hold nothing any more by this map.
+    pub fn forget_earlier_holders(&mut self, map: &ShareMap) {
+        let holders = map.holders();
         self.pending.retain(|it, _| holders.contains(it));
         self.left.retain(|it, _| holders.contains(it));
+        for (share, holding) in map.shares.iter().enumerate() {
+            let (share, term) = (share as u8, holding.term);
+            self.wallet.forget_before(GrantKey { share, term });
+        }
     }
 
     /// Notes that a holder did not answer in time.
@@ -559,14 +564,6 @@
         }
     }
 
-    /// Notes a newer holder of a share and forgets accounts of earlier ones.
-    pub fn note_term(&mut self, share: usize, term: Term) {
-        self.wallet.forget_before(GrantKey {
-            share: share as u8,
-            term,
-        });
-    }
-
     /// Whether every share here keeps its bound.
     pub fn is_consistent(&self) -> bool {
         self.slots
--- a/crates/core/tests/idempotency.rs
+++ b/crates/core/tests/idempotency.rs
@@ -4,7 +4,9 @@
     Claimant, Decision, RECORD_KEPT_MS, Record, RecordState, decide, is_expired, is_key, record_name,
 };
 use guava_core::ids::{Incarnation, MemberId, OrganisationName, Role};
-use guava_core::jobs::{JOB_SHARDS, JobAction, Runner, SHARD_CANDIDATES, Stage, is_candidate, next_action, shard_of};
+use guava_core::jobs::{
+    JOB_SHARDS, JobAction, LEASE_CANDIDATES, Runner, Stage, is_candidate, next_action, shard_lease, shard_of,
+};
 use guava_core::quota::RouterLife;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
@@ -282,8 +284,11 @@
     let live: Vec<_> = (0..40).map(|it| life(it).member).collect();
 
     for shard in 0..JOB_SHARDS {
-        let candidates = live.iter().filter(|it| is_candidate(shard, it, &live)).count();
-        assert_eq!(candidates, SHARD_CANDIDATES);
+        let candidates = live
+            .iter()
+            .filter(|it| is_candidate(&shard_lease(shard), it, &live))
+            .count();
+        assert_eq!(candidates, LEASE_CANDIDATES);
     }
     assert!(shard_of(&"job-1".into()) < JOB_SHARDS);
 }
--- a/crates/core/tests/quota_model/mod.rs
+++ b/crates/core/tests/quota_model/mod.rs
@@ -514,10 +514,9 @@
             } else {
                 router.ledger.drop_share(share, holding.term);
             }
-            router.ledger.note_term(share, holding.term);
         }
         router.holders = map.holders();
-        router.ledger.retain_holders(&router.holders);
+        router.ledger.forget_earlier_holders(map);
         router.asked.retain(|it, _| router.holders.contains(it));
     }
 
--- a/crates/router/src/idempotency.rs
+++ b/crates/router/src/idempotency.rs
@@ -12,7 +12,8 @@
 use guava_core::idempotency::{
     Claimant, Decision, MAX_RECORD_BYTES, Record, RecordState, decide, is_expired, is_key, record_name,
 };
-use guava_core::ids::{LeaseName, OperationId, OrganisationName};
+use guava_core::ids::{LeaseName, OperationId, OrganisationName, Role};
+use guava_core::jobs::is_candidate;
 use guava_core::quota::RouterLife;
 use guava_core::units::Millis;
 use guava_node::Node;
@@ -76,7 +77,6 @@
             member: info.id.clone(),
             incarnation: info.incarnation,
         };
-        node.leases.compete(&LeaseName::new(GC_LEASE));
         let inner = Arc::new(Inner {
             node,
             me,
@@ -266,7 +266,17 @@
     }
 
     async fn delete_expired_once(&self) {
-        if self.node.leases.held(&LeaseName::new(GC_LEASE)).is_none() {
+        let lease = LeaseName::new(GC_LEASE);
+        let live = self.node.members.live();
+        let routers: Vec<_> = live
+            .into_iter()
+            .map(|it| it.id)
+            .filter(|it| it.role == Role::Router)
+            .collect();
+        if is_candidate(&lease, &self.me.member, &routers) {
+            self.node.leases.compete(&lease);
+        }
+        if self.node.leases.held(&lease).is_none() {
             return;
         }
         let Ok(list) = self.node.store.list(Kind::Idempotency).await else {
@@ -277,7 +287,7 @@
                 continue;
             };
             let expired = is_expired(&record, self.node.clock.wall_ms(), self.claimant(&record));
-            if expired && self.node.leases.held(&LeaseName::new(GC_LEASE)).is_some() {
+            if expired && self.node.leases.held(&lease).is_some() {
                 // A record that has changed since fails the condition and is looked at again in the next period.
                 let _ = self.node.store.delete(Kind::Idempotency, &object.name, version).await;
             }
--- a/crates/router/src/jobs.rs
+++ b/crates/router/src/jobs.rs
@@ -237,9 +237,9 @@
             .map(|it| it.id)
             .filter(|it| it.role == Role::Router)
             .collect();
-        (0..JOB_SHARDS)
-            .filter(|it| is_candidate(*it, &self.me.member, &routers))
-            .for_each(|it| self.node.leases.compete(&shard_lease(it)));
+        let leases = (0..JOB_SHARDS).map(shard_lease);
+        let own = leases.filter(|it| is_candidate(it, &self.me.member, &routers));
+        own.for_each(|it| self.node.leases.compete(&it));
     }
 
     fn due(&self) -> Vec<JobId> {
@@ -422,6 +422,7 @@
         list.items.iter().for_each(|it| self.note_object(it));
         let mut since = list.version;
         while self.holds_any_shard() {
+            self.compete();
             for change in self.node.store.watch(Kind::Job, since, WATCH).await? {
                 since = since.max(self.note_change(&change));
             }
--- a/crates/router/src/quota/account.rs
+++ b/crates/router/src/quota/account.rs
@@ -198,6 +198,7 @@
         let now = self.node.clock.now();
         let mut holders = account.holders(&self.me);
         account.ledger.lock().rank_holders(now, &mut holders);
+        let mut reached = false;
         for round in 0..MAX_HOLDER_ROUNDS {
             if self.serve_waiting(account) {
                 return;
@@ -205,8 +206,9 @@
             let missing = account.missing(self.node.clock.now());
             let requests = account.ledger.lock().plan_round(round, missing, &holders);
             let calls = requests.iter().map(|(holder, need)| self.take(account, holder, *need));
-            join_all(calls).await;
+            reached |= join_all(calls).await.contains(&true);
         }
+        account.reached.store(reached, Ordering::Relaxed);
     }
 
     /// Admits what can be admitted; true when nothing waits any more.
@@ -266,8 +268,12 @@
     /// Sends reports and repeats requests whose answer was lost.
     pub(super) async fn report(&self, account: &Account) {
         let now = self.node.clock.now();
+        let map = account.map.lock().clone();
         let holders = {
             let mut ledger = account.ledger.lock();
+            if let Some(known) = map {
+                ledger.forget_earlier_holders(&known.map);
+            }
             ledger.write_off(now, |it| self.node.members.has_ended(&it.member, it.incarnation));
             if !account.has_waiting() {
                 ledger.shrink_wallet(now);
@@ -277,7 +283,8 @@
         join_all(holders.iter().map(|it| self.take(account, it, 0))).await;
     }
 
-    async fn take(&self, account: &Account, holder: &RouterLife, need: u64) {
+    /// Sends one request to a holder; true when it has answered.
+    async fn take(&self, account: &Account, holder: &RouterLife, need: u64) -> bool {
         let now = self.node.clock.now();
         let live = self.node.members.live();
         let Some(info) = live
@@ -285,7 +292,7 @@
             .find(|it| it.id == holder.member && it.incarnation == holder.incarnation)
         else {
             account.ledger.lock().note_failure(now, holder);
-            return;
+            return false;
         };
         let request = account.ledger.lock().take_request(now, holder, need);
         let params = TakeParams {
@@ -295,7 +302,7 @@
             request,
         };
         let Ok(params) = serde_json::to_value(params) else {
-            return;
+            return false;
         };
         let answer = self
             .node
@@ -304,13 +311,12 @@
             .await;
         let answer = answer.ok().and_then(|it| serde_json::from_value::<TakeAnswer>(it).ok());
         let now = self.node.clock.now();
-        match answer {
-            Some(answer) => {
-                account.reached.store(true, Ordering::Relaxed);
-                account.ledger.lock().take_answer(now, holder, &answer);
-                self.serve_waiting(account);
-            }
-            None => account.ledger.lock().note_failure(now, holder),
-        }
+        let Some(answer) = answer else {
+            account.ledger.lock().note_failure(now, holder);
+            return false;
+        };
+        account.ledger.lock().take_answer(now, holder, &answer);
+        self.serve_waiting(account);
+        true
     }
 }
--- a/crates/router/src/quota/ownership.rs
+++ b/crates/router/src/quota/ownership.rs
@@ -95,9 +95,8 @@
             } else if ledger.start_share(now, share, holding.term) {
                 self.record_taken(&account.organisation, share, holding.term);
             }
-            ledger.note_term(share, holding.term);
         }
-        ledger.retain_holders(&map.holders());
+        ledger.forget_earlier_holders(&map);
         *known = Some(KnownMap { version, map });
     }
 
