--- a/crates/router/tests/quota.rs
+++ b/crates/router/tests/quota.rs
@@ -13,7 +13,7 @@
 use guava_router::Quota;
 use guava_router::quota::QuotaService;
 
-use fakes::World;
+use fakes::{STORE_DELAY, World};
 
 mod fakes;
 
@@ -276,3 +276,27 @@
 
     assert_eq!(refusal.code, Code::QuotaUnavailable);
 }
+
+/// Guards against two users of a share: the write of a hand-over took effect, but its holder cannot learn that.
+#[tokio::test(start_paused = true)]
+async fn unknown_hand_over_leaves_the_share_unused() {
+    let world = World::new(9);
+    let routers = three(&world).await;
+    let held = |node: &Node| {
+        let map = shares(&world);
+        let holders = map.shares.iter().filter(|it| it.holder.member == node.members.me().id);
+        holders.count()
+    };
+    let (node, service) = routers.iter().find(|(node, _)| held(node) == 1).unwrap();
+    world.store.lose_answers(1);
+    let outage = async {
+        tokio::time::sleep(STORE_DELAY * 3 / 2).await;
+        world.store.set_down(true);
+    };
+
+    tokio::join!(service.shutdown(), outage);
+    let admitted = drain(node, service, "u", 50, 10).await;
+
+    assert_eq!(held(node), 0, "the write took effect");
+    assert_eq!(admitted, 0, "the share may have another holder");
+}
