Wait for the first holder of an organisation's quota

In the first second of a fleet no router holds a quota share, and the test of the whole path got G1206 at once for its first request. A request now waits up to 3 s for a holder.

--- a/crates/router/src/guards.rs
+++ b/crates/router/src/guards.rs
@@ -14,6 +14,10 @@
 
 /// Longest time for which an answer is held back until its record is written.
 const RECORD_WAIT: Duration = Duration::from_secs(1);
+/// Time for which a request waits while no share of its quota has a holder, in milliseconds. After the start of a
+/// fleet or the creation of an organisation, routers take the shares within about 1.2 s.
+const QUOTA_PATIENCE_MS: u64 = 3_000;
+const QUOTA_PAUSE: Duration = Duration::from_millis(100);
 
 /// A quota reservation; settled once, when dropped.
 #[derive(Debug)]
@@ -32,23 +36,29 @@
     ///
     /// Passes on the refusal.
     pub async fn make(
-        quota: &Arc<dyn Quota>,
+        router: &Router,
         organisation: &OrganisationName,
         request: &RequestId,
         tokens: u64,
         deadline: Millis,
     ) -> Result<Self, Refusal> {
+        let clock = &router.node.clock;
+        let patience = deadline.min(clock.now() + QUOTA_PATIENCE_MS);
         let mut guard = Self {
-            quota: Arc::clone(quota),
+            quota: Arc::clone(&router.quota),
             request: request.clone(),
             used: 0,
             armed: true,
         };
-        if let Err(refusal) = quota.reserve(organisation, request, tokens, deadline).await {
-            guard.armed = false;
-            return Err(refusal.into());
+        loop {
+            let reserved = router.quota.reserve(organisation, request, tokens, deadline).await;
+            let Err(refusal) = reserved else { return Ok(guard) };
+            if refusal.code != Code::QuotaUnavailable || clock.now() >= patience {
+                guard.armed = false;
+                return Err(refusal.into());
+            }
+            tokio::time::sleep(QUOTA_PAUSE).await;
         }
-        Ok(guard)
     }
 
     /// Sets what the settlement will report.
--- a/crates/router/src/path.rs
+++ b/crates/router/src/path.rs
@@ -365,8 +365,7 @@
     async fn admit(&self, running: &mut Running) -> Result<Option<WholeAnswer>, Refusal> {
         let work = Arc::clone(&running.work);
         if let Some(organisation) = &work.caller.organisation {
-            let reservation =
-                Reservation::make(&self.quota, organisation, &work.id, work.tokens, work.times.send_by).await?;
+            let reservation = Reservation::make(self, organisation, &work.id, work.tokens, work.times.send_by).await?;
             running.reservation = Some(reservation);
         }
         if let Some(keyed) = &work.keyed {
--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -625,3 +625,17 @@
     assert_eq!(reply.status, 200, "{reply:?}");
     assert_eq!(sound.requests(), 1);
 }
+
+/// Guards against a refusal in the first second of a fleet or organisation, before routers hold its quota shares.
+#[tokio::test]
+async fn a_request_waits_for_the_first_holder_of_its_quota() {
+    let world = World::start().await;
+    let backend = Backend::answering(json_answer(&json!({"ok": 1}))).await;
+    world.place(&[backend.addr], 4);
+    world.quota.unavailable.store(3, Ordering::Relaxed);
+
+    let reply = world.chat(&chat_body()).await;
+
+    assert_eq!(reply.status, 200, "{reply:?}");
+    world.until("the reservation is settled", World::settled_once).await;
+}
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -236,6 +236,8 @@
 /// Quota that admits everything, or nothing, and counts settlements.
 #[derive(Debug, Default)]
 pub struct FakeQuota {
+    /// Calls that find no holder of a share.
+    pub unavailable: AtomicU64,
     pub exhausted: AtomicBool,
     pub reserved: Mutex<HashMap<RequestId, u64>>,
     pub settled: Mutex<Vec<(RequestId, u64)>>,
@@ -250,9 +252,18 @@
         tokens: u64,
         _deadline: Millis,
     ) -> Result<(), QuotaRefusal> {
-        if self.exhausted.load(Ordering::Relaxed) {
+        let waits = self.unavailable.load(Ordering::Relaxed);
+        if waits > 0 {
+            self.unavailable.store(waits - 1, Ordering::Relaxed);
+        }
+        if waits > 0 || self.exhausted.load(Ordering::Relaxed) {
+            let code = if waits > 0 {
+                Code::QuotaUnavailable
+            } else {
+                Code::RateExceeded
+            };
             return Err(QuotaRefusal {
-                code: Code::RateExceeded,
+                code,
                 retry_after_ms: Some(1_500),
                 limit: 100,
                 remaining: 7,
