--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 mod listener;
 mod metrics;
 mod path;
+pub mod program;
 pub mod quota;
 pub mod refusal;
 pub mod serve;
