Count the majority over entry VMs once backend servers are known

Cause: a process read the list of VMs before its configuration, counted the VMs of backend servers and, with an outage right after its start, could not reach a majority of them. Change: the list is applied again when the configuration has arrived; an end learned from an entry is logged.

--- a/crates/node/src/spread.rs
+++ b/crates/node/src/spread.rs
@@ -7,6 +7,7 @@
 use guava_core::events::Event;
 use guava_core::gossip::{Digests, GossipMap, Push};
 use guava_core::ids::Incarnation;
+use guava_core::membership::MemberEvent;
 use guava_core::spread::{Entry, EntryKey, Version};
 use guava_core::units::Millis;
 use parking_lot::Mutex;
@@ -130,7 +131,12 @@
     fn note(&self, entry: &Entry) {
         match &entry.key {
             EntryKey::Ended(id) => {
-                self.members.end(id, Incarnation(entry.version.sequence));
+                let out = self.members.end(id, Incarnation(entry.version.sequence));
+                let is_down = |it: &MemberEvent| matches!(it, MemberEvent::Down(_));
+                if out.events.iter().any(is_down) {
+                    let detail = format!("{id} has ended");
+                    self.timeline.record(Event::MemberDown, None, None, &detail);
+                }
             }
             EntryKey::Config(kind, name) if self.log_changes.load(Ordering::Acquire) => {
                 let is_model = matches!(kind, Kind::Model | Kind::Adapter);
--- a/crates/node/src/vms.rs
+++ b/crates/node/src/vms.rs
@@ -43,7 +43,9 @@
 /// Reads the list until the task is stopped.
 pub(crate) async fn poll_loop(shared: Arc<Shared>) {
     let mut role = WatchRole::new(VM_WATCH_KEY);
-    let mut last = Millis(0);
+    let mut polled = Millis(0);
+    let mut known: Option<(Millis, Vec<VmInfo>)> = None;
+    let mut was_configured = false;
     let mut backoff = BACKOFF_MS.0;
     loop {
         let now = shared.clock.now();
@@ -59,13 +61,26 @@
         } else {
             OTHER_MS
         };
-        if last == Millis(0) || now.since(last) >= gap {
-            last = now;
-            let done = read(&shared).await;
-            if !done && !is_watcher {
+        if polled == Millis(0) || now.since(polled) >= gap {
+            polled = now;
+            let answer = read(&shared).await;
+            if answer.is_none() && !is_watcher {
                 backoff = next_backoff(backoff);
             }
+            if let Some(vms) = answer {
+                apply(&shared, &vms, now).await;
+                known = Some((now, vms));
+            }
+        }
+        // Backend servers can be told from entry VMs only once their configuration is known.
+        let is_configured = shared.is_configured();
+        if is_configured
+            && !was_configured
+            && let Some((asked, vms)) = &known
+        {
+            apply(&shared, vms, *asked).await;
         }
+        was_configured = is_configured;
         tokio::time::sleep(STEP).await;
     }
 }
@@ -75,13 +90,13 @@
     rand::rng().random_range(backoff.min(longest)..=longest)
 }
 
-async fn read(shared: &Shared) -> bool {
-    let asked = shared.clock.now();
+async fn read(shared: &Shared) -> Option<Vec<VmInfo>> {
     let answer = tokio::time::timeout(READ_LIMIT, shared.vms.vms()).await;
-    let Ok(Ok(vms)) = answer else {
-        return false;
-    };
-    let entry_vms = entry_vms(shared, &vms);
+    answer.ok()?.ok()
+}
+
+async fn apply(shared: &Shared, vms: &[VmInfo], asked: Millis) {
+    let entry_vms = entry_vms(shared, vms);
     let names = entry_vms
         .iter()
         .filter(|it| it.state != VmState::Ended)
@@ -95,7 +110,6 @@
         spread_end(shared, id, incarnation);
     }
     ping_unknown(shared, &entry_vms).await;
-    true
 }
 
 fn listed(vm: &VmInfo) -> ListedVm {
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -174,7 +174,15 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn process_without_platform_and_majority_is_isolated() {
     let platform = Arc::new(FakePlatform::default());
-    platform.list_vms(&["vm0", "vm1", "vm2"]);
+    let servers = ["s0", "s1", "s2", "s3", "s4"];
+    for name in servers {
+        let spec = json!({ "name": name, "addr": "127.0.0.1:8", "zone": "z1", "pool": "p" });
+        let operation = OperationId::new(name);
+        let put = platform.put(Kind::Server, name, &spec, Expect::Absent, &operation);
+        put.await.unwrap();
+    }
+    // The VMs of backend servers are in the list too and must not count towards the majority.
+    platform.list_vms(&[["vm0", "vm1", "vm2"].as_slice(), &servers].concat());
     let mut runtimes = start_many(3, &platform).await;
     all_ready(&runtimes).await;
     platform.set_down(true);
