--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -13,7 +13,7 @@
 use support::{
     Act, Backend, Reply, World, call, chat_body, json_answer, member, request_text, stream_answer, withdraw,
 };
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
@@ -252,6 +252,38 @@
         .await;
 }
 
+/// Guards against a stream that goes on for a caller that has left while the backend server is silent.
+#[tokio::test]
+async fn a_silent_stream_ends_with_its_caller() {
+    let world = World::start().await;
+    let backend = Backend::start(|_, _| Act::SendAndHold(stream_answer(&["{\"a\":1}"], false))).await;
+    world.place(&[backend.addr], 4);
+    let bearer = format!("Bearer {}", world.key);
+    let headers = [("authorization", bearer.as_str())];
+    let text = request_text(
+        "POST",
+        "/v1/chat/completions",
+        &headers,
+        streamed().to_string().as_bytes(),
+    );
+    let mut caller = TcpStream::connect(world.router.addr())
+        .await
+        .expect("the router listens");
+    caller.write_all(&text).await.expect("the request is written");
+    let mut first = [0; 12];
+    caller.read_exact(&mut first).await.expect("the answer begins");
+
+    drop(caller);
+
+    world
+        .until("the router notices", |it| it.timeline.count(Event::CallerLeft) == 1)
+        .await;
+    world
+        .until("it is settled", |it| it.router.in_flight() == 0 && it.settled_once())
+        .await;
+    assert_eq!(&first, b"HTTP/1.1 200");
+}
+
 /// Guards against a request that runs for a key that was withdrawn while the request waited.
 #[tokio::test]
 async fn a_key_withdrawn_while_waiting_is_refused() {
@@ -412,7 +444,10 @@
     let calls = world.peers.calls.lock();
     let (_, method, demand) = calls.iter().find(|(id, ..)| id.vm.as_str() == "vm-2").expect("a call");
     assert_eq!(method, "placement.demand");
-    assert_eq!(demand["waiting"], 1);
+    assert_eq!(
+        (&demand["waiting"], &demand["router"]),
+        (&json!(1), &json!("vm-1/router"))
+    );
     assert_eq!(demand["organisations"][0]["organisation"], "repairs");
 }
 
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -682,6 +682,8 @@
     Send(Vec<u8>),
     /// Sends the bytes after the release.
     SendAfterRelease(Vec<u8>),
+    /// Sends bytes and keeps the connection open until the release.
+    SendAndHold(Vec<u8>),
     /// Closes the connection without an answer.
     Close,
 }
@@ -743,6 +745,11 @@
     let bytes = match act(number, &request) {
         Act::Close => return,
         Act::Send(bytes) => bytes,
+        Act::SendAndHold(bytes) => {
+            drop(socket.write_all(&bytes).await);
+            drop(released.wait_for(|it| *it).await);
+            return;
+        }
         Act::SendAfterRelease(bytes) => {
             drop(released.wait_for(|it| *it).await);
             bytes
