--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -7,11 +7,11 @@
 fn all_faults_are_reported_together() {
     let addr = "127.0.0.1:0".parse().expect("an address");
     let sound = RouterArgs::new(addr, "a pepper of 16 b");
-    let mut faulty = RouterArgs::new(addr, "short");
-    faulty.body_limit_bytes = 0;
-    faulty.drain_timeout_ms = 0;
+    let mut broken = RouterArgs::new(addr, "short");
+    broken.body_limit_bytes = 0;
+    broken.drain_timeout_ms = 0;
 
-    let faults = faulty.check();
+    let faults = broken.check();
 
     assert_eq!(sound.check(), Vec::<String>::new());
     let flags = ["--pepper", "--body-limit-bytes", "--drain-timeout-ms"];
@@ -20,5 +20,5 @@
         "{faults:?}"
     );
     assert_eq!(faults.len(), flags.len());
-    assert!(!format!("{faulty:?}").contains("short"), "the pepper is a secret");
+    assert!(!format!("{broken:?}").contains("short"), "the pepper is a secret");
 }
