Take the age of a report into account before memory is released

Cause: a report can carry the newest fencing token next to an older list of replicas. History: holder A sends a load to an engine that checks tokens and forgets ids, the load starts; B takes over, its fence order is taken, a lagging report has B's term and not the load; B would release the reservation and reuse the bytes. Demand reports live 3 s, because routers repeat theirs every 2 s; the load that decides on scale up no longer counts a request twice.

--- a/crates/controller/src/worker.rs
+++ b/crates/controller/src/worker.rs
@@ -10,7 +10,7 @@
 use guava_core::orders::{LOAD_TIMEOUT_MS, Ledger};
 use guava_core::permits::{PERMIT_RENEW_MS, PermitKind, PermitRequest};
 use guava_core::placement::ReplicaState;
-use guava_core::plan::{CacheTier, Holder, Plan, ServerSpec, ServerState, Step};
+use guava_core::plan::{CacheTier, Holder, Plan, Proof, ServerSpec, ServerState, Step};
 use guava_core::scheduler::{Decision, Input};
 use guava_core::snapshot::Snapshot;
 use guava_core::units::Millis;
@@ -388,8 +388,11 @@
         let mut engines = self.pool.engines.lock();
         let mut steps = Vec::new();
         for (name, state) in engines.iter_mut().filter(|(_, it)| it.is_new) {
-            let confirmed = |id: &ReplicaId| ledger.cancel_confirmed(id, state.requested);
-            steps.extend(plan.reconcile(name, &state.view, &confirmed));
+            let proof = Proof {
+                fenced: ledger.fence_confirmed(name, &state.view.instance, state.requested),
+                cancelled: &|id| ledger.cancel_confirmed(id, state.requested),
+            };
+            steps.extend(plan.reconcile(name, &state.view, proof));
             state.is_new = false;
         }
         steps
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -7,8 +7,8 @@
 use crate::snapshot::Snapshot;
 use crate::units::Millis;
 
-/// Time after which a router's report no longer counts; routers repeat theirs every 100 ms.
-pub const DEMAND_TTL_MS: u64 = 1_000;
+/// Time after which a router's report no longer counts; routers repeat theirs every 2 s while they have requests.
+pub const DEMAND_TTL_MS: u64 = 3_000;
 /// Time without demand after which the next report counts as a wake.
 pub const IDLE_GAP_MS: u64 = 5_000;
 /// Half-life of the wake rate.
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -74,6 +74,8 @@
     closed: bool,
     attempts: BTreeMap<Target, Attempt>,
     unloads_taken: BTreeMap<ReplicaId, Millis>,
+    /// Since when each instance of an engine is known to have this term's fencing token.
+    fenced: BTreeMap<(ServerName, String), Millis>,
     since: BTreeMap<ReplicaId, (ReplicaState, Millis)>,
 }
 
@@ -86,6 +88,12 @@
             let planned = id.as_ref().is_none_or(|id| plan.replicas.contains_key(id));
             planned || it.answer.is_none() || now.since(it.at) < ORDER_RETRY_MS
         });
+        for (name, server) in plan.servers.iter().filter(|(_, it)| it.fenced >= plan.term) {
+            if let Some(instance) = &server.instance {
+                let key = (name.clone(), instance.clone());
+                self.fenced.entry(key).or_insert(now);
+            }
+        }
         for (id, replica) in &plan.replicas {
             let entry = self.since.entry(id.clone()).or_insert((replica.state, now));
             if entry.0 != replica.state {
@@ -204,6 +212,14 @@
         }
     }
 
+    /// Whether an engine had this term's fencing token so long before `requested` that a report cannot be older.
+    pub fn fence_confirmed(&self, server: &ServerName, instance: &str, requested: Millis) -> bool {
+        let key = (server.clone(), instance.to_owned());
+        self.fenced
+            .get(&key)
+            .is_some_and(|at| requested.since(*at) >= REPORT_LAG_LIMIT_MS)
+    }
+
     /// Whether the engine took an unload order so long before `requested` that a report cannot be older than it.
     pub fn cancel_confirmed(&self, id: &ReplicaId, requested: Millis) -> bool {
         self.unloads_taken
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -7,11 +7,13 @@
 //! - An engine that remembers replica ids proves it by reporting the id as ended: it refuses every later load order.
 //! - An engine that forgets ids would load a late copy again. Its load orders are therefore never repeated and never
 //!   sent again by a later holder, so a replica that was seen and then disappears has used up the only copy. A replica
-//!   that was never seen is released when the engine has a newer fencing token and does not report it, when the holder
-//!   that decided it confirms that the order was not sent, or when that holder's VM has ended.
+//!   that was never seen is released when a report that is certainly newer than the engine's new fencing token does
+//!   not have it, when the holder that decided it confirms that the order was not sent, or when that holder's VM has
+//!   ended.
 //! - A new instance of the engine, or the end of the server's VM, releases everything reserved before.
 //!
-//! Reports may lag, but those of one engine must not go back in time.
+//! Reports may lag, but the replicas shown by one engine must not go back in time. The fencing token in a report says
+//! nothing about the age of the replicas in it.
 
 use std::collections::BTreeMap;
 use std::sync::OnceLock;
@@ -289,6 +291,24 @@
     }
 }
 
+/// What a holder knows about the age of a report.
+#[derive(Clone, Copy)]
+pub struct Proof<'a> {
+    /// Whether the engine had this term's fencing token so long before the report was requested that the report cannot
+    /// be older.
+    pub fenced: bool,
+    /// Whether the engine took this term's unload order for a replica so long before that the report cannot be older.
+    pub cancelled: &'a dyn Fn(&ReplicaId) -> bool,
+}
+
+impl std::fmt::Debug for Proof<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Proof")
+            .field("fenced", &self.fenced)
+            .finish_non_exhaustive()
+    }
+}
+
 impl EngineView {
     /// The replica with this id.
     pub fn replica(&self, id: &ReplicaId) -> Option<&ReplicaView> {
@@ -556,15 +576,7 @@
     }
 
     /// Takes an engine's report.
-    ///
-    /// `cancel_confirmed` tells whether the engine took this term's unload order for a replica so long before the
-    /// report was requested that the report cannot be older than the order.
-    pub fn reconcile(
-        &mut self,
-        name: &ServerName,
-        view: &EngineView,
-        cancel_confirmed: &dyn Fn(&ReplicaId) -> bool,
-    ) -> Vec<Step> {
+    pub fn reconcile(&mut self, name: &ServerName, view: &EngineView, proof: Proof<'_>) -> Vec<Step> {
         let Some(server) = self.servers.get_mut(name) else {
             return Vec::new();
         };
@@ -584,12 +596,12 @@
         server.fenced = server.fenced.max(view.term);
         let ids: Vec<ReplicaId> = self.on_server(name).map(|(id, _)| id.clone()).collect();
         for id in ids {
-            steps.extend(self.reconcile_replica(&id, view, cancel_confirmed(&id)));
+            steps.extend(self.reconcile_replica(&id, view, proof));
         }
         steps
     }
 
-    fn reconcile_replica(&mut self, id: &ReplicaId, view: &EngineView, cancel_confirmed: bool) -> Vec<Step> {
+    fn reconcile_replica(&mut self, id: &ReplicaId, view: &EngineView, proof: Proof<'_>) -> Vec<Step> {
         let presence = view.replica(id).map(|it| it.presence);
         let Some(replica) = self.replicas.get_mut(id) else {
             return Vec::new();
@@ -607,7 +619,7 @@
             None if was_seen && forgets => self.release(id),
             None if was_seen => self.withdraw(id),
             Some(Presence::Ended) | None => {
-                if self.is_proved_absent(id, view, cancel_confirmed) {
+                if self.is_proved_absent(id, proof) {
                     return self.release(id);
                 }
                 Vec::new()
@@ -616,15 +628,15 @@
     }
 
     /// Whether a replica that was never seen can no longer arrive at an engine that forgets ids.
-    fn is_proved_absent(&self, id: &ReplicaId, view: &EngineView, cancel_confirmed: bool) -> bool {
+    fn is_proved_absent(&self, id: &ReplicaId, proof: Proof<'_>) -> bool {
         let replica = &self.replicas[id];
         let server = &self.servers[&replica.server];
         if !server.forgets_orders || replica.term >= self.term {
             return false;
         }
-        let fenced = server.checks_fence && view.term >= self.term;
+        let fenced = server.checks_fence && proof.fenced;
         let holder_ended = self.holders.iter().any(|it| it.term == replica.term && it.ended);
-        fenced || (holder_ended && cancel_confirmed)
+        fenced || (holder_ended && (proof.cancelled)(id))
     }
 
     /// Moves a replica that its engine no longer serves to unloading.
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -910,7 +910,8 @@
         .filter_map(|(id, it)| input.engines.get(&it.server).and_then(|view| view.replica(id)))
         .map(|it| it.running + it.waiting)
         .sum();
-    let load = demand.waiting + demand.running.max(at_engines);
+    // Both count the same requests; reports of routers are up to `DEMAND_TTL_MS` old.
+    let load = (demand.waiting + demand.running).max(at_engines);
     let wanted = load.div_ceil(model.slots.max(1)).min(demand.max_replicas);
     wanted.saturating_sub(have)
 }
--- a/crates/core/tests/plan.rs
+++ b/crates/core/tests/plan.rs
@@ -6,7 +6,7 @@
 use guava_core::ids::{Incarnation, MemberId, ModelName, OperationId, PoolName, ReplicaId, Role, ServerName, Term};
 use guava_core::orders::{Answer, Ledger, OrderDue, OrderKind, REPORT_LAG_LIMIT_MS};
 use guava_core::placement::ReplicaState;
-use guava_core::plan::{EngineView, Holder, Plan, PlanError, Presence, ReplicaView, Reservation, ServerSpec};
+use guava_core::plan::{EngineView, Holder, Plan, PlanError, Presence, Proof, ReplicaView, Reservation, ServerSpec};
 use guava_core::units::Millis;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -56,7 +56,10 @@
     Confirm,
     Tick(u64),
     /// Undisturbed progress: reports, orders and their answers, and the work of the engines.
-    Progress(usize),
+    Progress {
+        by: usize,
+        lag: usize,
+    },
 }
 
 /// Stands for the present holder of the lease in an operation's `by`.
@@ -67,8 +70,8 @@
     let server = 0..ENGINES.len();
     let pick = 0..16_usize;
     prop_oneof![
-        1 => (0..2_usize).prop_map(Op::TakeOver),
-        8 => by.clone().prop_map(Op::Progress),
+        2 => (0..2_usize).prop_map(Op::TakeOver),
+        8 => (by.clone(), 0..4_usize).prop_map(|(by, lag)| Op::Progress { by, lag }),
         6 => (by.clone(), 0..MODELS.len(), server.clone(), prop::bool::weighted(0.2))
             .prop_map(|(by, model, server, lost)| Op::Decide { by, model, server, lost }),
         4 => (by.clone(), pick.clone()).prop_map(|(by, pick)| Op::Evict { by, pick }),
@@ -90,7 +93,7 @@
 fn with_holder(op: &Op, holder: usize) -> Op {
     let mut op = op.clone();
     match &mut op {
-        Op::Check(by) | Op::Progress(by) if *by == HOLDER => *by = holder,
+        Op::Check(by) | Op::Progress { by, .. } if *by == HOLDER => *by = holder,
         Op::Decide { by, .. } | Op::Evict { by, .. } | Op::Send { by, .. } | Op::Report { by, .. } if *by == HOLDER => {
             *by = holder;
         }
@@ -164,7 +167,10 @@
             replicas: replicas.collect(),
             cached: Vec::new(),
         };
-        self.history.push((now, view));
+        let is_new = self.history.last().is_none_or(|(_, it)| it.replicas != view.replicas);
+        if is_new || self.history.last().is_some_and(|(_, it)| it.instance != view.instance) {
+            self.history.push((now, view));
+        }
     }
 
     /// A report that lags by up to `lag` changes, but neither goes back nor lags longer than allowed.
@@ -175,7 +181,11 @@
             shown += 1;
         }
         self.last_shown = shown;
-        self.history[shown].1.clone()
+        // The token is always the newest, as engines may add it to an older list of replicas.
+        EngineView {
+            term: self.term,
+            ..self.history[shown].1.clone()
+        }
     }
 
     fn order(&mut self, order: &Sent, now: Millis) -> Answer {
@@ -338,13 +348,13 @@
             Op::VmEnd(by) => self.vm_end(by),
             Op::Confirm => self.confirm(),
             Op::Tick(ms) => self.now = self.now + ms,
-            Op::Progress(by) => self.progress(by),
+            Op::Progress { by, lag } => self.progress(by, lag),
         }
     }
 
-    fn progress(&mut self, by: usize) {
+    fn progress(&mut self, by: usize, lag: usize) {
         for server in 0..ENGINES.len() {
-            self.report(by, server, 0);
+            self.report(by, server, lag);
         }
         self.now = self.now + 1_000;
         let earlier = self.network.len();
@@ -540,8 +550,13 @@
             .collect();
         let ledger = &self.controllers[by].ledger;
         let confirmed: BTreeSet<ReplicaId> = ids.into_iter().filter(|id| ledger.cancel_confirmed(id, now)).collect();
+        let fenced = ledger.fence_confirmed(&name, &view.instance, now);
         self.change(by, false, |plan| {
-            plan.reconcile(&name, &view, &|id| confirmed.contains(id));
+            let proof = Proof {
+                fenced,
+                cancelled: &|id| confirmed.contains(id),
+            };
+            plan.reconcile(&name, &view, proof);
         });
     }
 
@@ -654,12 +669,12 @@
             Op::Finish { server, pick, fail } => self.engines[server].finish(pick, fail, self.now),
             Op::Restart(server) => self.engines[server].restart(self.now),
             Op::Tick(ms) => self.now = self.now + ms,
-            Op::Progress(by) => self.progress(by),
+            Op::Progress { by, lag } => self.progress(by, lag),
             _ => {}
         }
     }
 
-    fn progress(&mut self, by: usize) {
+    fn progress(&mut self, by: usize, lag: usize) {
         self.network.append(&mut self.outbox);
         for sent in std::mem::take(&mut self.network) {
             let server = (0..ENGINES.len())
@@ -668,7 +683,7 @@
             self.engines[server].order(&sent, self.now);
         }
         for server in 0..ENGINES.len() {
-            let view = self.engines[server].report(0, self.now);
+            let view = self.engines[server].report(lag, self.now);
             self.views[by].insert(server, view);
         }
     }
@@ -793,7 +808,7 @@
         leaving: false,
     };
     plan.configure(&BTreeMap::from([(server_name(0), spec)]));
-    reconcile(&mut plan, &view(1, &[]));
+    reconcile(&mut plan, &view(1, &[]), false);
     plan
 }
 
@@ -825,8 +840,12 @@
     }
 }
 
-fn reconcile(plan: &mut Plan, view: &EngineView) {
-    plan.reconcile(&server_name(0), view, &|_| false);
+fn reconcile(plan: &mut Plan, view: &EngineView, fenced: bool) {
+    let proof = Proof {
+        fenced,
+        cancelled: &|_| false,
+    };
+    plan.reconcile(&server_name(0), view, proof);
 }
 
 /// Guards against a reservation beyond a server's memory.
@@ -843,20 +862,22 @@
 /// Guards against memory that is released while a late order could still claim it, and against memory that is kept
 /// although it is proved free.
 #[rstest]
-#[case::checks_and_remembers(true, false, false)]
-#[case::ignores_and_remembers(false, false, false)]
-#[case::ignores_and_forgets(false, true, false)]
-#[case::checks_and_forgets(true, true, true)]
+#[case::checks_and_remembers(true, false, true, false)]
+#[case::ignores_and_remembers(false, false, true, false)]
+#[case::ignores_and_forgets(false, true, true, false)]
+#[case::checks_and_forgets_but_report_may_be_old(true, true, false, false)]
+#[case::checks_and_forgets(true, true, true, true)]
 fn unseen_load_of_an_earlier_term_is_released_only_on_proof(
     #[case] checks: bool,
     #[case] forgets: bool,
+    #[case] report_is_newer_than_fence: bool,
     #[case] released_by_absence: bool,
 ) {
     let mut plan = plan_with_server(checks, forgets);
     let id = plan.reserve(reservation("a", 0, 60)).unwrap();
     take_over(&mut plan, 2);
 
-    reconcile(&mut plan, &view(2, &[]));
+    reconcile(&mut plan, &view(2, &[]), report_is_newer_than_fence);
 
     assert_eq!(!plan.replicas.contains_key(&id), released_by_absence);
 }
@@ -871,7 +892,7 @@
     take_over(&mut plan, 2);
     plan.evict(&id).unwrap();
 
-    reconcile(&mut plan, &view(2, &[(&id, Presence::Ended)]));
+    reconcile(&mut plan, &view(2, &[(&id, Presence::Ended)]), true);
 
     assert_eq!(!plan.replicas.contains_key(&id), released);
 }
--- a/crates/core/tests/scheduler.rs
+++ b/crates/core/tests/scheduler.rs
@@ -8,7 +8,7 @@
 use guava_core::permits::{PERMIT_TTL_MS, PermitKind, PermitRequest, Permits, StoreLimits};
 use guava_core::placement::{Demand, OrganisationDemand, ReplicaState};
 use guava_core::plan::{
-    CacheTier, CacheView, EngineView, Holder, Plan, Presence, ReplicaView, Reservation, ServerSpec,
+    CacheTier, CacheView, EngineView, Holder, Plan, Presence, Proof, ReplicaView, Reservation, ServerSpec,
 };
 use guava_core::scheduler::naive::NaiveScheduler;
 use guava_core::scheduler::{CostScheduler, Decision, Input, Scheduler};
@@ -83,7 +83,11 @@
 
     fn reconcile(&mut self) {
         for (name, view) in &self.engines {
-            self.plan.reconcile(name, view, &|_| false);
+            let proof = Proof {
+                fenced: false,
+                cancelled: &|_| false,
+            };
+            self.plan.reconcile(name, view, proof);
         }
     }
 
@@ -349,6 +353,7 @@
     let id = it.ready("m", "s1");
     it.set_load(&id, 4, 0);
     it.settle();
+    it.demand("vm2", &Demand { running: 4, ..demand("m", 0, 0) });
 }, "s2")]
 #[case::adapters_present(|it: &mut Bench| {
     let adapter = Adapter { name: "l".into(), model: "m".into(), version: 1, bytes: GB };
@@ -446,7 +451,11 @@
     let id = bench.ready("m", "s1");
     bench.set_load(&id, running, 0);
     bench.settle();
-    bench.demand("vm1", &demand("m", waiting, 100));
+    let demand = Demand {
+        running,
+        ..demand("m", waiting, 100)
+    };
+    bench.demand("vm1", &demand);
 
     let loads = bench.loads();
 
