--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -43,13 +43,14 @@
 }
 
 async fn run(cli: Cli) -> Result<(), ControllerError> {
+    let stop = shutdown_signal()?;
     let store = Arc::new(HttpObjectStore::new(cli.common.platform_addr));
     let vms = Arc::new(HttpVmList::new(cli.common.platform_addr));
     let runtime = Runtime::start(&cli.common, Role::Controller, store, vms).await?;
     let engine = Arc::new(HttpEngine::new());
     let controller = serve(cli.controller, runtime.node.clone(), engine, runtime.meter()).await?;
     runtime.serve_rpc(controller.rpc_module()).await?;
-    shutdown_signal().await?;
+    stop.await;
     runtime.begin_shutdown();
     controller.stop().await;
     runtime.stop().await;
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -22,6 +22,9 @@
 /// Largest sum of encoded entries in one push; leaves room for the datagram's header within 1,200 bytes.
 pub const PUSH_BYTES: usize = 1_100;
 
+/// Latest changes that are offered before whole buckets are.
+pub const RECENT: usize = 256;
+
 /// Digests of all buckets.
 pub type Digests = [u64; BUCKETS];
 
@@ -52,6 +55,7 @@
     newest: HashMap<Kind, Version>,
     queue: VecDeque<EntryKey>,
     queued: HashSet<EntryKey>,
+    recent: VecDeque<EntryKey>,
 }
 
 impl Default for GossipMap {
@@ -62,6 +66,7 @@
             newest: HashMap::new(),
             queue: VecDeque::new(),
             queued: HashSet::new(),
+            recent: VecDeque::new(),
         }
     }
 }
@@ -98,10 +103,21 @@
     }
 
     /// Keeps the entry when its version is larger than the known one, and queues it to be pushed.
+    pub fn merge(&mut self, entry: Entry) -> Option<Arc<Entry>> {
+        let entry = self.fill(entry)?;
+        if self.queued.insert(entry.key.clone()) {
+            self.queue.push_back(entry.key.clone());
+        }
+        Some(entry)
+    }
+
+    /// Keeps the entry when its version is larger than the known one, without pushing it.
+    ///
+    /// For entries that others have already, such as those a starting process reads; pushing them would flood the fleet.
     ///
     /// Of two values with the same version the larger one is kept, so that all members still converge when a writer
     /// uses a version twice.
-    pub fn merge(&mut self, entry: Entry) -> Option<Arc<Entry>> {
+    pub fn fill(&mut self, entry: Entry) -> Option<Arc<Entry>> {
         let known = self.entries.get(&entry.key);
         if known.is_some_and(|it| (it.version, &it.value) >= (entry.version, &entry.value)) {
             return None;
@@ -113,9 +129,10 @@
             let newest = self.newest.entry(*kind).or_default();
             *newest = entry.version.max(*newest);
         }
-        if self.queued.insert(entry.key.clone()) {
-            self.queue.push_back(entry.key.clone());
+        if self.recent.len() == RECENT {
+            self.recent.pop_front();
         }
+        self.recent.push_back(entry.key.clone());
         let entry = Arc::new(entry);
         self.entries.insert(entry.key.clone(), Arc::clone(&entry));
         Some(entry)
@@ -160,19 +177,31 @@
         (found, false)
     }
 
+    /// Entries of the given buckets that are among the latest [`RECENT`] changes.
+    ///
+    /// A difference is nearly always a change that a push did not reach; a whole bucket would cost a hundred times its
+    /// size.
+    pub fn recent_of(&self, buckets: &[usize]) -> Vec<Arc<Entry>> {
+        let keys: HashSet<&EntryKey> = self.recent.iter().collect();
+        keys.into_iter()
+            .filter(|it| buckets.contains(&bucket_of(it)))
+            .filter_map(|it| self.entries.get(it).cloned())
+            .collect()
+    }
+
     /// Whether changes wait to be pushed.
     pub fn has_queued(&self) -> bool {
         !self.queue.is_empty()
     }
 
-    /// Empties the queue into pushes of at most [`PUSH_BYTES`] each.
-    pub fn take_pushes(&mut self) -> Vec<Push> {
+    /// Takes queued changes as up to `limit` pushes of at most [`PUSH_BYTES`] each.
+    pub fn take_pushes(&mut self, limit: usize) -> Vec<Push> {
         let mut pushes = Vec::new();
         let mut push = Push::default();
         let mut bytes = 0;
         while let Some(key) = self.queue.pop_front() {
-            self.queued.remove(&key);
             let Some(entry) = self.entries.get(&key) else {
+                self.queued.remove(&key);
                 continue;
             };
             let whole = encoded_len(entry);
@@ -181,8 +210,13 @@
             if bytes + size > PUSH_BYTES && bytes > 0 {
                 pushes.push(std::mem::take(&mut push));
                 bytes = 0;
+                if pushes.len() >= limit {
+                    self.queue.push_front(key);
+                    break;
+                }
             }
             bytes += size;
+            self.queued.remove(&key);
             if fits {
                 push.entries.push(Arc::clone(entry));
             } else {
--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::{
-    GRANT_VALID_MS, GrantKey, Handover, Limits, Report, RouterLife, SHARES, Share, SlotRegistry, UNITS_PER_TOKEN,
-    WALLET_DIVISOR, WALLET_MS, Wallet,
+    AVOID_MS, GRANT_VALID_MS, GrantKey, Handover, Limits, Report, RouterLife, SHARES, Share, ShareMap, SlotRegistry,
+    UNITS_PER_TOKEN, WALLET_DIVISOR, WALLET_MS, Wallet,
 };
 use crate::ids::{RequestId, Term};
 use crate::units::Millis;
@@ -108,6 +108,7 @@
     last_take: u64,
     answers: HashMap<RouterLife, TakeAnswer>,
     left: BTreeMap<RouterLife, Level>,
+    avoided: BTreeMap<RouterLife, Millis>,
     window: Millis,
     demand: Demand,
     last_demand: Demand,
@@ -126,6 +127,7 @@
             last_take: 0,
             answers: HashMap::new(),
             left: BTreeMap::new(),
+            avoided: BTreeMap::new(),
             window: Millis::default(),
             demand: Demand::default(),
             last_demand: Demand::default(),
@@ -331,6 +333,7 @@
         let Some(pending) = self.pending.remove(holder) else {
             return 0;
         };
+        self.avoided.remove(holder);
         self.wallet.acknowledge(&pending.request.reports);
         let expires = pending.first_sent + GRANT_VALID_MS;
         for (key, units) in &answer.grants {
@@ -354,17 +357,32 @@
         holders.extend(self.pending.keys().cloned());
         holders.sort();
         holders.dedup();
+        self.avoided.retain(|_, until| *until > now);
+        holders.retain(|it| !self.avoided.contains_key(it));
         holders
     }
 
-    /// Forgets open requests and levels of routers that hold nothing any more.
-    pub fn retain_holders(&mut self, holders: &[RouterLife]) {
+    /// Forgets requests, levels and accounts of routers that hold nothing any more by this map.
+    pub fn forget_earlier_holders(&mut self, map: &ShareMap) {
+        let holders = map.holders();
         self.pending.retain(|it, _| holders.contains(it));
         self.left.retain(|it, _| holders.contains(it));
+        for (share, holding) in map.shares.iter().enumerate() {
+            let (share, term) = (share as u8, holding.term);
+            self.wallet.forget_before(GrantKey { share, term });
+        }
+    }
+
+    /// Notes that a holder did not answer in time.
+    pub fn note_failure(&mut self, now: Millis, holder: &RouterLife) {
+        self.avoided.insert(holder.clone(), now + AVOID_MS);
     }
 
-    /// Orders holders by the level they are expected to have, because a full share gains nothing.
-    pub fn rank_holders(&self, now: Millis, holders: &mut [RouterLife]) {
+    /// Orders holders by the level they are expected to have, because a full share gains nothing, and leaves out those
+    /// that did not answer lately.
+    pub fn rank_holders(&mut self, now: Millis, holders: &mut Vec<RouterLife>) {
+        self.avoided.retain(|_, until| *until > now);
+        holders.retain(|it| !self.avoided.contains_key(it));
         let cap = self.limits.share_cap();
         let gain = |it: &Level| self.limits.share_rate().saturating_mul(now.since(it.at));
         let expected = |it: &Level| it.units.saturating_add(gain(it)).min(cap);
@@ -546,14 +564,6 @@
         }
     }
 
-    /// Notes a newer holder of a share and forgets accounts of earlier ones.
-    pub fn note_term(&mut self, share: usize, term: Term) {
-        self.wallet.forget_before(GrantKey {
-            share: share as u8,
-            term,
-        });
-    }
-
     /// Whether every share here keeps its bound.
     pub fn is_consistent(&self) -> bool {
         self.slots
--- a/crates/dev/src/system.rs
+++ b/crates/dev/src/system.rs
@@ -74,6 +74,7 @@
 }
 
 async fn serve(args: &Args, mut objects: Vec<Object>) -> Result<(), DevError> {
+    let stop = shutdown_signal()?;
     let platform = StandInPlatform::new();
     let backends = standins::start_backends(&mut objects, &platform).await?;
     let organisations: Vec<_> = objects
@@ -102,7 +103,7 @@
         }
     }
     announce(&vms, organisations.first().map_or("", |it| it.as_str()));
-    shutdown_signal().await?;
+    stop.await;
     for vm in vms {
         stop_vm(vm).await?;
     }
--- a/crates/node/src/spread.rs
+++ b/crates/node/src/spread.rs
@@ -26,6 +26,7 @@
     /// Wakes the task that pushes changes.
     pub(crate) queued: Notify,
     changed: AtomicU64,
+    matched: AtomicU64,
     /// Set once the process is configured; the first fill would otherwise push everything else out of the event ring.
     pub(crate) log_changes: AtomicBool,
     members: Arc<MemberTable>,
@@ -40,6 +41,7 @@
             changes: broadcast::channel(CHANGE_BUFFER).0,
             queued: Notify::new(),
             changed: AtomicU64::new(0),
+            matched: AtomicU64::new(clock.now().0),
             log_changes: AtomicBool::new(false),
             members,
             clock,
@@ -68,14 +70,52 @@
         self.map.lock().is_news(key, version)
     }
 
+    /// Latest changes in the buckets in which `theirs` differs.
+    pub(crate) fn recent(&self, theirs: &Digests) -> Vec<Arc<Entry>> {
+        let map = self.map.lock();
+        map.recent_of(&map.differing(theirs))
+    }
+
+    /// Notes that another member has the same entries.
+    pub(crate) fn note_match(&self) {
+        self.matched.store(self.clock.now().0, Ordering::Release);
+    }
+
+    /// Time at which another member last had the same entries.
+    pub(crate) fn matched(&self) -> Millis {
+        Millis(self.matched.load(Ordering::Acquire))
+    }
+
     /// Entries of the buckets in which `theirs` differs, and whether more must be asked for.
     pub(crate) fn differing(&self, theirs: &Digests, limit: usize) -> (Vec<Arc<Entry>>, bool) {
         let map = self.map.lock();
         map.entries_of(&map.differing(theirs), limit)
     }
 
-    pub(crate) fn take_pushes(&self) -> Vec<Push> {
-        self.map.lock().take_pushes()
+    pub(crate) fn take_pushes(&self, limit: usize) -> Vec<Push> {
+        self.map.lock().take_pushes(limit)
+    }
+
+    pub(crate) fn has_queued(&self) -> bool {
+        self.map.lock().has_queued()
+    }
+
+    /// Merges an entry that others have already, without pushing it.
+    pub(crate) fn fill(&self, entry: Entry) -> bool {
+        self.accept(|map| map.fill(entry))
+    }
+
+    fn accept(&self, merge: impl FnOnce(&mut GossipMap) -> Option<Arc<Entry>>) -> bool {
+        let mut map = self.map.lock();
+        let Some(entry) = merge(&mut map) else {
+            return false;
+        };
+        // Sent under the lock, so that subscribers see the versions of a key in order. Without subscribers it fails.
+        let _ = self.changes.send(Arc::clone(&entry));
+        drop(map);
+        self.changed.store(self.clock.now().0, Ordering::Release);
+        self.note(&entry);
+        true
     }
 
     /// Known entries of a kind with a value, by name.
@@ -113,17 +153,11 @@
     }
 
     fn put(&self, entry: Entry) -> bool {
-        let mut map = self.map.lock();
-        let Some(entry) = map.merge(entry) else {
-            return false;
-        };
-        // Sent under the lock, so that subscribers see the versions of a key in order. Without subscribers it fails.
-        let _ = self.changes.send(Arc::clone(&entry));
-        drop(map);
-        self.changed.store(self.clock.now().0, Ordering::Release);
-        self.queued.notify_one();
-        self.note(&entry);
-        true
+        let accepted = self.accept(|map| map.merge(entry));
+        if accepted {
+            self.queued.notify_one();
+        }
+        accepted
     }
 
     fn subscribe(&self) -> broadcast::Receiver<Arc<Entry>> {
