Add the data path benchmark and capacity slopes

Cause: the aims for the router and the control budget at the design size had no measurement. Change: guava-bench router compares calls through a router with direct calls; router, backend server and client are three processes, so that processor time and memory of the router can be told apart. guava-bench slopes measures control work at three or more sizes and fits a line.

--- /dev/null
+++ b/crates/bench/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+pub(crate) mod router;
+pub(crate) mod serve_engine;
+pub(crate) mod serve_router;
+pub(crate) mod slopes;
--- /dev/null
+++ b/crates/bench/src/cmd/slopes.rs
@@ -0,0 +1,48 @@
+//! `guava-bench slopes`.
+
+use std::fs;
+use std::path::PathBuf;
+
+use guava_bench::error::BenchError;
+use guava_bench::slopes::{self, Plan};
+use guava_bench::{process, table};
+
+/// Usage text.
+pub(crate) const USAGE: &str = "\
+Measures how control work grows with the fleet, fits a line through each measure and writes the table between the
+marker comments of a page.
+
+Usage:
+    guava-bench slopes --page docs/CAPACITY.md
+    guava-bench slopes --runtimes 6,18,60";
+
+/// Arguments.
+#[derive(Debug, clap::Args)]
+pub(crate) struct Args {
+    /// Page with the marker comments; without it the table is only printed.
+    #[arg(long)]
+    page: Option<PathBuf>,
+    /// Numbers of real runtimes on loopback; `0` leaves them out.
+    #[arg(long, value_delimiter = ',', default_values_t = [6, 18, 60])]
+    runtimes: Vec<usize>,
+}
+
+/// Runs the command.
+pub(crate) fn run(args: &Args) -> Result<(), BenchError> {
+    let plan = Plan {
+        runtimes: args.runtimes.iter().copied().filter(|it| *it > 0).collect(),
+    };
+    let before = process::load();
+    let measured = slopes::measure(&plan, |name, took| eprintln!("{name}: {:.1} s", took.as_secs_f64()))?;
+    let machine = std::thread::available_parallelism()?;
+    let after = process::load();
+    let body = format!(
+        "Processors: {machine}. Load of the machine (mean of a minute) at the start {before}, at the end {after}.\n\n{measured}"
+    );
+    println!("{body}");
+    if let Some(page) = &args.page {
+        let text = fs::read_to_string(page)?;
+        fs::write(page, table::replace_marked(&text, &body)?)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/slopes/configuration.rs
@@ -0,0 +1,73 @@
+//! Key check and configuration snapshot at one process.
+
+use guava_core::config::Kind;
+use guava_core::ids::OrganisationName;
+use guava_core::keys::{KeyHasher, PresentedKey, new_key};
+use guava_core::snapshot::Snapshot;
+use guava_core::spread::{Entry, EntryKey, Version};
+use rand_chacha::ChaCha8Rng;
+
+use super::{Series, gossip, seeded};
+use crate::allocator::kept_bytes;
+use crate::process::{ns_per_call, timed};
+
+const SIZES: [usize; 4] = [1_000, 5_000, 10_000, 25_000];
+/// Objects at the design size; `docs/CAPACITY.md` shows the sum.
+const DESIGN: f64 = 22_500.0;
+const CHECKS: u64 = 10_000;
+const COPIES: u64 = 5;
+const APPLIED: u64 = 1_000;
+
+fn key_entry(hasher: &KeyHasher, index: usize, rng: &mut ChaCha8Rng) -> (Entry, String) {
+    let id = format!("k{index}");
+    let new = new_key(hasher, &id, &OrganisationName::new("callers"), rng);
+    let entry = Entry {
+        key: EntryKey::Config(Kind::Key, id),
+        version: Version::default(),
+        value: serde_json::to_vec(&new.key).unwrap_or_default(),
+    };
+    (entry, new.text)
+}
+
+fn is_accepted(snapshot: &Snapshot, hasher: &KeyHasher, text: &str) -> bool {
+    let Ok(presented) = PresentedKey::parse(text) else {
+        return false;
+    };
+    let stored = snapshot.keys.get(presented.id);
+    stored.is_some_and(|it| !it.withdrawn && hasher.matches(&presented, it))
+}
+
+pub(super) fn measure() -> Vec<Series> {
+    let mut check = Series::new("key check", "keys", "ns", 10_000.0);
+    let mut keys_memory = Series::new("snapshot: memory of keys", "keys", "B", 10_000.0);
+    let mut memory = Series::new("snapshot: memory of backend servers", "objects", "B", DESIGN);
+    let mut copy = Series::new("snapshot: copy for a batch of changes", "objects", "µs", DESIGN);
+    let mut apply = Series::new("snapshot: application of one change", "objects", "ns", DESIGN);
+    let hasher = KeyHasher::new(b"pepper of the benchmark");
+    let mut rng = seeded();
+    for size in SIZES {
+        let (entries, texts): (Vec<Entry>, Vec<String>) = (0..size).map(|it| key_entry(&hasher, it, &mut rng)).unzip();
+        let fill = |entries: &[Entry]| {
+            let mut snapshot = Snapshot::default();
+            entries.iter().for_each(|it| snapshot.apply(it));
+            snapshot
+        };
+        let (snapshot, kept) = kept_bytes(|| fill(&entries));
+        keys_memory.add(size, kept);
+        let at = |index: u64| index as usize * 7919 % size;
+        check.add(
+            size,
+            ns_per_call(CHECKS, |it| {
+                std::hint::black_box(is_accepted(&snapshot, &hasher, &texts[at(it)]));
+            }),
+        );
+        let servers: Vec<Entry> = (0..size).map(|it| gossip::entry(it, 1)).collect();
+        let (mut snapshot, kept) = kept_bytes(|| fill(&servers));
+        memory.add(size, kept);
+        let (copies, ns) = timed(|| (0..COPIES).map(|_| snapshot.clone()).collect::<Vec<_>>());
+        copy.add(size, ns / 1e3 / COPIES as f64);
+        drop(copies);
+        apply.add(size, ns_per_call(APPLIED, |it| snapshot.apply(&servers[at(it)])));
+    }
+    vec![check, keys_memory, memory, copy, apply]
+}
--- /dev/null
+++ b/crates/bench/src/slopes/leases.rs
@@ -0,0 +1,173 @@
+//! Calls of holders and candidates of leases, against a platform in memory, and what else processes ask the platform.
+
+use std::collections::HashMap;
+
+use guava_core::ids::{Incarnation, MemberId, Role, VmName, Zone};
+use guava_core::lease::{ACTIVE_CANDIDATES, Lease, LeaseCall, Standing, StoredLease, WriteOutcome};
+use guava_core::membership::MemberInfo;
+use guava_core::rendezvous;
+use guava_core::units::Millis;
+use guava_platform::{VmInfo, VmState};
+use rand_chacha::ChaCha8Rng;
+
+use super::{Series, membership, seeded};
+use crate::process::{ns_per_call, timed};
+
+const SIZES: [usize; 3] = [10, 50, 170];
+const DESIGN: f64 = 165.0;
+/// Members that compete: the active candidates and others that wait.
+const MEMBERS: usize = 2 * ACTIVE_CANDIDATES;
+const SECONDS: u64 = 120;
+const RANKED: [usize; 4] = [50, 300, 1_500, 4_500];
+const MEMBERS_AT_DESIGN: f64 = 4_500.0;
+const RANKINGS: u64 = 5;
+const VMS: [usize; 3] = [100, 1_500, 11_500];
+/// 1,500 nodes and 10,000 backend servers.
+const VMS_AT_DESIGN: f64 = 11_500.0;
+const STEP_MS: u64 = 200;
+
+struct Cost {
+    reads: u64,
+    writes: u64,
+    steps: u64,
+    ns: f64,
+}
+
+struct Platform {
+    objects: HashMap<usize, StoredLease>,
+    version: u64,
+}
+
+impl Platform {
+    fn answer(&mut self, name: usize, lease: &mut Lease, call: &LeaseCall, now: Millis) {
+        let LeaseCall::Write {
+            spec,
+            expect,
+            operation,
+        } = call
+        else {
+            lease.on_read(self.objects.get(&name).cloned(), now);
+            return;
+        };
+        let current = self.objects.get(&name).map(|it| it.version);
+        if current != *expect {
+            lease.on_write(call, WriteOutcome::Conflict, now);
+            return;
+        }
+        self.version += 1;
+        let stored = StoredLease {
+            version: self.version,
+            operation: operation.clone(),
+            spec: spec.clone(),
+        };
+        self.objects.insert(name, stored);
+        lease.on_write(call, WriteOutcome::Done { version: self.version }, now);
+    }
+}
+
+fn step_all(leases: &mut [Vec<Lease>], now: Millis, rng: &mut ChaCha8Rng) -> Vec<(usize, usize, LeaseCall)> {
+    let mut calls = Vec::new();
+    for (name, members) in leases.iter_mut().enumerate() {
+        for (rank, lease) in members.iter_mut().enumerate() {
+            let standing = Standing {
+                rank: Some(rank),
+                holder_ended: false,
+            };
+            calls.extend(lease.step(standing, now, rng).map(|call| (name, rank, call)));
+        }
+    }
+    calls
+}
+
+fn run(count: usize, rng: &mut ChaCha8Rng) -> Cost {
+    let member = |index: usize| MemberId::new(format!("vm-{index}"), Role::Controller);
+    let mut leases: Vec<Vec<Lease>> = (0..count)
+        .map(|_| (0..MEMBERS).map(|it| Lease::new(member(it), Incarnation(1))).collect())
+        .collect();
+    let mut platform = Platform {
+        objects: HashMap::new(),
+        version: 0,
+    };
+    let mut cost = Cost {
+        reads: 0,
+        writes: 0,
+        steps: 0,
+        ns: 0.0,
+    };
+    for tick in 1..=SECONDS * 1_000 / STEP_MS {
+        let now = Millis(tick * STEP_MS);
+        let (calls, ns) = timed(|| step_all(&mut leases, now, rng));
+        cost.ns += ns;
+        cost.steps += (count * MEMBERS) as u64;
+        for (name, rank, call) in calls {
+            match call {
+                LeaseCall::Read => cost.reads += 1,
+                LeaseCall::Write { .. } => cost.writes += 1,
+            }
+            platform.answer(name, &mut leases[name][rank], &call, now);
+        }
+    }
+    cost
+}
+
+/// What the lease keeper computes for each lease when a belief about a member has changed.
+fn ranking() -> Series {
+    let mut series = Series::new(
+        "leases: ranking after a change of membership, per lease",
+        "members",
+        "µs",
+        MEMBERS_AT_DESIGN,
+    );
+    for size in RANKED {
+        let known: Vec<MemberInfo> = (0..size).map(|it| membership::info(it, 0)).collect();
+        let me = known[0].id.to_string();
+        let ns = ns_per_call(RANKINGS, |_| {
+            let mut live = known.clone();
+            live.sort_by(|a, b| a.id.cmp(&b.id));
+            let same_role = live.iter().filter(|it| it.id.role == known[0].id.role);
+            let names: Vec<String> = same_role.map(|it| it.id.to_string()).collect();
+            let names = names.iter().map(String::as_str);
+            std::hint::black_box(rendezvous::position("pool/pool-001", names, &me));
+        });
+        series.add(size, ns / 1e3);
+    }
+    series
+}
+
+fn vm_list() -> Series {
+    let mut series = Series::new(
+        "platform: answer to a read of the list of VMs",
+        "VMs",
+        "B",
+        VMS_AT_DESIGN,
+    );
+    for size in VMS {
+        let vms: Vec<VmInfo> = (0..size)
+            .map(|it| VmInfo {
+                name: VmName::new(format!("runner-{it:05}")),
+                instance: format!("i-{it:016x}"),
+                zone: Zone::new("zone-3"),
+                addr: membership::info(it, 0).gossip_addr,
+                state: VmState::Live,
+            })
+            .collect();
+        series.add(size, serde_json::to_vec(&vms).map_or(0, |it| it.len()) as f64);
+    }
+    series
+}
+
+pub(super) fn measure() -> Vec<Series> {
+    let mut reads = Series::new("leases: reads of the platform", "leases", "1/s", DESIGN);
+    let mut writes = Series::new("leases: writes to the platform", "leases", "1/s", DESIGN);
+    let mut cpu = Series::new("leases: processor time per competing process", "leases", "µs/s", DESIGN);
+    let mut rng = seeded();
+    for size in SIZES {
+        let cost = run(size, &mut rng);
+        let seconds = SECONDS as f64;
+        reads.add(size, cost.reads as f64 / seconds);
+        writes.add(size, cost.writes as f64 / seconds);
+        let per_step = cost.ns / cost.steps as f64;
+        cpu.add(size, per_step / 1e3 * size as f64 * 1e3 / STEP_MS as f64);
+    }
+    vec![reads, writes, cpu, ranking(), vm_list()]
+}
