--- a/crates/bench/src/cmd/router.rs
+++ b/crates/bench/src/cmd/router.rs
@@ -112,7 +112,7 @@
             failures += done.failures;
             if way == 1 {
                 answers += done.answers;
-                cpu += ways.router.cpu() - cpu_before;
+                cpu += ways.router.cpu().saturating_sub(cpu_before);
             }
         }
     }
@@ -177,7 +177,7 @@
             rates[way].push(done.per_second() * config::STREAM_TOKENS as f64);
             if way == 1 {
                 tokens += done.answers * config::STREAM_TOKENS;
-                cpu += ways.router.cpu() - cpu_before;
+                cpu += ways.router.cpu().saturating_sub(cpu_before);
             }
         }
     }
--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -182,6 +182,10 @@
 /// # Errors
 ///
 /// Fails when the first connections cannot be opened.
+///
+/// # Panics
+///
+/// Never: the bounds of the histogram are valid.
 pub async fn paced(
     target: &Target,
     connections: usize,
@@ -230,7 +234,7 @@
         let due = start + Duration::from_secs_f64(index as f64 / rate);
         let wait = due.saturating_duration_since(Instant::now());
         if wait > SPIN {
-            std::thread::sleep(wait - SPIN);
+            std::thread::sleep(wait.saturating_sub(SPIN));
         }
         while Instant::now() < due {
             std::hint::spin_loop();
--- a/crates/bench/src/parts.rs
+++ b/crates/bench/src/parts.rs
@@ -250,8 +250,8 @@
         if let Some(stdout) = child.stdout.take() {
             BufReader::new(stdout).read_line(&mut line)?;
         }
-        let addr = line.trim().parse();
-        let addr = addr.map_err(|_| BenchError::Part(format!("{} printed no address", args.join(" "))))?;
+        let addr = line.trim().parse::<SocketAddr>();
+        let addr = addr.map_err(|error| BenchError::Part(format!("{} printed no address: {error}", args.join(" "))))?;
         Ok(Self { child, addr })
     }
 
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -51,7 +51,7 @@
 pub fn timed<T>(work: impl FnOnce() -> T) -> (T, f64) {
     let before = thread_cpu();
     let value = work();
-    (value, (thread_cpu() - before).as_nanos() as f64)
+    (value, thread_cpu().saturating_sub(before).as_nanos() as f64)
 }
 
 /// Processor time of one of `count` calls in nanoseconds.
--- a/crates/bench/src/slopes/configuration.rs
+++ b/crates/bench/src/slopes/configuration.rs
@@ -49,7 +49,9 @@
         let (entries, texts): (Vec<Entry>, Vec<String>) = (0..size).map(|it| key_entry(&hasher, it, &mut rng)).unzip();
         let fill = |entries: &[Entry]| {
             let mut snapshot = Snapshot::default();
-            entries.iter().for_each(|it| snapshot.apply(it));
+            for entry in entries {
+                snapshot.apply(entry);
+            }
             snapshot
         };
         let (snapshot, kept) = kept_bytes(|| fill(&entries));
--- a/crates/bench/src/slopes/gossip.rs
+++ b/crates/bench/src/slopes/gossip.rs
@@ -58,6 +58,12 @@
         "B",
         DESIGN,
     );
+    let mut recent = Series::new(
+        "gossip map: bytes of an answer to a pull of the latest changes, one bucket",
+        "entries",
+        "B",
+        DESIGN,
+    );
     let mut pushed = Series::new("gossip map: bytes sent per change and member", "entries", "B", DESIGN);
     for size in SIZES {
         let (mut map, kept) = kept_bytes(|| filled(size));
@@ -88,6 +94,8 @@
         repair.add(size, ns / 1e3);
         let encoded = postcard::to_allocvec(&entries).map_or(0, |it| it.len());
         pulled.add(size, (encoded * HEX) as f64);
+        let encoded = postcard::to_allocvec(&map.recent_of(&[5])).map_or(0, |it| it.len());
+        recent.add(size, (encoded * HEX) as f64);
         map.take_pushes();
         map.merge(entry(3, UPDATED + 1));
         let encoded: usize = map
@@ -97,5 +105,5 @@
             .sum();
         pushed.add(size, (encoded * FANOUT) as f64);
     }
-    vec![memory, merge, known, digest, repair, pulled, pushed]
+    vec![memory, merge, known, digest, repair, pulled, recent, pushed]
 }
--- a/crates/bench/src/slopes/membership.rs
+++ b/crates/bench/src/slopes/membership.rs
@@ -71,6 +71,16 @@
 }
 
 impl Fleet {
+    fn new(size: usize) -> Self {
+        Self {
+            size,
+            rng: seeded(),
+            incarnations: vec![0; size],
+            fresh: VecDeque::new(),
+            owed: 0.0,
+        }
+    }
+
     fn churn(&mut self, now: u64) {
         let per_second = self.size as f64 * RESTARTS_PER_NODE_AND_DAY * CHANGES_PER_RESTART / 86_400.0;
         self.owed += per_second * TICK_MS as f64 / 1e3;
@@ -156,20 +166,13 @@
     cost.ns += ns;
 }
 
-fn run(size: usize, membership: &mut Membership, start: u64) -> Cost {
-    let mut fleet = Fleet {
-        size,
-        rng: seeded(),
-        incarnations: vec![0; size],
-        fresh: VecDeque::new(),
-        owed: 0.0,
-    };
+fn run(fleet: &mut Fleet, membership: &mut Membership, start: u64) -> Cost {
     let mut cost = Cost::default();
     let mut rng = seeded();
     for tick in 0..SECONDS * 1_000 / TICK_MS {
         let now = start + tick * TICK_MS;
         fleet.churn(now);
-        let is_second = tick * TICK_MS % PING_MS == 0;
+        let is_second = (tick * TICK_MS).is_multiple_of(PING_MS);
         let (out, ns) = timed(|| {
             let out = membership.tick(false, Millis(now), &mut rng);
             finish(membership, &out, &mut cost);
@@ -188,7 +191,7 @@
             receive(membership, &ack, Millis(now), &mut cost);
         }
         if is_second {
-            let index = fleet.rng.random_range(1..size);
+            let index = fleet.rng.random_range(1..fleet.size);
             let ping = fleet.message(index, Body::Ping { sequence: tick });
             receive(membership, &ping, Millis(now), &mut cost);
         }
@@ -196,6 +199,20 @@
     cost
 }
 
+/// Sends until no change waits any more; returns the number of messages that took.
+fn drain(membership: &mut Membership) -> f64 {
+    let mut messages = 0.0;
+    loop {
+        let mut out = Output::default();
+        membership.ping_seed(info(1, 0).gossip_addr, &mut out);
+        let is_empty = out.send.iter().all(|(_, message)| message.changes.is_empty());
+        if is_empty {
+            return messages;
+        }
+        messages += 1.0;
+    }
+}
+
 pub(super) fn measure() -> Vec<Series> {
     let design = 4_500.0;
     let mut cpu = Series::new("membership logic: processor time per member", "members", "µs/s", design);
@@ -203,12 +220,30 @@
     let mut messages = Series::new("membership logic: messages sent per member", "members", "1/s", design);
     let mut memory = Series::new("membership logic: memory per member", "members", "B", design);
     let mut list = Series::new("membership: answer to a pull of all members", "members", "B", design);
+    let mut start_cpu = Series::new(
+        "membership logic, after a start: processor time",
+        "members",
+        "µs/s",
+        design,
+    );
+    let mut start_bytes = Series::new("membership logic, after a start: bytes sent", "members", "B/s", design);
+    let mut start_time = Series::new(
+        "membership logic: time for which a start is told on",
+        "members",
+        "s",
+        design,
+    );
     for size in SIZES {
         let (mut membership, kept) = kept_bytes(|| filled(size));
-        // The changes queued at the first fill are sent before the measured time.
-        run(size, &mut membership, START_MS);
-        let cost = run(size, &mut membership, START_MS + SECONDS * 1_000);
         let seconds = SECONDS as f64;
+        let mut fleet = Fleet::new(size);
+        let cost = run(&mut fleet, &mut membership, START_MS);
+        start_cpu.add(size, cost.ns / 1e3 / seconds);
+        start_bytes.add(size, cost.sent as f64 / seconds);
+        let queued = drain(&mut membership);
+        let per_second = cost.messages as f64 / seconds;
+        start_time.add(size, queued / per_second + seconds);
+        let cost = run(&mut fleet, &mut membership, START_MS + SECONDS * 1_000);
         cpu.add(size, cost.ns / 1e3 / seconds);
         bytes.add(size, cost.sent as f64 / seconds);
         messages.add(size, cost.messages as f64 / seconds);
@@ -216,5 +251,5 @@
         let encoded = postcard::to_allocvec(&membership.beliefs()).map_or(0, |it| it.len());
         list.add(size, (encoded * HEX) as f64);
     }
-    vec![cpu, bytes, messages, memory, list]
+    vec![cpu, bytes, messages, memory, list, start_cpu, start_bytes, start_time]
 }
--- a/crates/bench/src/slopes/quota.rs
+++ b/crates/bench/src/slopes/quota.rs
@@ -3,16 +3,20 @@
 use std::collections::HashMap;
 
 use guava_core::ids::{Incarnation, MemberId, OrganisationName, RequestId, Role, Term};
-use guava_core::quota::{Admission, Ledger, Limits, RouterLife, SHARES};
+use guava_core::membership::MemberInfo;
+use guava_core::quota::{Admission, Ledger, Limits, RouterLife, SHARES, ShareMap};
 use guava_core::units::Millis;
 
-use super::Series;
+use super::{Series, membership};
 use crate::allocator::kept_bytes;
 use crate::process::{ns_per_call, timed};
 
 const SIZES: [usize; 3] = [5, 100, 1_000];
 const DESIGN: f64 = 1_000.0;
 const RESERVATIONS: u64 = 20_000;
+const ROUTERS: [usize; 3] = [18, 300, 1_500];
+const ROUTERS_AT_DESIGN: f64 = 1_500.0;
+const CHECKS: u64 = 20;
 const LIMITS: Limits = Limits {
     rate: 1_000_000,
     burst: 10_000_000,
@@ -98,6 +102,44 @@
     }
 }
 
+/// What the quota service computes about once a second for each organisation: the live routers, the shares to take
+/// over and the shares to hand over.
+fn ownership() -> Series {
+    let mut series = Series::new(
+        "quota: check of an organisation's holders",
+        "routers",
+        "µs",
+        ROUTERS_AT_DESIGN,
+    );
+    let organisation = OrganisationName::new("callers");
+    for size in ROUTERS {
+        let members: Vec<MemberInfo> = (0..size * 3).map(|it| membership::info(it, 0)).collect();
+        let routers = || -> Vec<RouterLife> {
+            let mut live = members.clone();
+            live.sort_by(|a, b| a.id.cmp(&b.id));
+            let routers = live.into_iter().filter(|it| it.id.role == Role::Router);
+            let to_life = |it: MemberInfo| RouterLife {
+                member: it.id,
+                incarnation: it.incarnation,
+            };
+            routers.map(to_life).collect()
+        };
+        let live = routers();
+        let me = live[0].clone();
+        let Some(map) = ShareMap::new(&organisation, &live) else {
+            continue;
+        };
+        let ns = ns_per_call(CHECKS, |_| {
+            let live = routers();
+            let ids: Vec<MemberId> = live.iter().map(|it| it.member.clone()).collect();
+            std::hint::black_box(map.claims(&organisation, &me, &ids, |_| false));
+            std::hint::black_box(map.moves(&organisation, &me, &live));
+        });
+        series.add(size, ns / 1e3);
+    }
+    series
+}
+
 pub(super) fn measure() -> Vec<Series> {
     let mut share = Series::new(
         "quota: reservation and settlement from a share",
@@ -155,5 +197,5 @@
         bytes.add(size, found.bytes_per_call);
         cpu.add(size, found.ns_per_call);
     }
-    vec![share, wallet, memory, calls, bytes, cpu]
+    vec![share, wallet, memory, calls, bytes, cpu, ownership()]
 }
--- a/crates/bench/src/slopes/runtimes.rs
+++ b/crates/bench/src/slopes/runtimes.rs
@@ -104,7 +104,7 @@
         let (cpu, bytes, calls) = (process::own_cpu(), self.sent(), self.calls());
         let start = tokio::time::Instant::now();
         tokio::time::sleep(WINDOW).await;
-        let used = process::own_cpu() - cpu;
+        let used = process::own_cpu().saturating_sub(cpu);
         let seconds = start.elapsed().as_secs_f64();
         let per_member = seconds * self.members.len() as f64;
         Reading {
