--- a/crates/bench/src/slopes/gossip.rs
+++ b/crates/bench/src/slopes/gossip.rs
@@ -42,7 +42,7 @@
     (0..size).for_each(|it| {
         map.merge(entry(it, 1));
     });
-    map.take_pushes();
+    map.take_pushes(usize::MAX);
     map
 }
 
@@ -96,10 +96,10 @@
         pulled.add(size, (encoded * HEX) as f64);
         let encoded = postcard::to_allocvec(&map.recent_of(&[5])).map_or(0, |it| it.len());
         recent.add(size, (encoded * HEX) as f64);
-        map.take_pushes();
+        map.take_pushes(usize::MAX);
         map.merge(entry(3, UPDATED + 1));
         let encoded: usize = map
-            .take_pushes()
+            .take_pushes(usize::MAX)
             .iter()
             .map(|it| postcard::to_allocvec(it).map_or(0, |it| it.len()))
             .sum();
--- a/crates/bench/src/slopes/plan.rs
+++ b/crates/bench/src/slopes/plan.rs
@@ -8,7 +8,7 @@
 use guava_core::ids::{Incarnation, MemberId, ModelName, OrganisationName, PoolName, Role, ServerName, Term, Zone};
 use guava_core::placement::{Demand, OrganisationDemand};
 use guava_core::plan::{
-    CacheTier, CacheView, EngineView, Holder, Plan, Presence, ReplicaView, Reservation, ServerSpec,
+    CacheTier, CacheView, EngineView, Holder, Plan, Presence, Proof, ReplicaView, Reservation, ServerSpec,
 };
 use guava_core::scheduler::{CostScheduler, Input, Scheduler};
 use guava_core::snapshot::Snapshot;
@@ -31,6 +31,12 @@
 const REPLICAS_PER_SERVER: usize = 4;
 const CACHED_PER_SERVER: usize = 12;
 
+/// Reports that are newer than all orders.
+const PROOF: Proof<'_> = Proof {
+    fenced: true,
+    cancelled: &|_| false,
+};
+
 struct Scene {
     plan: Plan,
     config: Snapshot,
@@ -115,7 +121,7 @@
         replicas: Vec::new(),
         cached: cached.collect(),
     };
-    scene.plan.reconcile(&name, &view, &|_| false);
+    scene.plan.reconcile(&name, &view, PROOF);
     for slot in 0..REPLICAS_PER_SERVER {
         let want = Reservation {
             model: model_name((index * REPLICAS_PER_SERVER + slot) % scene.models),
@@ -132,7 +138,7 @@
             waiting: 0,
         });
     }
-    scene.plan.reconcile(&name, &view, &|_| false);
+    scene.plan.reconcile(&name, &view, PROOF);
     scene.engines.insert(name, view);
 }
 
@@ -189,7 +195,7 @@
             .collect();
         let ns = ns_per_call(servers as u64, |it| {
             let (name, view) = &views[it as usize];
-            scene.plan.reconcile(name, view, &|_| false);
+            scene.plan.reconcile(name, view, PROOF);
         });
         reconcile.add(servers, ns / 1e3);
         let (with_demand, without) = rounds(&scene);
