--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -37,6 +37,8 @@
         pub grants: Vec<(GrantKey, u64)>,
         /// Units left at the holder.
         pub left: u64,
+        /// Whether the answering router holds a share. One that has not received the share map yet does not know.
+        pub holds: bool,
     }
 }
 
@@ -436,6 +438,7 @@
                     id,
                     grants: Vec::new(),
                     left,
+                    holds: self.holds_any(),
                 };
             }
         }
@@ -462,6 +465,7 @@
             id: request.id,
             grants,
             left,
+            holds: self.holds_any(),
         }
     }
 
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -28,7 +28,10 @@
 const JOBS_PATH: &str = "/v1/jobs/";
 const ROUTE_PATH: &str = "/svc/";
 /// Headers of requests that backend servers receive. Keys are in none of them.
-const BACKEND_HEADERS: [header::HeaderName; 6] = [
+///
+/// The idempotency key goes along, so that a backend server that recognises repeats can refuse one itself.
+static BACKEND_HEADERS: [header::HeaderName; 7] = [
+    header::HeaderName::from_static("idempotency-key"),
     header::CONTENT_TYPE,
     header::ACCEPT,
     header::ACCEPT_LANGUAGE,
--- a/crates/router/src/idempotency.rs
+++ b/crates/router/src/idempotency.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -36,6 +36,9 @@
 /// First and longest pause between two attempts to write an outcome.
 const RETRY_MS: (u64, u64) = (100, 5_000);
 
+/// Pause between two looks at what is left to do at a graceful shutdown.
+const SHUTDOWN_POLL_MS: u64 = 50;
+
 /// Time for which a claim is tried while the platform does not answer or limits its rate.
 const CLAIM_PATIENCE_MS: u64 = 2_000;
 
@@ -65,6 +68,8 @@
     secret: Vec<u8>,
     /// Versions and records of claims made here, which saves a read when the outcome is written.
     claims: Mutex<HashMap<String, (u64, StoredRecord)>>,
+    /// Outcomes that are not written yet.
+    unwritten: AtomicUsize,
 }
 
 impl RecordService {
@@ -82,10 +87,18 @@
             me,
             secret: secret.to_vec(),
             claims: Mutex::default(),
+            unwritten: AtomicUsize::new(0),
         });
         tokio::spawn(delete_expired(Arc::downgrade(&inner)));
         Self { inner }
     }
+
+    /// Waits until all outcomes are written. A claim whose outcome is lost with the process stays unknown.
+    pub async fn shutdown(&self) {
+        while self.inner.unwritten.load(Ordering::SeqCst) > 0 {
+            sleep_ms(SHUTDOWN_POLL_MS).await;
+        }
+    }
 }
 
 impl Inner {
@@ -133,7 +146,9 @@
             match decide(record, digest, attempt, claimant) {
                 Decision::Create => match self.create(name, digest, attempt, may_exist).await {
                     Ok(()) => return Ok(self.run(attempt)),
-                    Err(error) if is_passing(&error) && now < deadline.min(begun + CLAIM_PATIENCE_MS) => {}
+                    Err(error) if is_passing(&error) && now < deadline.min(begun + CLAIM_PATIENCE_MS) => {
+                        sleep_ms(POLL_MS.0).await;
+                    }
                     Err(_) => return Err(unavailable()),
                 },
                 Decision::Run => {
@@ -251,6 +266,7 @@
             sleep_ms(pause).await;
             pause = (pause * 2).min(RETRY_MS.1);
         }
+        self.unwritten.fetch_sub(1, Ordering::SeqCst);
     }
 
     /// Removes the record of a claim that was given up. Its write may take effect later than it is looked for.
@@ -348,6 +364,7 @@
 
     async fn finish(&self, organisation: &OrganisationName, key: &str, attempt: &str, outcome: Outcome) {
         let name = record_name(&self.inner.secret, organisation, key);
+        self.inner.unwritten.fetch_add(1, Ordering::SeqCst);
         // A task of its own, so that the outcome is written even if the caller goes away meanwhile.
         let write = Arc::clone(&self.inner).finish_until_written(name, attempt.to_owned(), outcome);
         let task = tokio::spawn(write);
--- a/crates/router/src/jobs.rs
+++ b/crates/router/src/jobs.rs
@@ -102,6 +102,14 @@
         Self { inner }
     }
 
+    /// Waits until the jobs that run here have ended and their results are written; no job starts meanwhile, because
+    /// the node's shutdown has begun.
+    pub async fn shutdown(&self) {
+        while !self.inner.running.lock().is_empty() {
+            sleep_ms(RETRY_MS.0).await;
+        }
+    }
+
     /// Stops all tasks at once, as the end of the process does.
     pub fn abort(&self) {
         self.inner.tasks.lock().abort_all();
--- a/crates/router/src/program.rs
+++ b/crates/router/src/program.rs
@@ -1,6 +1,6 @@
 //! The router with its real quota, idempotency records and jobs on a process runtime.
 
-use std::sync::Arc;
+use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
 use guava_node::runtime::Runtime;
@@ -16,6 +16,8 @@
     /// Request path.
     pub handle: RouterHandle,
     quota: Arc<QuotaService>,
+    records: RecordService,
+    jobs: JobService,
 }
 
 impl RouterProgram {
@@ -29,11 +31,17 @@
         let quota = QuotaService::start(node.clone());
         let records = RecordService::start(node.clone(), args.pepper.as_bytes());
         let jobs_node = node.clone();
+        let (started_jobs, jobs) = mpsc::channel();
         let (health, ready) = (runtime.health(), runtime.health());
         let parts = RouterParts {
             quota: Arc::<QuotaService>::clone(&quota),
-            records: Arc::new(records),
-            jobs: Box::new(move |executor| Arc::new(JobService::start(jobs_node, executor))),
+            records: Arc::new(records.clone()),
+            jobs: Box::new(move |executor| {
+                let jobs = JobService::start(jobs_node, executor);
+                // The receiver lives until `serve` has returned.
+                let _ = started_jobs.send(jobs.clone());
+                Arc::new(jobs)
+            }),
             meter: runtime.meter(),
             metrics_text: Box::new(move || health.answer("/metrics").map(|it| it.body).unwrap_or_default()),
             ready: Box::new(move || ready.ready()),
@@ -42,16 +50,24 @@
         let mut rpc = handle.rpc_module()?;
         rpc.merge(quota.rpc()?)?;
         runtime.serve_rpc(rpc).await?;
-        Ok(Self { handle, quota })
+        let jobs = jobs.recv().map_err(|_closed| RouterError::Jobs)?;
+        Ok(Self {
+            handle,
+            quota,
+            records,
+            jobs,
+        })
     }
 
-    /// Serves on for `notice`, finishes the requests at hand and hands over the quota shares.
+    /// Serves on for `notice`, finishes requests and jobs at hand, writes outcomes and hands over the quota shares.
     ///
     /// # Errors
     ///
     /// Fails when requests are still running at the end of the drain time.
     pub async fn shutdown(self, notice: Duration) -> Result<(), RouterError> {
         let drained = self.handle.shutdown(notice).await;
+        self.jobs.shutdown().await;
+        self.records.shutdown().await;
         // Shares stay until the last request has been admitted, so that waiting requests can still reserve.
         self.quota.shutdown().await;
         drained
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -50,6 +50,10 @@
             source(error)
             display("JSON-RPC: {error}")
         }
+        /// The job service was not started.
+        Jobs {
+            display("the job service was not started")
+        }
         /// Requests were still running when the drain time ended.
         Drain(running: u64) {
             display("{running} requests were still running when the drain time ended")
--- a/crates/router/tests/fakes/mod.rs
+++ b/crates/router/tests/fakes/mod.rs
@@ -96,6 +96,10 @@
         }
     }
 
+    pub fn begin_shutdown(&self) {
+        self.shutdown.send_replace(true);
+    }
+
     pub fn serve(&self, node: &Node, module: RpcModule<()>) {
         self.state.lock().modules.insert(life(node), module);
     }
--- a/crates/router/tests/jobs.rs
+++ b/crates/router/tests/jobs.rs
@@ -248,3 +248,23 @@
 
     assert_eq!(a.service.accept(&organisation(), large).await, Err(Code::BodyTooLarge));
 }
+
+/// Guards against a planned stop that interrupts a job or starts another.
+#[tokio::test(start_paused = true)]
+async fn shutdown_finishes_running_jobs_only() {
+    let world = World::new(24);
+    let ran = Ran::default();
+    let a = start(&world, "a", &ran, Duration::from_mins(1));
+    let running = a.service.accept(&organisation(), request(false)).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+
+    world.begin_shutdown();
+    let waiting = a.service.accept(&organisation(), request(false)).await.unwrap();
+    a.service.shutdown().await;
+
+    assert_eq!(
+        a.service.state(&organisation(), &running).await,
+        Ok(JobState::Done(answer(b"write-up")))
+    );
+    assert_eq!(a.service.state(&organisation(), &waiting).await, Ok(JobState::Accepted));
+}
