--- a/crates/e2e/tests/faults_load.rs
+++ b/crates/e2e/tests/faults_load.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 
+use std::time::Instant;
+
 use fleet::{Fleet, MODEL_BYTES, Plan, completion, model, wait_for};
 use futures::future::join_all;
 use http::Method;
@@ -62,8 +64,10 @@
     let kill = async {
         wait_for("the load has started", async || loads(&fleet).await > 0).await;
         fleet.vms[holder].controller.signal(libc::SIGKILL);
+        Instant::now()
     };
-    let (answer, ()) = tokio::join!(answer, kill);
+    let (answer, killed) = tokio::join!(answer, kill);
+    println!("answered {:?} after the controller was killed during the load", killed.elapsed());
 
     assert_eq!(answer.status, 200, "{answer:?}");
     assert_eq!(loads(&fleet).await, 1);
