Refuse a cut chunked body by asking the socket

xitca-web reports the end of a chunked body in the same way whether it is complete or the connection was closed. The socket is now peeked, which gives the end as soon as it was read.

--- a/crates/router/src/path.rs
+++ b/crates/router/src/path.rs
@@ -10,7 +10,7 @@
 use guava_core::ids::{KeyId, OrganisationName, ProfileName, ReplicaId, RequestId};
 use guava_core::keys::KeyHasher;
 use guava_core::queue::Waiting;
-use guava_core::request::{Attempt, Class, Lifecycle, RequestEvent, Verdict};
+use guava_core::request::{Attempt, Class, Lifecycle, RequestEvent, RequestState, Verdict};
 use guava_core::units::Millis;
 use guava_node::Node;
 use http::{HeaderMap, Method, StatusCode};
@@ -592,6 +592,12 @@
             Run::NotRun => Outcome::NotRun,
             Run::OutcomeUnknown => Outcome::Unknown,
         };
+        let waits = running.lifecycle.state() == RequestState::Waiting;
+        running.step(if waits {
+            RequestEvent::Refuse
+        } else {
+            RequestEvent::Fail
+        });
         running.ending.ending = match refusal.run {
             Run::NotRun => Ending::Refused,
             Run::OutcomeUnknown => Ending::Failed,
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 use bytes::{Bytes, BytesMut};
 use guava_core::codes::Code;
 use http::{HeaderValue, StatusCode, header};
+use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::sync::mpsc;
 use xitca_http::HttpServiceBuilder;
@@ -102,6 +104,19 @@
     }
 }
 
+impl Busy {
+    /// Whether the caller has closed its side and all it sent has been read. Asks the socket itself, because readiness
+    /// may be reported later than xitca-web has read the end.
+    fn is_at_end(&self) -> bool {
+        let Some(connection) = &self.0 else { return false };
+        let mut buf = [MaybeUninit::uninit()];
+        match SockRef::from(&connection.watch).peek(&mut buf) {
+            Ok(waiting) => waiting == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
 impl Drop for Busy {
     fn drop(&mut self) {
         if let Some(it) = &self.0 {
@@ -359,7 +374,7 @@
     // xitca-web ends the body in the same way whether it is complete or the caller has closed the connection.
     let is_short = match announced {
         Some(announced) => announced != bytes.len() as u64,
-        None => head.headers.contains_key(header::TRANSFER_ENCODING) && is_closed(busy).await,
+        None => head.headers.contains_key(header::TRANSFER_ENCODING) && busy.is_at_end(),
     };
     if is_short {
         return Err(Code::TruncatedBody.into());
@@ -367,15 +382,6 @@
     Ok(bytes)
 }
 
-async fn is_closed(busy: &Busy) -> bool {
-    let closed = busy.closed();
-    tokio::select! {
-        biased;
-        () = closed => true,
-        () = std::future::ready(()) => false,
-    }
-}
-
 enum Unreadable {
     TooLarge,
     Broken,
