Keep the unreachable port of two tests bound

Two tests took a port, freed it and expected refused connects. The kernel gave the port to the backend server of another test in one full run, and both failed (path.rs:169 and the limit of World::until). The port now stays bound by a socket that does not listen, which is refused for as long as it lives; what is asserted is unchanged.

--- a/crates/router/tests/path.rs
+++ b/crates/router/tests/path.rs
@@ -11,7 +11,8 @@
 use rstest::rstest;
 use serde_json::json;
 use support::{
-    Act, Backend, Reply, World, call, chat_body, json_answer, member, request_text, stream_answer, withdraw,
+    Act, Backend, Reply, World, call, chat_body, json_answer, member, request_text, stream_answer, unreachable_addr,
+    withdraw,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -153,9 +154,7 @@
 #[tokio::test]
 async fn a_non_idempotent_request_that_was_not_sent_goes_elsewhere() {
     let world = World::start().await;
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let closed_addr = closed.local_addr().expect("an address");
-    drop(closed);
+    let (_closed, closed_addr) = unreachable_addr();
     let sound = Backend::answering(json_answer(&json!({"ok": 1}))).await;
     world.place(&[closed_addr, sound.addr], 4);
 
@@ -636,9 +635,7 @@
 async fn a_request_outlasts_an_unreachable_replica() {
     let world = Arc::new(World::start().await);
     let sound = Backend::answering(json_answer(&json!({"ok": 1}))).await;
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let closed_addr = closed.local_addr().expect("an address");
-    drop(closed);
+    let (_closed, closed_addr) = unreachable_addr();
     world.place(&[closed_addr], 4);
     let waiting = tokio::spawn({
         let world = Arc::clone(&world);
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -29,7 +29,7 @@
 use rand_chacha::rand_core::SeedableRng;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{broadcast, watch};
 
 /// Pepper of the test deployment.
@@ -778,6 +778,17 @@
     }
 }
 
+/// Address at which connections are refused for as long as the socket lives.
+///
+/// The port stays bound: a freed one may go to the backend server of another test.
+pub fn unreachable_addr() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(any).expect("a port");
+    let addr = socket.local_addr().expect("an address");
+    (socket, addr)
+}
+
 /// Whole JSON answer.
 pub fn json_answer(body: &Value) -> Vec<u8> {
     let body = body.to_string();
