Limit how often controllers wake, and leave servers with unplanned replicas out

Cause: every controller looks at every pool's lease, and each demand report caused a round; at the design size both would exceed the control budget (not measured). A plan object that is lost made the memory of loaded replicas count as free. Change: idle looks every 250 and 500 ms, rounds at least 10 ms apart and only for demand that waits for a load; no loads on servers that report replicas outside the plan until these are unloaded; an id that an engine drops from its report after a confirmed cancellation is released.

--- a/crates/controller/src/reports.rs
+++ b/crates/controller/src/reports.rs
@@ -20,6 +20,8 @@
 const BUSY_REPORT_MS: u64 = 50;
 /// Time between looks at which reports are due.
 const LOOK: Duration = Duration::from_millis(25);
+/// Time between looks while another process holds the lease; every controller does this for every pool.
+const IDLE_LOOK: Duration = Duration::from_millis(500);
 
 /// Reads the reports of one pool until the controller stops.
 pub async fn read_reports(shared: Arc<Shared>, pool: Arc<PoolState>) {
@@ -28,7 +30,8 @@
     let mut reads = FuturesUnordered::new();
     while !shared.is_stopping() {
         let now = shared.now();
-        if shared.held(&pool.lease).is_some() {
+        let is_held = shared.held(&pool.lease).is_some();
+        if is_held {
             for (server, addr) in due(&shared, &pool, &last, now) {
                 let has_room = in_progress.len() < shared.args.reports_at_once;
                 if has_room && in_progress.insert(server.clone()) {
@@ -44,7 +47,7 @@
                     keep(&pool, server, requested, view);
                 }
             }
-            () = tokio::time::sleep(LOOK) => {}
+            () = tokio::time::sleep(if is_held { LOOK } else { IDLE_LOOK }) => {}
         }
     }
 }
@@ -56,10 +59,12 @@
     now: Millis,
 ) -> Vec<(ServerName, SocketAddr)> {
     let config = shared.config();
-    let plan = pool.plan.read().clone();
+    let Some(plan) = pool.plan.read().clone() else {
+        return Vec::new();
+    };
     let busy: BTreeSet<&ServerName> = plan
-        .iter()
-        .flat_map(|it| it.replicas.values())
+        .replicas
+        .values()
         .filter(|it| matches!(it.state, ReplicaState::Loading | ReplicaState::Unloading))
         .map(|it| &it.server)
         .collect();
@@ -71,11 +76,11 @@
         };
         last.get(name).is_none_or(|at| now.since(*at) >= interval)
     };
-    let mut due: Vec<_> = config
+    let mut due: Vec<_> = plan
         .servers
-        .values()
-        .filter(|it| it.pool == pool.name && it.memory_bytes > 0 && is_due(&it.name))
-        .map(|it| (it.name.clone(), it.addr))
+        .keys()
+        .filter(|name| is_due(name))
+        .filter_map(|name| Some((name.clone(), config.servers.get(name)?.addr)))
         .collect();
     due.sort_by_key(|(name, _)| last.get(name).copied());
     due
@@ -89,10 +94,10 @@
     (server, requested, view)
 }
 
-/// Keeps a report; the worker is woken when it differs from the last one.
+/// Keeps a report; the worker is woken when it shows more than other numbers of requests.
 fn keep(pool: &PoolState, server: ServerName, requested: Millis, view: EngineView) {
     let mut engines = pool.engines.lock();
-    let changed = engines.get(&server).is_none_or(|it| it.view != view);
+    let changed = engines.get(&server).is_none_or(|it| !shows_same(&it.view, &view));
     let state = EngineState {
         view,
         requested,
@@ -103,3 +108,12 @@
         pool.wake.notify_one();
     }
 }
+
+fn shows_same(old: &EngineView, new: &EngineView) -> bool {
+    let states = |view: &EngineView| -> Vec<_> {
+        let replicas = view.replicas.iter();
+        replicas.map(|it| (it.replica.clone(), it.presence)).collect()
+    };
+    let whole = |view: &EngineView| (view.instance.clone(), view.term, view.leaving, view.memory_bytes);
+    whole(old) == whole(new) && states(old) == states(new)
+}
--- a/crates/controller/src/rpc.rs
+++ b/crates/controller/src/rpc.rs
@@ -129,8 +129,17 @@
         zone: member.map(|it| &it.zone),
     };
     pool.scheduler.lock().demand(shared.now(), source, demand);
-    pool.wake.notify_one();
     let name = name(demand);
+    let plan = pool.plan.read().clone();
+    let is_ready = plan.is_some_and(|it| {
+        let mut replicas = it.replicas.values();
+        replicas.any(|it| it.name() == name && it.state == ReplicaState::Ready)
+    });
+    // Only demand that waits for a load is worth a round of its own.
+    if is_ready || demand.waiting == 0 {
+        return;
+    }
+    pool.wake.notify_one();
     let detail = format!("{} waiting at {}", demand.waiting, source.router);
     shared
         .node
--- a/crates/controller/src/worker.rs
+++ b/crates/controller/src/worker.rs
@@ -25,7 +25,9 @@
 use crate::shared::{PoolState, Shared};
 
 /// Wait between looks at the lease while another process holds it.
-const IDLE_LOOK: Duration = Duration::from_millis(200);
+const IDLE_LOOK: Duration = Duration::from_millis(250);
+/// Least time between two rounds, however often the worker is woken.
+const LEAST_ROUND: Duration = Duration::from_millis(10);
 /// Wait after a plan could not be read or written.
 const STORE_RETRY: Duration = Duration::from_millis(250);
 /// Time without a report after which a server whose VM is listed as ended counts as gone.
@@ -96,6 +98,7 @@
         let mut stop = self.shared.stop.subscribe();
         while !self.shared.is_stopping() {
             let wait = self.turn().await;
+            tokio::time::sleep(LEAST_ROUND).await;
             tokio::select! {
                 () = self.pool.wake.notified() => {}
                 () = tokio::time::sleep(wait) => {}
--- a/crates/controller/tests/controller.rs
+++ b/crates/controller/tests/controller.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use guava_controller::{ControllerArgs, ControllerError, ControllerHandle, NOT_HOLDER, serve};
-use guava_core::config::{BackendServer, Kind, Model, Object, Pool, Profile};
+use guava_core::config::{Adapter, BackendServer, Kind, Model, Object, Pool, Profile};
 use guava_core::events::{Event, EventRecord};
 use guava_core::ids::{Incarnation, LeaseName, MemberId, OperationId, ReplicaId, Role, Term};
 use guava_core::placement::{Demand, DemandReply, OrganisationDemand, Placement, ReplicaState};
@@ -305,6 +305,21 @@
 }
 
 impl FakeEngine {
+    fn report(&self) -> Vec<EngineReplica> {
+        let ended = self.ended.lock();
+        let ended = ended.iter().map(|id| EngineReplica {
+            replica: id.clone(),
+            state: EngineReplicaState::Ended,
+            model: "".into(),
+            version: 0,
+            adapter: None,
+            bytes: 0,
+            running: 0,
+            waiting: 0,
+        });
+        self.replicas.lock().values().cloned().chain(ended).collect()
+    }
+
     fn load(&self, order: &Order) -> Result<(), EngineError> {
         let Action::Load {
             model, version, bytes, ..
@@ -378,7 +393,7 @@
             leaving: false,
             role: EngineRole::Mixed,
             memory_bytes: MEMORY,
-            replicas: self.engine.replicas.lock().values().cloned().collect(),
+            replicas: self.engine.report(),
             cached: Vec::new(),
         })
     }
@@ -411,6 +426,19 @@
     }
 }
 
+fn server(forgets: bool, draining: bool) -> Object {
+    Object::Server(BackendServer {
+        name: "s1".into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "z1".into(),
+        pool: "pool".into(),
+        memory_bytes: MEMORY,
+        checks_fence: false,
+        forgets_orders: forgets,
+        draining,
+    })
+}
+
 fn fixture(forgets: bool) -> Fixture {
     let fixture = Fixture {
         store: Arc::default(),
@@ -430,15 +458,12 @@
             loads_at_once: 4,
             adapter_loads_at_once: 4,
         }),
-        Object::Server(BackendServer {
-            name: "s1".into(),
-            addr: SocketAddr::from(([127, 0, 0, 1], 9)),
-            zone: "z1".into(),
-            pool: "pool".into(),
-            memory_bytes: MEMORY,
-            checks_fence: false,
-            forgets_orders: forgets,
-            draining: false,
+        server(forgets, false),
+        Object::Adapter(Adapter {
+            name: "l".into(),
+            model: "m".into(),
+            version: 1,
+            bytes: 5,
         }),
         Object::Model(Model {
             name: "m".into(),
@@ -464,20 +489,24 @@
             cold_start_weight: 0.5,
         }),
     ];
-    for (index, object) in objects.iter().enumerate() {
-        fixture.spread.put(Entry {
+    for object in &objects {
+        fixture.configure(object, 1);
+    }
+    fixture
+}
+
+impl Fixture {
+    fn configure(&self, object: &Object, sequence: u64) {
+        self.spread.put(Entry {
             key: EntryKey::Config(object.kind(), object.name().to_owned()),
             version: Version {
                 term: Term(0),
-                sequence: index as u64 + 1,
+                sequence,
             },
             value: serde_json::to_vec(&object.spec()).unwrap(),
         });
     }
-    fixture
-}
 
-impl Fixture {
     async fn start(&self, index: usize, gate_open: bool) -> Running {
         let gate = watch::Sender::new(gate_open);
         let arrived = watch::Sender::new(0);
@@ -518,9 +547,13 @@
 
 impl Running {
     async fn demand(&self, router: &str) -> Result<DemandReply, MethodsError> {
+        self.demand_for(router, None).await
+    }
+
+    async fn demand_for(&self, router: &str, adapter: Option<&str>) -> Result<DemandReply, MethodsError> {
         let demand = Demand {
             model: "m".into(),
-            adapter: None,
+            adapter: adapter.map(Into::into),
             profile: "p".into(),
             waiting: 3,
             running: 0,
@@ -672,6 +705,44 @@
     second.handle.stop().await;
 }
 
+/// Guards against an adapter that is published under its model's name or loaded before its model.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn adapter_gets_its_own_placement_next_to_its_model() {
+    let fixture = fixture(false);
+    let controller = fixture.start(0, true).await;
+    let key = EntryKey::Placement("pool".into(), "l".to_owned());
+    let deadline = Instant::now() + LIMIT;
+    let is_ready = |reply: Result<DemandReply, MethodsError>| reply.is_ok_and(|it| it.ready_in_ms == Some(0));
+    while !is_ready(controller.demand_for("vm0/router", Some("l")).await) {
+        assert!(Instant::now() < deadline, "the adapter is not loaded");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    eventually("the placement is published", || fixture.spread.get(&key).is_some()).await;
+
+    let placement: Placement = serde_json::from_slice(&fixture.spread.get(&key).unwrap().value).unwrap();
+
+    assert_eq!(placement.adapter, Some("l".into()));
+    assert_eq!(fixture.engine.loads.lock().len(), 2);
+    controller.handle.stop().await;
+}
+
+/// Guards against work for a server that is being drained, and against replicas that stay on it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drained_server_is_announced_and_emptied() {
+    let fixture = fixture(false);
+    let controller = fixture.start(0, true).await;
+    controller.demand_until_ready().await;
+
+    fixture.configure(&server(false, true), 2);
+
+    let notice = EntryKey::Leaving("s1".into());
+    let is_announced = || fixture.spread.get(&notice).is_some_and(|it| !it.value.is_empty());
+    eventually("the notice is published", is_announced).await;
+    eventually("the replica is unloaded", || fixture.engine.replicas.lock().is_empty()).await;
+    eventually("the placement is withdrawn", || fixture.spread.states().is_empty()).await;
+    controller.handle.stop().await;
+}
+
 /// Guards against a caller that cannot find the holder.
 #[tokio::test]
 async fn other_controllers_name_the_holder() {
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -7,7 +7,7 @@
 
 use crate::ids::{ReplicaId, ServerName, Term};
 use crate::placement::ReplicaState;
-use crate::plan::{EngineView, Plan, PlannedReplica, PlannedServer, Presence, ServerState};
+use crate::plan::{EngineView, Plan, PlannedReplica, PlannedServer, ServerState};
 use crate::units::Millis;
 
 /// Time after which an order without visible effect is sent again.
@@ -275,7 +275,7 @@
 fn undecided<'a>(plan: &'a Plan, view: Option<&'a EngineView>) -> impl Iterator<Item = &'a ReplicaId> {
     view.into_iter()
         .flat_map(|it| &it.replicas)
-        .filter(|it| matches!(it.presence, Presence::Loading | Presence::Ready))
+        .filter(|it| it.presence.holds_memory())
         .map(|it| &it.replica)
         .filter(|id| !plan.replicas.contains_key(*id))
         .filter(|id| plan.term_of(id).is_some_and(|term| term <= plan.term))
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -5,6 +5,7 @@
 //! proof depends on the engine:
 //!
 //! - An engine that remembers replica ids proves it by reporting the id as ended: it refuses every later load order.
+//!   An engine that took the unload order and later reports without the id has dropped it from its report only.
 //! - An engine that forgets ids would load a late copy again. Its load orders are therefore never repeated and never
 //!   sent again by a later holder, so a replica that was seen and then disappears has used up the only copy. A replica
 //!   that was never seen is released when a report that is certainly newer than the engine's new fencing token does
@@ -99,6 +100,13 @@
     }
 }
 
+impl Presence {
+    /// Whether a replica in this state takes memory.
+    pub const fn holds_memory(self) -> bool {
+        matches!(self, Self::Loading | Self::Ready)
+    }
+}
+
 impl ServerState {
     const fn name(self) -> &'static str {
         match self {
@@ -424,11 +432,6 @@
             .retain(|it| it.term == term || replicas.values().any(|replica| replica.term == it.term));
     }
 
-    /// Whether the write with this operation id took effect.
-    pub fn written_by(&self, operation: &OperationId) -> bool {
-        self.writers.contains(operation)
-    }
-
     /// Takes the configuration of all backend servers of the pool. Servers that are no longer configured leave, and
     /// are dropped once nothing is reserved on them.
     pub fn configure(&mut self, specs: &BTreeMap<ServerName, ServerSpec>) {
@@ -617,6 +620,7 @@
             Some(Presence::Failed) => self.withdraw(id),
             Some(Presence::Ended) if !forgets || was_seen => self.release(id),
             None if was_seen && forgets => self.release(id),
+            None if !forgets && state == ReplicaState::Unloading && (proof.cancelled)(id) => self.release(id),
             None if was_seen => self.withdraw(id),
             Some(Presence::Ended) | None => {
                 if self.is_proved_absent(id, proof) {
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -81,12 +81,19 @@
     }
 
     /// Servers that take new replicas and whose engine answers.
+    ///
+    /// A server that holds replicas outside the plan is left out until they are unloaded: after the loss of a plan
+    /// object its memory would otherwise count as free.
     fn open_servers(&self) -> impl Iterator<Item = &'a ServerName> {
         let plan = self.plan;
         let engines = self.engines;
+        let is_planned = |view: &EngineView| {
+            let held = view.replicas.iter().filter(|it| it.presence.holds_memory());
+            held.into_iter().all(|it| plan.replicas.contains_key(&it.replica))
+        };
         plan.servers
             .keys()
-            .filter(move |name| plan.accepts(name) && engines.contains_key(*name))
+            .filter(move |name| plan.accepts(name) && engines.get(*name).is_some_and(is_planned))
     }
 
     /// Replicas that count as supply: of the configured version, loading or ready, on a server that stays.
--- a/crates/core/tests/plan.rs
+++ b/crates/core/tests/plan.rs
@@ -152,7 +152,8 @@
             Held::Ready | Held::Unloading => (id, Presence::Ready),
             Held::Failed => (id, Presence::Failed),
         });
-        let ended = self.ended.iter().map(|id| (id, Presence::Ended));
+        // An engine may remember more ended ids than it reports.
+        let ended = self.ended.iter().rev().take(1).map(|id| (id, Presence::Ended));
         let replicas = live.chain(ended).map(|(id, presence)| ReplicaView {
             replica: id.clone(),
             presence,
@@ -897,6 +898,24 @@
     assert_eq!(!plan.replicas.contains_key(&id), released);
 }
 
+/// Guards against memory that stays reserved because an engine drops ended ids from its reports.
+#[rstest]
+#[case::cancellation_taken_long_ago(true)]
+#[case::report_may_be_older(false)]
+fn absence_counts_after_a_confirmed_cancellation(#[case] cancelled: bool) {
+    let mut plan = plan_with_server(false, false);
+    let id = plan.reserve(reservation("a", 0, 60)).unwrap();
+    plan.evict(&id).unwrap();
+    let proof = Proof {
+        fenced: false,
+        cancelled: &|_| cancelled,
+    };
+
+    plan.reconcile(&server_name(0), &view(1, &[]), proof);
+
+    assert_eq!(!plan.replicas.contains_key(&id), cancelled);
+}
+
 /// Guards against a repeated load order on an engine that forgets: the late copy would load a released replica again.
 #[rstest]
 #[case::remembers(false, true)]
--- a/crates/core/tests/scheduler.rs
+++ b/crates/core/tests/scheduler.rs
@@ -619,6 +619,25 @@
     assert_eq!([early, known, late], [false, true, false]);
 }
 
+/// Guards against overcommitted memory after the plan object was lost.
+#[test]
+fn server_with_replicas_outside_the_plan_is_left_out() {
+    let servers = [("s1", "z1", 100), ("s2", "z2", 100)];
+    let mut bench = Bench::new(&servers, &[("m", 20)]);
+    bench.cached("s1", "m", CacheTier::Memory);
+    bench.engines.get_mut("s1").unwrap().replicas.push(ReplicaView {
+        replica: "p-0-7".into(),
+        presence: Presence::Ready,
+        running: 0,
+        waiting: 0,
+    });
+    bench.demand("vm1", &demand("m", 1, 100));
+
+    let loads = bench.loads();
+
+    assert_eq!(loads, [("m".to_owned(), "s2".to_owned())]);
+}
+
 /// Guards against a model name that no longer exists in the configuration.
 #[test]
 fn demand_for_an_unknown_model_decides_nothing() {
