--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -64,7 +64,8 @@
 pub struct Permits {
     limits: StoreLimits,
     slots: BTreeMap<ReplicaId, (PermitKind, Millis)>,
-    next_load: Millis,
+    /// Time at which the loads begun so far are used up at the allowed rate.
+    paid_until: Millis,
     learning_until: Millis,
 }
 
@@ -74,7 +75,7 @@
         Self {
             limits,
             slots: BTreeMap::new(),
-            next_load: Millis(0),
+            paid_until: Millis(0),
             learning_until,
         }
     }
@@ -101,7 +102,7 @@
                 };
             }
             if req.kind == PermitKind::Model {
-                self.next_load = now + self.interval_ms();
+                self.paid_until = self.paid_until.max(now) + self.interval_ms();
             }
         }
         self.slots.insert(req.replica.clone(), (req.kind, now + PERMIT_TTL_MS));
@@ -135,7 +136,9 @@
             return 50;
         }
         if kind == PermitKind::Model {
-            return self.next_load.since(now);
+            // Loads may begin together as long as no more than `loads_at_once` are ahead of the rate.
+            let ahead = self.interval_ms() * u64::from(self.limits.loads_at_once.saturating_sub(1));
+            return self.paid_until.since(now + ahead);
         }
         0
     }
