--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -309,6 +309,16 @@
     pub cancelled: &'a dyn Fn(&ReplicaId) -> bool,
 }
 
+impl Proof<'_> {
+    /// Nothing is known about the age of the report.
+    pub fn none() -> Self {
+        Self {
+            fenced: false,
+            cancelled: &|_| false,
+        }
+    }
+}
+
 impl std::fmt::Debug for Proof<'_> {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Proof")
--- a/crates/core/tests/scheduler.rs
+++ b/crates/core/tests/scheduler.rs
@@ -83,11 +83,7 @@
 
     fn reconcile(&mut self) {
         for (name, view) in &self.engines {
-            let proof = Proof {
-                fenced: false,
-                cancelled: &|_| false,
-            };
-            self.plan.reconcile(name, view, proof);
+            self.plan.reconcile(name, view, Proof::none());
         }
     }
 
