--- a/crates/bench/src/parts.rs
+++ b/crates/bench/src/parts.rs
@@ -135,6 +135,7 @@
         zone: zone.to_owned(),
         gossip_addr: any_addr(),
         rpc_addr: any_addr(),
+        health_addr: None,
         platform_addr: SocketAddr::from(([127, 0, 0, 1], 1)),
         seeds,
         log_level: log::LevelFilter::Error,
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -7,6 +7,7 @@
 use guava_controller::{ControllerArgs, ControllerError, serve};
 use guava_core::ids::Role;
 use guava_engine::HttpEngine;
+use guava_node::health_server::HealthServer;
 use guava_node::program::{self, Checked};
 use guava_node::runtime::Runtime;
 use guava_node::settings::CommonArgs;
@@ -47,6 +48,11 @@
     let store = Arc::new(HttpObjectStore::new(cli.common.platform_addr));
     let vms = Arc::new(HttpVmList::new(cli.common.platform_addr));
     let runtime = Runtime::start(&cli.common, Role::Controller, store, vms).await?;
+    let health = cli
+        .common
+        .health_addr
+        .map(|addr| HealthServer::start(addr, runtime.health()));
+    let health = health.transpose()?;
     let engine = Arc::new(HttpEngine::new());
     let controller = serve(cli.controller, runtime.node.clone(), engine, runtime.meter()).await?;
     runtime.serve_rpc(controller.rpc_module()).await?;
@@ -54,5 +60,8 @@
     runtime.begin_shutdown();
     controller.stop().await;
     runtime.stop().await;
+    if let Some(health) = health {
+        health.stop();
+    }
     Ok(())
 }
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -34,8 +34,8 @@
                 .with_description("Memory of ready replicas without requests, over time")
                 .build(),
             idle_seconds: meter
-                .f64_counter("guava_controller_idle_seconds")
-                .with_description("Time without a running request, by backend server")
+                .f64_counter("guava_idle_accelerator_seconds")
+                .with_description("Accelerator time without a running request, by backend server and whether anything is loaded there")
                 .build(),
             conflicts: meter
                 .u64_counter("guava_controller_plan_conflicts")
@@ -71,17 +71,21 @@
     }
 
     /// Counts idle time of a server.
-    pub fn idle_server(&self, pool: &PoolName, server: &ServerName, seconds: f64) {
+    pub fn idle_server(&self, pool: &PoolName, server: &ServerName, loaded: bool, seconds: f64) {
         let labels = [
             KeyValue::new("pool", pool.to_string()),
             KeyValue::new("server", server.to_string()),
+            KeyValue::new("loaded", loaded),
         ];
         self.idle_seconds.add(seconds, &labels);
     }
 
     /// Counts a confirmed plan write.
     pub fn written(&self, pool: &PoolName) {
-        self.writes.add(1, &[KeyValue::new("pool", pool.to_string())]);
+        let labels = [KeyValue::new("pool", pool.to_string())];
+        self.writes.add(1, &labels);
+        // Shows the counter before the first conflict, so that its rate is defined.
+        self.conflicts.add(0, &labels);
     }
 
     /// Counts a plan conflict.
--- a/crates/controller/src/worker.rs
+++ b/crates/controller/src/worker.rs
@@ -590,7 +590,8 @@
         leader.accounted = now;
         let engines = self.pool.engines.lock();
         let mut idle_bytes = 0;
-        for (name, _) in leader.plan.servers.iter().filter(|(_, it)| it.reserved_bytes > 0) {
+        // An empty server counts too: committed capacity is paid for whether anything is loaded or not.
+        for (name, server) in leader.plan.servers.iter().filter(|(_, it)| it.memory_bytes > 0) {
             let Some(state) = engines.get(name) else {
                 continue;
             };
@@ -601,7 +602,8 @@
                 .map(|(_, it)| it.bytes)
                 .sum::<u64>();
             if replicas().all(|(id, _)| running(id) == 0) {
-                self.shared.metrics.idle_server(&self.pool.name, name, seconds);
+                let loaded = server.reserved_bytes > 0;
+                self.shared.metrics.idle_server(&self.pool.name, name, loaded, seconds);
             }
         }
         self.shared
--- a/crates/dev/src/config.rs
+++ b/crates/dev/src/config.rs
@@ -23,6 +23,9 @@
     /// Port of the first administration API; the next ones follow.
     #[arg(long, env = "GUAVA_DEV_ADMIN_PORT", default_value_t = 7_300)]
     pub admin_port: u16,
+    /// Port of the first controller's health checks and metrics; the next ones follow.
+    #[arg(long, env = "GUAVA_DEV_HEALTH_PORT", default_value_t = 7_200)]
+    pub health_port: u16,
     /// Log level.
     #[arg(long, env = "GUAVA_LOG_LEVEL", default_value = "warn")]
     pub log_level: log::LevelFilter,
--- a/crates/dev/src/system.rs
+++ b/crates/dev/src/system.rs
@@ -11,6 +11,7 @@
 use guava_core::config::Object;
 use guava_core::ids::{Role, Zone};
 use guava_engine::HttpEngine;
+use guava_node::health_server::HealthServer;
 use guava_node::runtime::Runtime;
 use guava_node::settings::CommonArgs;
 use guava_node::signal::shutdown_signal;
@@ -39,6 +40,7 @@
 struct EntryVm {
     router: (Runtime, RouterProgram),
     controller: (Runtime, ControllerHandle),
+    health: HealthServer,
     admin: (Runtime, AdminHandle),
 }
 
@@ -142,6 +144,7 @@
     )
     .await?;
     controller.serve_rpc(handle.rpc_module()).await?;
+    let health = HealthServer::start(loopback(args.health_port + number), controller.health())?;
 
     let router = start(Role::Router).await?;
     let router_args = RouterArgs::new(loopback(args.router_port + number), PEPPER);
@@ -158,6 +161,7 @@
     Ok(EntryVm {
         router: (router, router_program),
         controller: (controller, handle),
+        health,
         admin: (admin, admin_handle),
     })
 }
@@ -171,6 +175,7 @@
     router_runtime.stop().await;
     controller.stop().await;
     controller_runtime.stop().await;
+    vm.health.stop();
     admin.stop();
     admin_runtime.stop().await;
     Ok(())
@@ -179,9 +184,10 @@
 fn announce(vms: &[EntryVm], organisation: &str) {
     for vm in vms {
         println!(
-            "router http://{} admin http://{}",
+            "router http://{} admin http://{} controller http://{}/metrics",
             vm.router.1.handle.addr(),
-            vm.admin.1.addr
+            vm.admin.1.addr,
+            vm.health.addr
         );
     }
     println!("key of {organisation}: gv_{organisation}_demonstration; operator's token: {TOKEN}");
@@ -194,6 +200,8 @@
         zone: zone(number).to_string(),
         gossip_addr: loopback(0),
         rpc_addr: loopback(0),
+        // Routers and administration APIs answer health checks on their own port; controllers are started below.
+        health_addr: None,
         // The stand-in platform is in this process; the address is not used.
         platform_addr: loopback(1),
         seeds: seeds.to_vec(),
--- a/crates/e2e/tests/fleet/mod.rs
+++ b/crates/e2e/tests/fleet/mod.rs
@@ -38,6 +38,7 @@
 
 const ROUTER_PORT: u16 = 7_100;
 const ADMIN_PORT: u16 = 7_300;
+const HEALTH_PORT: u16 = 7_200;
 const GOSSIP_PORTS: u16 = 7_400;
 const RPC_PORTS: u16 = 7_500;
 const SECRET: &str = "secret";
@@ -177,6 +178,11 @@
         SocketAddr::from((self.ip, ROUTER_PORT))
     }
 
+    /// Address of the controller's health checks and metrics.
+    pub fn controller_addr(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, HEALTH_PORT))
+    }
+
     /// Address of the administration API.
     pub fn admin_addr(&self) -> SocketAddr {
         SocketAddr::from((self.ip, ADMIN_PORT))
@@ -423,7 +429,7 @@
                 format!("--admin-token={TOKEN}"),
                 format!("--pepper={PEPPER}"),
             ]),
-            _ => {}
+            _ => args.push(format!("--health-addr={}", own(HEALTH_PORT))),
         }
         let args: Vec<&str> = args.iter().map(String::as_str).collect();
         let (program, stdout) = Program::start(&format!("guava-{role}"), &args);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod clock;
 mod gossip;
 pub mod health;
+pub mod health_server;
 mod keeper;
 pub mod logging;
 mod members;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use guava_core::config::Kind;
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use crate::Members;
 use crate::keeper::LeaseKeeper;
 use crate::shared::Shared;
+use crate::{Members, Spread};
 
 const METER: &str = "guavaarch";
 
@@ -62,33 +64,47 @@
                 })
                 .build();
         };
-        gauge("guava_members_live", "Members not believed down.", |it| {
+        gauge("guava_members_live", "Members not believed down", |it| {
             it.members.live().len() as u64
         });
         gauge(
             "guava_entries",
-            "Entries of the gossip map, tombstones included.",
+            "Entries of the gossip map, tombstones included",
             |it| it.spread.len() as u64,
         );
-        gauge("guava_confirmation_age_ms", "Age of the last confirmation.", |it| {
+        gauge("guava_confirmation_age_ms", "Age of the last confirmation", |it| {
             it.members.age()
         });
-        gauge("guava_isolated", "Whether the VM is isolated.", |it| {
+        gauge("guava_isolated", "Whether the VM is isolated", |it| {
             u64::from(it.members.isolated())
         });
-        gauge("guava_ready", "Whether the process takes requests.", |it| {
+        gauge("guava_ready", "Whether the process takes requests", |it| {
             u64::from(it.is_ready())
         });
+        let versions = Arc::downgrade(shared);
+        meter
+            .u64_observable_gauge("guava_config_version")
+            .with_description("Largest version of configuration in force here, by kind")
+            .with_callback(move |observer| {
+                let Some(shared) = versions.upgrade() else {
+                    return;
+                };
+                for kind in Kind::CONFIG {
+                    let version = shared.spread.newest(kind).sequence;
+                    observer.observe(version, &[KeyValue::new("kind", kind.plural())]);
+                }
+            })
+            .build();
         let sent = shared.sender.bytes();
         meter
             .u64_observable_counter("guava_gossip_sent_bytes")
-            .with_description("Bytes sent in datagrams.")
+            .with_description("Bytes sent in datagrams")
             .with_callback(move |observer| observer.observe(sent.load(Ordering::Relaxed), &[]))
             .build();
         let keeper = Arc::downgrade(keeper);
         meter
             .u64_observable_gauge("guava_leases_held")
-            .with_description("Leases held.")
+            .with_description("Leases held")
             .with_callback(move |observer| {
                 if let Some(keeper) = keeper.upgrade() {
                     observer.observe(keeper.all_held().len() as u64, &[]);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -21,6 +21,9 @@
     /// TCP address of the JSON-RPC server for other processes of the system.
     #[arg(long, env = "GUAVA_RPC_ADDR")]
     pub rpc_addr: SocketAddr,
+    /// TCP address that serves `/healthz`, `/readyz` and `/metrics`, for programs without an HTTP API of their own.
+    #[arg(long, env = "GUAVA_HEALTH_ADDR")]
+    pub health_addr: Option<SocketAddr>,
     /// Address of the platform's object service.
     #[arg(long, env = "GUAVA_PLATFORM_ADDR")]
     pub platform_addr: SocketAddr,
@@ -62,6 +65,11 @@
         let own = "an IP address of this VM, not 0.0.0.0 or ::, and a port";
         require(is_own(self.gossip_addr), "--gossip-addr (GUAVA_GOSSIP_ADDR)", own);
         require(is_own(self.rpc_addr), "--rpc-addr (GUAVA_RPC_ADDR)", own);
+        require(
+            self.health_addr.is_none_or(is_own),
+            "--health-addr (GUAVA_HEALTH_ADDR)",
+            own,
+        );
         let remote = "an IP address and port 1 to 65535";
         require(
             is_remote(self.platform_addr),
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -188,6 +188,7 @@
         zone: "z1".to_owned(),
         gossip_addr: any,
         rpc_addr: any,
+        health_addr: None,
         platform_addr: "127.0.0.1:1".parse().unwrap(),
         seeds,
         log_level: log::LevelFilter::Warn,
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -10,6 +10,12 @@
 use crate::dispatch::{Load, Target};
 use crate::path::Router;
 
+/// Upper bounds of the buckets of waits, in seconds. The library's default bounds suit milliseconds and would put every
+/// cold start of up to 5 s into one bucket.
+const WAIT_BOUNDARIES_S: [f64; 14] = [
+    0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 30.0, 60.0,
+];
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
@@ -58,10 +64,12 @@
             cold_start: meter
                 .f64_histogram("guava_router_cold_start_seconds")
                 .with_description("Wait of requests that found no ready replica")
+                .with_boundaries(WAIT_BOUNDARIES_S.to_vec())
                 .build(),
             wait: meter
                 .f64_histogram("guava_router_wait_seconds")
                 .with_description("Wait of requests that found all slots of ready replicas taken")
+                .with_boundaries(WAIT_BOUNDARIES_S.to_vec())
                 .build(),
         }
     }
--- a/crates/router/src/program.rs
+++ b/crates/router/src/program.rs
@@ -29,6 +29,7 @@
     pub async fn start(args: RouterArgs, runtime: &Runtime) -> Result<Self, RouterError> {
         let node = runtime.node.clone();
         let quota = QuotaService::start(node.clone());
+        quota.observe(&runtime.meter());
         let records = RecordService::start(node.clone(), args.pepper.as_bytes());
         let jobs_node = node.clone();
         let (started_jobs, jobs) = mpsc::channel();
--- a/crates/router/src/quota.rs
+++ b/crates/router/src/quota.rs
@@ -12,9 +12,11 @@
 use async_trait::async_trait;
 use guava_core::codes::Code;
 use guava_core::ids::{OrganisationName, RequestId};
-use guava_core::quota::{GATHER_MS, Limits, RouterLife};
+use guava_core::quota::{GATHER_MS, Limits, RouterLife, UNITS_PER_TOKEN};
 use guava_core::units::Millis;
 use guava_node::Node;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Meter;
 use parking_lot::Mutex;
 use tokio::task::AbortHandle;
 
@@ -67,6 +69,24 @@
         service
     }
 
+    /// Registers the metrics of quota.
+    pub fn observe(self: &Arc<Self>, meter: &Meter) {
+        let service = Arc::downgrade(self);
+        meter
+            .u64_observable_counter("guava_quota_granted_tokens")
+            .with_description("Tokens granted from shares held here to other routers")
+            .with_callback(move |observer| {
+                let Some(service) = service.upgrade() else {
+                    return;
+                };
+                for (organisation, account) in service.accounts.load().iter() {
+                    let granted = account.granted_units.load(Ordering::Relaxed) / UNITS_PER_TOKEN;
+                    observer.observe(granted, &[KeyValue::new("organisation", organisation.to_string())]);
+                }
+            })
+            .build();
+    }
+
     /// Hands over all shares and stops. Reservations are still settled afterwards, without effect on others.
     pub async fn shutdown(self: &Arc<Self>) {
         self.stopping.store(true, Ordering::SeqCst);
--- a/crates/router/src/quota/account.rs
+++ b/crates/router/src/quota/account.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -75,6 +75,8 @@
     pub(super) open_handover: Mutex<Option<OpenHandover>>,
     pub(super) stable_since: Mutex<Option<Millis>>,
     pub(super) missing_since: Mutex<Option<Millis>>,
+    /// Tokens granted to other routers since the start, in units.
+    pub(super) granted_units: AtomicU64,
     waiting: Mutex<VecDeque<Waiter>>,
     reached: AtomicBool,
     wake: Notify,
@@ -90,6 +92,7 @@
             open_handover: Mutex::default(),
             stable_since: Mutex::default(),
             missing_since: Mutex::default(),
+            granted_units: AtomicU64::new(0),
             waiting: Mutex::default(),
             reached: AtomicBool::new(false),
             wake: Notify::new(),
--- a/crates/router/src/quota/rpc.rs
+++ b/crates/router/src/quota/rpc.rs
@@ -1,6 +1,7 @@
 //! JSON-RPC methods between routers.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use guava_core::derive_value;
 use guava_core::events::Event;
@@ -62,6 +63,7 @@
         let answer = account.ledger.lock().serve_take(now, &params.from, &params.request);
         let units: u64 = answer.grants.iter().map(|(_, units)| units).sum();
         if units > 0 {
+            account.granted_units.fetch_add(units, Ordering::Relaxed);
             let detail = format!(
                 "{} tokens of {} to {}",
                 units / UNITS_PER_TOKEN,
