Tell cold starts in a response header

Cause: the load tool tells cold from warm requests by the header x-guava-cold-start-ms, which the router did not send, so every cold start counted as a warm one.

Change: an answer to a request that found no ready replica and was then given one carries the time for which it waited, in milliseconds. A stored answer that is repeated does not carry it. A load that becomes necessary only on a retry is not told.

--- a/crates/e2e/tests/whole_path.rs
+++ b/crates/e2e/tests/whole_path.rs
@@ -29,6 +29,27 @@
     assert!(streamed.whole && body.trim_end().ends_with("data: [DONE]"), "{body}");
 }
 
+/// Guards against a cold start that the load tool cannot see, and against a warm request that is counted as one.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_tells_cold_starts_only() {
+    const HEADER: &str = "x-guava-cold-start-ms";
+    let plan = Plan::new(1, 1)
+        .object(model("mistral", "lookup"))
+        .object(model("filer", "filing"));
+    let fleet = Fleet::start(&plan).await;
+
+    for (model, stream) in [("mistral", true), ("filer", false)] {
+        let body = completion(model, 2, stream);
+        let cold = fleet.complete(0, "bangor", &body, &[]).await;
+        let warm = fleet.complete(0, "bangor", &body, &[]).await;
+
+        assert_eq!((cold.status, warm.status), (200, 200), "{cold:?} {warm:?}");
+        let ms = cold.headers.get(HEADER).and_then(|it| it.to_str().ok());
+        assert!(ms.is_some_and(|it| it.parse::<u64>().is_ok()), "{cold:?}");
+        assert!(!warm.headers.contains_key(HEADER), "{warm:?}");
+    }
+}
+
 /// Guards against a planned stop that cuts running streams or exits with an error.
 #[tokio::test(flavor = "multi_thread")]
 async fn graceful_shutdown_cuts_nothing() {
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -7,6 +7,9 @@
 use crate::StoredAnswer;
 use crate::refusal::Refusal;
 
+/// Response header with the time in milliseconds for which a request waited for a load.
+pub const COLD_START_HEADER: HeaderName = HeaderName::from_static("x-guava-cold-start-ms");
+
 /// An answer that is known to be complete.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WholeAnswer {
@@ -105,6 +108,20 @@
     Refused(Refusal),
 }
 
+impl Answer {
+    /// Tells the caller how long its request waited for a load; refusals tell nothing.
+    #[must_use]
+    pub fn cold_start(mut self, ms: Option<u64>) -> Self {
+        let headers = match &mut self {
+            Self::Whole(it) => &mut it.headers,
+            Self::Stream(it) => &mut it.headers,
+            Self::Refused(_) => return self,
+        };
+        headers.extend(ms.map(|ms| (COLD_START_HEADER, HeaderValue::from(ms))));
+        self
+    }
+}
+
 impl From<Refusal> for Answer {
     fn from(refusal: Refusal) -> Self {
         Self::Refused(refusal)
--- a/crates/router/src/path.rs
+++ b/crates/router/src/path.rs
@@ -216,6 +216,8 @@
     reservation: Option<Reservation>,
     claim: Option<ClaimGuard>,
     lifecycle: Lifecycle,
+    /// Time for which the request waited for a load.
+    cold_start_ms: Option<u64>,
     ending: EndingGuard,
     _in_flight: InFlight,
 }
@@ -330,6 +332,7 @@
             reservation: None,
             claim: None,
             lifecycle: Lifecycle::default(),
+            cold_start_ms: None,
             ending: EndingGuard {
                 router: Arc::clone(self),
                 request: RequestId::new(""),
@@ -349,7 +352,8 @@
         if let Err(refusal) = self.take_slot(&mut running, &[]).await {
             return refuse(running, refusal);
         }
-        match running.work.class {
+        let cold_start_ms = running.cold_start_ms;
+        let answer = match running.work.class {
             Class::Idempotent => Arc::clone(self).execute(running).await,
             Class::NonIdempotent => {
                 let router = Arc::clone(self);
@@ -358,7 +362,8 @@
                 let panicked = |_| Answer::Refused(Refusal::outcome_unknown(Code::OutcomeUnknown));
                 task.await.unwrap_or_else(panicked)
             }
-        }
+        };
+        answer.cold_start(cold_start_ms)
     }
 
     /// Reserves quota, then claims the idempotency key. A stored answer ends the request here.
@@ -419,6 +424,7 @@
             return Err(Refusal::not_run(Code::DeadlineExceeded));
         }
         self.check_key_again(work)?;
+        running.cold_start_ms = cold.then(|| now.since(asked));
         running.grant = Some(grant);
         Ok(())
     }
