--- a/crates/admin/src/fleet.rs
+++ b/crates/admin/src/fleet.rs
@@ -1,5 +1,7 @@
 //! Questions about all processes: status, explanations, the timeline and log levels.
 
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -7,6 +9,8 @@
 use guava_core::config::Kind;
 use guava_core::events::EventRecord;
 use guava_core::ids::{MemberId, Role};
+use guava_core::spread::Version;
+use guava_node::status::Status;
 use guava_node::{MemberInfo, PeerError};
 use serde_json::{Value, json};
 
@@ -23,28 +27,39 @@
         let answers = self.ask_all(&self.node.members.live(), "status", &json!({})).await;
         let members: Vec<_> = answers
             .into_iter()
-            .map(|(member, answer)| match answer {
-                Ok(status) => {
-                    let in_force = covers(&status, &newest);
-                    json!({ "member": member.id.to_string(), "in_force": in_force, "status": status })
-                }
-                Err(error) => {
-                    json!({ "member": member.id.to_string(), "in_force": false, "error": error.to_string() })
-                }
-            })
+            .map(|(member, answer)| member_line(&member, answer, &newest))
             .collect();
         let in_force = members.iter().all(|it| it["in_force"] == json!(true));
+        let newest: BTreeMap<_, _> = newest.iter().map(|(kind, it)| (kind, it.sequence)).collect();
         Ok(Reply::ok(
             json!({ "newest": newest, "in_force_everywhere": in_force, "members": members }),
         ))
     }
 
     /// Events of all processes for one request or model, oldest first.
+    ///
+    /// Controllers decide per model and know no request. For a request, their events for its model from its first to
+    /// its last event are shown as well.
     pub(crate) async fn timeline(&self, req: &ApiRequest) -> Result<Reply, Failure> {
         let params = json!({ "request": req.param("request"), "model": req.param("model") });
-        let answers = self
-            .ask_all(&self.node.members.live(), "timeline.events", &params)
-            .await;
+        let (mut events, mut unreachable) = self.events(&params).await;
+        let (from, until) = (wall_time(events.first()), wall_time(events.last()));
+        let model = events.iter().find_map(|it| it.model.clone());
+        if let Some(model) = model.filter(|_| req.param("request").is_some()) {
+            let (of_model, silent) = self.events(&json!({ "model": model })).await;
+            let belongs = |it: &EventRecord| it.request.is_none() && (from..=until).contains(&it.wall_ms);
+            events.extend(of_model.into_iter().filter(belongs));
+            events.sort_by(in_order);
+            unreachable.extend(silent);
+            unreachable.sort();
+            unreachable.dedup();
+        }
+        Ok(Reply::ok(json!({ "events": events, "unreachable": unreachable })))
+    }
+
+    /// Events of all processes in order, and the members that did not answer.
+    async fn events(&self, params: &Value) -> (Vec<EventRecord>, Vec<String>) {
+        let answers = self.ask_all(&self.node.members.live(), "timeline.events", params).await;
         let mut events: Vec<EventRecord> = Vec::new();
         let mut unreachable = Vec::new();
         for (member, answer) in answers {
@@ -56,8 +71,8 @@
                 None => unreachable.push(member.id.to_string()),
             }
         }
-        events.sort_by(|a, b| (a.wall_ms, &a.member, a.sequence).cmp(&(b.wall_ms, &b.member, b.sequence)));
-        Ok(Reply::ok(json!({ "events": events, "unreachable": unreachable })))
+        events.sort_by(in_order);
+        (events, unreachable)
     }
 
     /// Says at one router why a request would be refused or where it would go.
@@ -120,20 +135,33 @@
     }
 }
 
-/// Newest version known here, by plural kind name.
-fn newest_versions(admin: &Admin) -> Value {
-    let versions = Kind::CONFIG
-        .into_iter()
-        .map(|kind| (kind.plural().to_owned(), json!(admin.node.spread.newest(kind).sequence)));
-    Value::Object(versions.collect())
+fn wall_time(event: Option<&EventRecord>) -> u64 {
+    event.map_or(0, |it| it.wall_ms)
+}
+
+fn in_order(a: &EventRecord, b: &EventRecord) -> Ordering {
+    (a.wall_ms, &a.member, a.sequence).cmp(&(b.wall_ms, &b.member, b.sequence))
+}
+
+/// What `status` shows of one member.
+fn member_line(member: &MemberInfo, answer: Result<Value, PeerError>, newest: &BTreeMap<String, Version>) -> Value {
+    let id = member.id.to_string();
+    let status = answer
+        .map_err(|error| error.to_string())
+        .and_then(|it| serde_json::from_value::<Status>(it).map_err(|error| error.to_string()));
+    match status {
+        Ok(status) => {
+            let outdated = status.outdated(newest);
+            json!({ "member": id, "in_force": outdated.is_empty(), "outdated": outdated, "status": status })
+        }
+        Err(error) => json!({ "member": id, "in_force": false, "error": error }),
+    }
 }
 
-/// Whether a member's status names versions at least as new as `newest`.
-fn covers(status: &Value, newest: &Value) -> bool {
-    let version = |value: &Value, kind: &str| value.get(kind).and_then(Value::as_u64).unwrap_or(0);
-    let known = &status["config"];
+/// Newest version of configuration known here, by plural kind name.
+fn newest_versions(admin: &Admin) -> BTreeMap<String, Version> {
     Kind::CONFIG
         .into_iter()
-        .map(Kind::plural)
-        .all(|kind| version(known, kind) >= version(newest, kind))
+        .map(|kind| (kind.plural().to_owned(), admin.node.spread.newest(kind)))
+        .collect()
 }
--- a/crates/e2e/tests/fleet/mod.rs
+++ b/crates/e2e/tests/fleet/mod.rs
@@ -93,7 +93,7 @@
 }
 
 /// Path of a program of this workspace, next to the directory of the test's own program.
-fn binary(name: &str) -> PathBuf {
+pub fn binary(name: &str) -> PathBuf {
     let mut path = std::env::current_exe().expect("the test has a path");
     path.pop();
     path.pop();
--- a/crates/e2e/tests/metrics.rs
+++ b/crates/e2e/tests/metrics.rs
@@ -47,7 +47,7 @@
     let mut current = String::new();
     for line in text.lines() {
         if let Some((name, meaning)) = line.strip_prefix("# HELP ").and_then(|it| it.split_once(' ')) {
-            current = name.to_owned();
+            name.clone_into(&mut current);
             let family = Family {
                 kind: String::new(),
                 labels: BTreeSet::new(),
@@ -55,7 +55,7 @@
             };
             families.insert(current.clone(), family);
         } else if let Some((_, kind)) = line.strip_prefix("# TYPE ").and_then(|it| it.split_once(' ')) {
-            families.get_mut(&current).expect("help comes first").kind = kind.to_owned();
+            kind.clone_into(&mut families.get_mut(&current).expect("help comes first").kind);
         } else if let Some((_, labels)) = line.split_once('{') {
             let names = labels
                 .split("\",")
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -54,3 +54,15 @@
         pub term: Term,
     }
 }
+
+impl Status {
+    /// Kinds of which the process does not have `newest` in force, by plural name.
+    pub fn outdated(&self, newest: &BTreeMap<String, Version>) -> Vec<String> {
+        let is_outdated = |kind: &str, version: &Version| self.newest.get(kind).is_none_or(|known| known < version);
+        newest
+            .iter()
+            .filter(|(kind, version)| is_outdated(kind, version))
+            .map(|(kind, _)| kind.clone())
+            .collect()
+    }
+}
