--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -81,6 +81,11 @@
     pub entitled_tokens: u64,
     /// Tokens of those requests that were answered whole.
     pub served_tokens: u64,
+    /// Tokens of all requests that were answered whole.
+    ///
+    /// Beyond the rate a system may admit other requests than the ideal bucket does. Then `served_tokens` alone
+    /// understates the service.
+    pub answered_tokens: u64,
     /// Requests refused although the ideal token bucket admits them.
     pub refused_within_rate: u64,
     /// Requests sent.
@@ -111,6 +116,8 @@
     pub organisations: BTreeMap<String, OrganisationReport>,
     /// Refusals and failures by result code; `none` counts requests without an answer.
     pub codes: BTreeMap<String, u64>,
+    /// Refusals although within the rate, by result code.
+    pub refused_within_rate_codes: BTreeMap<String, u64>,
     /// Answers with status 200 that were not whole.
     pub cut: u64,
 }
@@ -125,6 +132,7 @@
             idle_accelerator: None,
             organisations: BTreeMap::new(),
             codes: BTreeMap::new(),
+            refused_within_rate_codes: BTreeMap::new(),
             cut: samples.iter().filter(|it| it.status == 200 && !it.whole).count() as u64,
         };
         let admitted = ideal_admissions(trace, limits);
@@ -132,14 +140,18 @@
             let req = &trace[sample.index];
             let entry = report.organisations.entry(req.organisation.clone()).or_default();
             entry.requests += 1;
+            entry.answered_tokens += if sample.whole { req.tokens() } else { 0 };
+            let code = sample.code.as_deref().unwrap_or("none");
+            if admitted[sample.index] && sample.not_run {
+                *report.refused_within_rate_codes.entry(code.to_owned()).or_default() += 1;
+            }
             if admitted[sample.index] {
                 entry.entitled_tokens += req.tokens();
                 entry.served_tokens += if sample.whole { req.tokens() } else { 0 };
                 entry.refused_within_rate += u64::from(sample.not_run);
             }
             if sample.status != 200 {
-                let code = sample.code.clone().unwrap_or_else(|| "none".to_owned());
-                *report.codes.entry(code).or_default() += 1;
+                *report.codes.entry(code.to_owned()).or_default() += 1;
             }
         }
         report
@@ -178,7 +190,13 @@
                 ratio * 100.0
             )?;
         }
-        writeln!(f, "refused although within rate:  {}", self.refused_within_rate())?;
+        let codes = self.refused_within_rate_codes.iter();
+        let codes: String = codes.map(|(code, count)| format!(" {code}: {count}")).collect();
+        writeln!(
+            f,
+            "refused although within rate:  {}{codes}",
+            self.refused_within_rate()
+        )?;
         writeln!(f, "answers cut:                   {}", self.cut)?;
         for (code, count) in &self.codes {
             writeln!(f, "code {code}: {count}")?;
@@ -187,8 +205,8 @@
             let percent = it.served_ratio() * 100.0;
             writeln!(
                 f,
-                "organisation {name}: requests {} entitled tokens {} served {} ({percent:.1} %) refused within rate {}",
-                it.requests, it.entitled_tokens, it.served_tokens, it.refused_within_rate
+                "organisation {name}: requests {} entitled tokens {} served {} ({percent:.1} %) answered {} refused within rate {}",
+                it.requests, it.entitled_tokens, it.served_tokens, it.answered_tokens, it.refused_within_rate
             )?;
         }
         Ok(())
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -70,6 +70,11 @@
     assert_eq!(report.refused_within_rate(), 1);
     assert_eq!(report.organisations["bangor"].entitled_tokens, 15);
     assert_eq!(report.organisations["bangor"].served_tokens, 5);
+    assert_eq!(report.organisations["bangor"].answered_tokens, 5);
+    assert_eq!(
+        report.refused_within_rate_codes,
+        BTreeMap::from([("G1201".to_owned(), 1)])
+    );
 }
 
 /// Guards against a percentile that drops the slowest request.
