--- a/crates/e2e/tests/fleet/mod.rs
+++ b/crates/e2e/tests/fleet/mod.rs
@@ -25,6 +25,10 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::{Value, json};
 
+use link::Link;
+
+mod link;
+
 /// Secret of the deployment under test.
 pub const PEPPER: &str = "pepper-for-tests-only";
 /// Operator's token of the deployment under test.
@@ -41,6 +45,7 @@
 const HEALTH_PORT: u16 = 7_200;
 const GOSSIP_PORTS: u16 = 7_400;
 const RPC_PORTS: u16 = 7_500;
+const LINK_PORT: u16 = 7_600;
 const SECRET: &str = "secret";
 
 /// Numbers the fleets of one test process.
@@ -173,6 +178,13 @@
 }
 
 impl Vm {
+    /// Sends a signal to all programs of the VM.
+    pub fn signal_all(&self, signal: i32) {
+        for program in [&self.router, &self.controller, &self.admin] {
+            program.signal(signal);
+        }
+    }
+
     /// Address of the router's HTTP API.
     pub fn router_addr(&self) -> SocketAddr {
         SocketAddr::from((self.ip, ROUTER_PORT))
@@ -209,6 +221,8 @@
     pub platform: Program,
     /// Address of the platform.
     pub platform_addr: SocketAddr,
+    /// Links from each VM to the platform.
+    pub links: Vec<Link>,
     subnet: (u8, u8),
     client: Client<HttpConnector, Full<Bytes>>,
 }
@@ -328,10 +342,15 @@
             engines,
             platform,
             platform_addr,
+            links: Vec::new(),
             subnet,
             client,
         };
         fleet.write_objects(plan).await;
+        for number in 0..plan.vms {
+            let addr = SocketAddr::from((fleet.ip(number), LINK_PORT));
+            fleet.links.push(Link::start(addr, platform_addr).await);
+        }
         for number in 0..plan.vms {
             fleet.list_vm(number, VmState::Live, "1").await;
         }
@@ -413,7 +432,7 @@
             format!("--zone=zone-{number}"),
             format!("--gossip-addr={}", own(GOSSIP_PORTS + offset)),
             format!("--rpc-addr={}", own(RPC_PORTS + offset)),
-            format!("--platform-addr={}", self.platform_addr),
+            format!("--platform-addr={}", self.links[number].addr),
             format!("--seeds={}", seeds.join(",")),
             "--balancer-notice-ms=200".to_owned(),
             "--log-level=warn".to_owned(),
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -191,7 +191,8 @@
             )?;
         }
         let codes = self.refused_within_rate_codes.iter();
-        let codes: String = codes.map(|(code, count)| format!(" {code}: {count}")).collect();
+        let codes: Vec<_> = codes.map(|(code, count)| format!(" {code}: {count}")).collect();
+        let codes = codes.concat();
         writeln!(
             f,
             "refused although within rate:  {}{codes}",
