--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -43,10 +43,6 @@
 const DEMAND_ZONE_BONUS_MS: f64 = 10.0;
 /// Bonus of a server for each of the model's adapters that is present there, in milliseconds.
 const ADAPTER_BONUS_MS: f64 = 5.0;
-/// Duration of a load from the weight store while neither a measurement nor the store's limits are known.
-const DEFAULT_REMOTE_LOAD_MS: u64 = 2_000;
-/// Duration of an adapter load before any was measured.
-const ADAPTER_LOAD_MS: u64 = 20;
 /// Weight of a new measurement of a load time.
 const LOAD_TIME_GAIN: f64 = 0.3;
 
@@ -162,54 +158,26 @@
     tier: CacheTier,
 }
 
-/// Where a load comes from, as far as its duration depends on it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum LoadClass {
-    Model(CacheTier),
-    Adapter,
-}
+/// Measured load times by tier, in milliseconds per byte.
+#[derive(Debug, Clone, Copy)]
+struct LoadTimes([f64; 3]);
 
-impl LoadClass {
-    const fn new(is_adapter: bool, tier: CacheTier) -> Self {
-        if is_adapter { Self::Adapter } else { Self::Model(tier) }
+impl Default for LoadTimes {
+    /// Starts from 10 GB/s, 2 GB/s and 0.5 GB/s until loads have been measured.
+    fn default() -> Self {
+        Self([1e-7, 5e-7, 2e-6])
     }
 }
 
-/// Measured load times in milliseconds, by name and over all names.
-#[derive(Debug, Clone, Default)]
-struct LoadTimes {
-    by_name: BTreeMap<(String, LoadClass), f64>,
-    average: BTreeMap<LoadClass, f64>,
-}
-
 impl LoadTimes {
-    /// Expected duration of a load: as measured for this name, else for others, else as the store's limits imply.
-    fn ms(&self, name: &str, class: LoadClass, limits: Option<&Pool>) -> u64 {
-        let by_name = self.by_name.get(&(name.to_owned(), class));
-        let measured = by_name.or_else(|| self.average.get(&class));
-        measured.map_or_else(|| unmeasured_load_ms(class, limits), |it| *it as u64)
-    }
-
-    fn learn(&mut self, name: &str, class: LoadClass, ms: u64) {
-        let measured = ms as f64;
-        let by_name = self.by_name.entry((name.to_owned(), class)).or_insert(measured);
-        *by_name += (measured - *by_name) * LOAD_TIME_GAIN;
-        let average = self.average.entry(class).or_insert(measured);
-        *average += (measured - *average) * LOAD_TIME_GAIN;
+    fn ms(&self, tier: CacheTier, bytes: u64) -> u64 {
+        (self.0[tier as usize] * bytes as f64) as u64
     }
-}
 
-/// Duration of a load before any was measured. A store that serves `n` loads at once and `r` a second takes `n / r`
-/// seconds for one.
-fn unmeasured_load_ms(class: LoadClass, limits: Option<&Pool>) -> u64 {
-    let remote = limits.map_or(DEFAULT_REMOTE_LOAD_MS, |it| {
-        (f64::from(it.loads_at_once) / it.loads_per_second.max(0.001) * 1_000.0) as u64
-    });
-    match class {
-        LoadClass::Model(CacheTier::Memory) => remote / 8,
-        LoadClass::Model(CacheTier::Disk) => remote / 2,
-        LoadClass::Model(CacheTier::Remote) => remote,
-        LoadClass::Adapter => ADAPTER_LOAD_MS,
+    fn learn(&mut self, tier: CacheTier, bytes: u64, ms: u64) {
+        let measured = ms as f64 / bytes.max(1) as f64;
+        let known = &mut self.0[tier as usize];
+        *known += (measured - *known) * LOAD_TIME_GAIN;
     }
 }
 
@@ -272,9 +240,8 @@
                 continue;
             }
             let loaded = known.state == ReplicaState::Loading && replica.state == ReplicaState::Ready;
-            if loaded {
-                let class = LoadClass::new(replica.adapter.is_some(), known.tier);
-                self.load_times.learn(replica.name(), class, now.since(known.since));
+            if loaded && replica.adapter.is_none() {
+                self.load_times.learn(known.tier, replica.bytes, now.since(known.since));
             }
             let changed = Tracked {
                 state: replica.state,
@@ -330,17 +297,12 @@
         urgency * (weight + (1.0 - weight) * crowd) * self.share(demand, config, now)
     }
 
-    fn load_ms(&self, input: &Input<'_>, name: &str, is_adapter: bool, tier: CacheTier) -> u64 {
-        let class = LoadClass::new(is_adapter, tier);
-        self.load_times.ms(name, class, input.limits())
-    }
-
-    fn best_load_ms(&self, input: &Input<'_>, name: &str, version: u64, is_adapter: bool) -> u64 {
+    fn best_load_ms(&self, input: &Input<'_>, name: &str, version: u64, bytes: u64) -> u64 {
         input
             .open_servers()
-            .map(|server| self.load_ms(input, name, is_adapter, input.tier(server, name, version)))
+            .map(|server| self.load_times.ms(input.tier(server, name, version), bytes))
             .min()
-            .unwrap_or_else(|| self.load_ms(input, name, is_adapter, CacheTier::Remote))
+            .unwrap_or_else(|| self.load_times.ms(CacheTier::Remote, bytes))
     }
 
     /// Everything that lacks replicas, most urgent first.
@@ -352,11 +314,11 @@
                 continue;
             };
             let missing = missing_replicas(demand, model, input);
-            let adapter = demand.adapter.as_ref().and_then(|it| input.adapter(it));
-            let (name, version) = adapter.map_or((model.name.as_str(), model.version), |it| {
-                (it.name.as_str(), it.version)
+            let version = demand.adapter.as_ref().and_then(|it| input.adapter(it));
+            let (name, version, bytes) = version.map_or((model.name.as_str(), model.version, model.bytes), |it| {
+                (it.name.as_str(), it.version, it.bytes)
             });
-            let best = self.best_load_ms(input, name, version, adapter.is_some());
+            let best = self.best_load_ms(input, name, version, bytes);
             let score = self.score(demand, best, input.config, now);
             let want = Want {
                 model: demand.model.clone(),
@@ -463,7 +425,7 @@
             .book
             .wake_probability(&replica.model, replica.adapter.as_ref(), WAKE_HORIZON_MS, now);
         let tier = input.tier(&replica.server, replica.name(), replica.version);
-        let reload = self.load_ms(input, replica.name(), replica.adapter.is_some(), tier) as f64;
+        let reload = self.load_times.ms(tier, replica.bytes) as f64;
         let is_spare = input.supply(&replica.model, replica.adapter.as_ref()).len() > 1;
         wake * reload * if is_spare { SPARE_REPLICA_VALUE } else { 1.0 }
     }
@@ -487,8 +449,7 @@
         pass: &Pass<'_>,
     ) -> Option<Choice> {
         let tier = input.tier(server, need.name, need.version);
-        let load = self.load_ms(input, need.name, need.adapter.is_some(), tier);
-        let mut cost = load as f64 + preference(server, need, input, pass);
+        let mut cost = self.load_times.ms(tier, need.bytes) as f64 + preference(server, need, input, pass);
         let mut victims = Vec::new();
         let fits_now = space.free >= need.bytes;
         if !fits_now {
@@ -531,7 +492,7 @@
         let models = input.config.models.values().filter(|it| it.pool == input.plan.pool);
         let value = |it: &Model| {
             let wake = self.book.wake_probability(&it.name, None, WAKE_HORIZON_MS, now);
-            let load = self.best_load_ms(input, it.name.as_str(), it.version, false);
+            let load = self.best_load_ms(input, it.name.as_str(), it.version, it.bytes);
             (wake, wake * load as f64 / it.bytes.max(1) as f64)
         };
         models
@@ -616,11 +577,7 @@
         if supply.iter().any(|(_, it)| it.state == ReplicaState::Ready) {
             return Some(0);
         }
-        if let Some(ms) = supply
-            .iter()
-            .map(|(id, it)| self.rest_of_load(id, it, now, input))
-            .min()
-        {
+        if let Some(ms) = supply.iter().map(|(id, it)| self.rest_of_load(id, it, now)).min() {
             return Some(ms);
         }
         let want = Want {
@@ -635,8 +592,8 @@
             .open_servers()
             .filter(fits)
             .map(|server| {
-                let tier = input.tier(server, need.name, need.version);
-                self.load_ms(input, need.name, adapter.is_some(), tier)
+                self.load_times
+                    .ms(input.tier(server, need.name, need.version), need.own_bytes)
             })
             .min()?;
         if adapter.is_some() {
@@ -717,11 +674,11 @@
         }
     }
 
-    fn rest_of_load(&self, id: &ReplicaId, replica: &PlannedReplica, now: Millis, input: &Input<'_>) -> u64 {
+    fn rest_of_load(&self, id: &ReplicaId, replica: &PlannedReplica, now: Millis) -> u64 {
         let known = self.tracked.get(id);
         let tier = known.map_or(CacheTier::Remote, |it| it.tier);
         let elapsed = known.map_or(0, |it| now.since(it.since));
-        let whole = self.load_ms(input, replica.name(), replica.adapter.is_some(), tier);
+        let whole = self.load_times.ms(tier, replica.bytes);
         whole.saturating_sub(elapsed).max(LEAST_REST_MS)
     }
 
