Replay recorded traces against the loading policies

Cause: changes of the loading policy could only be judged by single decisions in tests, not by the four measures.

Quota is the ideal token bucket, so admission is the same for both policies.

Ruled out: driving the real routers and controllers, which would need real time and a simulated cluster.

--- /dev/null
+++ b/crates/replay/src/cmd/mod.rs
@@ -0,0 +1,5 @@
+//! Commands, one file each.
+
+pub mod generate;
+pub mod plot;
+pub mod run;
