Derive load times from the weight store's limits until measured

Routers refused requests for cold models because of the estimate.

Ruled out: replies without an estimate until a load has been measured, because requests that cannot be served would then wait in vain.

Change: unmeasured times follow from loads_at_once / loads_per_second for a model of mean size; the ratios between the tiers stay.

--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -151,26 +151,51 @@
     tier: CacheTier,
 }
 
-/// Measured load times by tier, in milliseconds per byte.
+/// Load times by tier, in milliseconds per byte.
 #[derive(Debug, Clone, Copy)]
-struct LoadTimes([f64; 3]);
+struct LoadTimes {
+    ms_per_byte: [f64; 3],
+    measured: [bool; 3],
+}
 
 impl Default for LoadTimes {
-    /// Starts from 10 GB/s, 2 GB/s and 0.5 GB/s until loads have been measured.
+    /// 10 GB/s, 2 GB/s and 0.5 GB/s; of these only the ratios matter once the pool's limits are known.
     fn default() -> Self {
-        Self([1e-7, 5e-7, 2e-6])
+        Self {
+            ms_per_byte: [1e-7, 5e-7, 2e-6],
+            measured: [false; 3],
+        }
     }
 }
 
 impl LoadTimes {
     fn ms(&self, tier: CacheTier, bytes: u64) -> u64 {
-        (self.0[tier as usize] * bytes as f64) as u64
+        (self.ms_per_byte[tier as usize] * bytes as f64) as u64
     }
 
     fn learn(&mut self, tier: CacheTier, bytes: u64, ms: u64) {
         let measured = ms as f64 / bytes.max(1) as f64;
-        let known = &mut self.0[tier as usize];
+        let known = &mut self.ms_per_byte[tier as usize];
         *known += (measured - *known) * LOAD_TIME_GAIN;
+        self.measured[tier as usize] = true;
+    }
+
+    /// Derives the times that have not been measured from the weight store's limits: a load of mean size at full speed
+    /// takes `loads_at_once / loads_per_second`. Estimates that are too long refuse requests that could be served.
+    fn assume(&mut self, input: &Input<'_>) {
+        let sizes = input.config.models.values().filter(|it| it.pool == input.plan.pool);
+        let sizes: Vec<u64> = sizes.map(|it| it.bytes).collect();
+        let bytes = sizes.iter().sum::<u64>() as f64 / sizes.len().max(1) as f64;
+        let Some(limits) = input.limits().filter(|it| it.loads_per_second > 0.0 && bytes > 0.0) else {
+            return;
+        };
+        let remote = f64::from(limits.loads_at_once) / limits.loads_per_second * 1_000.0 / bytes;
+        let defaults = Self::default().ms_per_byte;
+        for (tier, measured) in self.measured.iter().enumerate() {
+            if !measured {
+                self.ms_per_byte[tier] = remote * defaults[tier] / defaults[CacheTier::Remote as usize];
+            }
+        }
     }
 }
 
@@ -223,6 +248,7 @@
     }
 
     fn observe(&mut self, now: Millis, input: &Input<'_>) {
+        self.load_times.assume(input);
         self.tracked.retain(|id, _| input.plan.replicas.contains_key(id));
         for (id, replica) in &input.plan.replicas {
             let Some(known) = self.tracked.get(id).copied() else {
