Load a model elsewhere when its adapter finds no room beside it

Cause: an adapter can only be loaded beside its model. When the memory of those servers was held by replicas in use, requests for the adapter waited until their deadline and were refused, although other servers had room.

Ruled out: keeping room for adapters free on every server, which would cost a model's place on servers whose memory models fill exactly.

Change: such an adapter leads to one further replica of its model on a server where both fit, within the profile's max_replicas.

--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -671,10 +671,44 @@
             taken: &round.taken,
             placed: &round.placed,
         };
-        let Some(choice) = self.choose(&need, now, input, &pass) else {
+        let choice = self.choose(&need, now, input, &pass);
+        if let Some(choice) = choice {
+            round.take(&need, choice);
+        } else if want.adapter.is_some() {
+            self.place_base_elsewhere(want, now, input, round);
+        }
+    }
+
+    /// Loads a further replica of an adapter's model where the adapter fits. On the servers that hold the model, the
+    /// memory may be taken by replicas that stay busy past the adapter's deadline.
+    fn place_base_elsewhere(&self, want: &Want, now: Millis, input: &Input<'_>, round: &mut Round) {
+        let base = Want {
+            adapter: None,
+            ..want.clone()
+        };
+        let demand = round.merged.get(&(want.model.clone(), want.adapter.clone()));
+        let most = demand.map_or(1, |it| it.max_replicas) as usize;
+        let supply = input.supply(&want.model, None);
+        let is_loading = supply.iter().any(|(_, it)| it.state == ReplicaState::Loading);
+        let is_placed = round.placed.iter().any(|(model, _)| *model == want.model);
+        if supply.is_empty() || is_loading || is_placed || supply.len() >= most {
+            return;
+        }
+        let Some(need) = Need::new(&base, input, &round.merged) else {
             return;
         };
-        round.take(&need, choice);
+        let held: BTreeSet<&ServerName> = supply.iter().map(|(_, it)| &it.server).collect();
+        let spaces = round.spaces.iter().filter(|(server, _)| !held.contains(server));
+        let spaces = spaces.map(|(server, space)| (server.clone(), *space)).collect();
+        let pass = Pass {
+            spaces: &spaces,
+            merged: &round.merged,
+            taken: &round.taken,
+            placed: &round.placed,
+        };
+        if let Some(choice) = self.choose(&need, now, input, &pass) {
+            round.take(&need, choice);
+        }
     }
 
     fn place_if_free(&self, want: &Want, now: Millis, input: &Input<'_>, round: &mut Round) {
