Load two models at once ahead of demand

Cause: one load at a time needs more than a minute to fill the free memory of the Welsh advice pool, and models woke before that.

Ruled out: all four slots, with which a first request would wait for a slot.

Change: loads ahead of demand use up to half of loads_at_once.

--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -24,6 +24,8 @@
 /// Wake probability within the horizon of a model without history: 15% of the models become active or idle within an
 /// hour, which is 0.27% in 60 s.
 const PRIOR_WAKE_PROBABILITY: f64 = 0.002_7;
+/// Loads ahead of demand use at most this part of the loads at once, so that a request finds a free slot.
+const KEEP_WARM_DIVISOR: u32 = 2;
 /// Expected time for an engine to unload a replica.
 const UNLOAD_MS: u64 = 500;
 /// Unloading replicas older than this are not expected to free their memory soon.
@@ -576,7 +578,10 @@
             self.place(want, now, input, &mut round);
         }
         if wants.is_empty()
-            && self.loads_in_flight(input) == 0
+            && self.loads_in_flight(input)
+                < input
+                    .limits()
+                    .map_or(1, |it| (it.loads_at_once / KEEP_WARM_DIVISOR).max(1))
             && let Some(want) = self.keep_warm(now, input)
             && leaves_headroom(&want, input)
         {
