--- a/crates/replay/src/cmd/run.rs
+++ b/crates/replay/src/cmd/run.rs
@@ -37,6 +37,9 @@
     /// Prints the requests that were refused although within the rate.
     #[arg(long)]
     refusals: bool,
+    /// Prints the slowest cold starts.
+    #[arg(long)]
+    slowest: bool,
 }
 
 const HEADER: [&str; 12] = [
@@ -61,6 +64,9 @@
     let recorded = recorded?;
     let measured = figures::measure_all(&recorded, &args.policy);
     println!("{}", table(&measured));
+    if args.slowest {
+        print_slowest(&recorded, &measured);
+    }
     if args.refusals {
         print_refusals(&recorded, &measured);
     }
@@ -94,6 +100,21 @@
     table
 }
 
+fn print_slowest(recorded: &[Recorded], measured: &[Figures]) {
+    for figures in measured {
+        let Some(trace) = recorded.iter().find(|it| it.name == figures.trace) else {
+            continue;
+        };
+        for (index, ms, bound_ms) in &figures.slowest {
+            let req = &trace.requests[*index];
+            let (at, model, name, policy) = (req.at_ms, &req.model, &figures.trace, figures.policy.name());
+            println!(
+                "slow: {name} {policy} request {index} at {at} ms for {model}: {ms} ms, unavoidable {bound_ms} ms"
+            );
+        }
+    }
+}
+
 fn print_refusals(recorded: &[Recorded], measured: &[Figures]) {
     for figures in measured {
         let Some(trace) = recorded.iter().find(|it| it.name == figures.trace) else {
--- a/crates/replay/src/figures.rs
+++ b/crates/replay/src/figures.rs
@@ -14,6 +14,8 @@
 
 /// Accelerators of a backend server: 80,000 in 10,000 runners at the design's size.
 const ACCELERATORS_PER_SERVER: f64 = 8.0;
+/// Slowest cold starts kept for inspection.
+const SLOWEST_KEPT: usize = 5;
 const MS_PER_HOUR: f64 = 3_600_000.0;
 
 /// Measures of one trace under one policy.
@@ -39,6 +41,8 @@
     pub refused: u64,
     /// Their indexes in the trace.
     pub refusals: Vec<usize>,
+    /// Slowest cold starts: index in the trace, time to the first token and its unavoidable part.
+    pub slowest: Vec<(usize, u64, u64)>,
     /// Least possible number of them.
     pub refused_bound: u64,
     /// Requests within the rate.
@@ -84,6 +88,7 @@
             worst: worst_served(recorded, outcomes),
             refused: count(&|it| it.end == End::Refused),
             refusals: refusals(outcomes),
+            slowest: slowest(outcomes),
             refused_bound: bound::least_refusals(recorded, outcomes, &on_disk(recorded)),
             admitted: count(&Outcome::is_admitted),
             answered: count(&Outcome::is_answered),
@@ -101,6 +106,16 @@
         .collect()
 }
 
+fn slowest(outcomes: &Outcomes) -> Vec<(usize, u64, u64)> {
+    let cold = outcomes.requests.iter().enumerate().filter(|(_, it)| it.cold);
+    let mut cold: Vec<_> = cold
+        .filter_map(|(index, it)| Some((index, it.first_ms?, it.bound_ms)))
+        .collect();
+    cold.sort_by_key(|(_, ms, _)| std::cmp::Reverse(*ms));
+    cold.truncate(SLOWEST_KEPT);
+    cold
+}
+
 fn on_disk(recorded: &Recorded) -> std::collections::BTreeSet<ModelName> {
     let engines = replay::engines(recorded);
     let models = recorded.config.models.keys();
