Report once more when a model's last request has ended

Cause: a router's last report with running requests counts for up to 3 s after they ended. During that time the replica is not evicted, and other models are loaded from the weight store although a server has them in memory.

Ruled out: evicting by the engine's report alone. It gives the same figures, but a request may be on its way that the engine does not know yet; the test only_idle_replicas_are_evicted guards against it.

Change: a router sends one last report without requests; a lost one only means that the earlier reports expire as before. The replay does the same.

--- a/crates/replay/src/replay.rs
+++ b/crates/replay/src/replay.rs
@@ -510,10 +510,17 @@
             let is_cold = queue.is_cold() && queue.waiting() > 0;
             let interval = if is_cold { COLD_REPORT_MS } else { RUNNING_REPORT_MS };
             let is_due = queue.reported.is_none_or(|at| now.since(at) >= interval);
-            if !is_due || (queue.waiting() == 0 && queue.running() == 0) {
+            let is_idle = queue.waiting() == 0 && queue.running() == 0;
+            if is_idle {
+                // The last report tells the controller at once that nothing runs any more.
+                if queue.reported.take().is_none() {
+                    continue;
+                }
+            } else if is_due {
+                queue.reported = Some(now);
+            } else {
                 continue;
             }
-            queue.reported = Some(now);
             let it = &self.targets[target];
             let fallback = &config.models[&it.model].profile;
             let demand = queue.demand(now, fallback, urgency);
--- a/crates/router/src/demand.rs
+++ b/crates/router/src/demand.rs
@@ -116,8 +116,9 @@
     let now = router.node.clock.now();
     let load = target.load();
     if load.waiting == 0 && load.running == 0 {
-        sent_at.remove(&target.key);
-        return false;
+        // One last report tells the controller at once that the replicas may be evicted; without it the reports before
+        // would count until they are too old.
+        return sent_at.remove(&target.key).is_some();
     }
     let is_cold = load.waiting > 0 && load.replicas == 0;
     let interval = if is_cold {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -368,7 +368,7 @@
         state.service_time.wait_ms(ahead, state.total_slots())
     }
 
-    /// Demand to report, or `None` for plain services and idle models. `urgency` orders profiles: the profile with the
+    /// Demand to report, or `None` for plain services. `urgency` orders profiles: the profile with the
     /// smallest value among the waiting requests is reported.
     pub fn demand(&self, fallback: &ProfileName, urgency: impl Fn(&ProfileName) -> u64) -> Option<Demand> {
         let Service::Model(model, adapter) = &self.key.service else {
@@ -377,9 +377,6 @@
         let now = self.clock.now();
         let state = self.state.lock();
         let running = state.slots.total() as u32;
-        if running == 0 && state.queue.is_empty() {
-            return None;
-        }
         let profiles = state.waiters.values().filter_map(|it| it.profile.as_ref());
         let profile = profiles.min_by_key(|it| urgency(it)).unwrap_or(fallback).clone();
         let organisations = state.queue.by_organisation();
