Fill free memory with any model that fits, not only with the best

Cause: loads ahead of demand stopped when the most valuable cold model fitted nowhere or when its cheapest place needed an eviction, although others would have fitted.

Ruled out: a shorter list by value per byte; which model fits depends on the servers, not on its value.

Change: the models are tried in order of value, on servers with room.

--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -509,23 +509,23 @@
         })
     }
 
-    /// The model most worth loading ahead of demand, by wake probability times load time per byte.
-    fn keep_warm(&self, now: Millis, input: &Input<'_>) -> Option<Want> {
+    /// Models worth loading ahead of demand, by probability of need times load time per byte, largest first.
+    fn keep_warm(&self, now: Millis, input: &Input<'_>) -> Vec<Want> {
         let models = input.config.models.values().filter(|it| it.pool == input.plan.pool);
         let value = |it: &Model| {
-            let wake = self.book.wake_probability(&it.name, None, WAKE_HORIZON_MS, now);
+            let wake = self.book.wake_probability(&it.name, None, WAKE_HORIZON_MS, now) + PRIOR_WAKE_PROBABILITY;
             let load = self.best_load_ms(input, it.name.as_str(), it.version, it.bytes);
-            (wake + PRIOR_WAKE_PROBABILITY) * load as f64 / it.bytes.max(1) as f64
+            wake * load as f64 / it.bytes.max(1) as f64
         };
-        models
-            .filter(|it| input.supply(&it.name, None).is_empty())
-            .map(|it| (value(it), it))
-            .max_by(|(a, x), (b, y)| a.total_cmp(b).then_with(|| y.name.cmp(&x.name)))
-            .map(|(_, it)| Want {
-                model: it.name.clone(),
-                adapter: None,
-                score: 0.0,
-            })
+        let cold = models.filter(|it| input.supply(&it.name, None).is_empty());
+        let mut valued: Vec<(f64, &Model)> = cold.map(|it| (value(it), it)).collect();
+        valued.sort_by(|(a, x), (b, y)| b.total_cmp(a).then_with(|| x.name.cmp(&y.name)));
+        let wants = valued.into_iter().map(|(_, it)| Want {
+            model: it.name.clone(),
+            adapter: None,
+            score: 0.0,
+        });
+        wants.collect()
     }
 
     /// Replicas that no longer belong where they are: on leaving servers, of old versions, of removed models or
@@ -577,15 +577,10 @@
         for want in &wants {
             self.place(want, now, input, &mut round);
         }
-        if wants.is_empty()
-            && self.loads_in_flight(input)
-                < input
-                    .limits()
-                    .map_or(1, |it| (it.loads_at_once / KEEP_WARM_DIVISOR).max(1))
-            && let Some(want) = self.keep_warm(now, input)
-            && leaves_headroom(&want, input)
-        {
-            self.place_if_free(&want, now, input, &mut round);
+        let at_once = input.limits().map_or(1, |it| it.loads_at_once);
+        if wants.is_empty() && self.loads_in_flight(input) < (at_once / KEEP_WARM_DIVISOR).max(1) {
+            let mut wants = self.keep_warm(now, input).into_iter();
+            wants.find(|it| leaves_headroom(it, input) && self.place_if_free(it, now, input, &mut round));
         }
         round.decisions
     }
@@ -716,20 +711,25 @@
         }
     }
 
-    fn place_if_free(&self, want: &Want, now: Millis, input: &Input<'_>, round: &mut Round) {
+    /// Loads into memory that is free now; returns whether there is any.
+    fn place_if_free(&self, want: &Want, now: Millis, input: &Input<'_>, round: &mut Round) -> bool {
         let Some(need) = Need::new(want, input, &round.merged) else {
-            return;
+            return false;
         };
+        let spaces = round.spaces.iter().filter(|(_, space)| space.free >= need.bytes);
+        let spaces = spaces.map(|(server, space)| (server.clone(), *space)).collect();
         let pass = Pass {
-            spaces: &round.spaces,
+            spaces: &spaces,
             merged: &round.merged,
             taken: &round.taken,
             placed: &round.placed,
         };
-        let choice = self.choose(&need, now, input, &pass).filter(|it| it.fits_now);
+        let choice = self.choose(&need, now, input, &pass);
+        let is_found = choice.is_some();
         if let Some(choice) = choice {
             round.take(&need, choice);
         }
+        is_found
     }
 
     fn rest_of_load(&self, id: &ReplicaId, replica: &PlannedReplica, now: Millis) -> u64 {
