--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -21,8 +21,11 @@
 pub const LEAST_RESIDENCE_MS: u64 = 2_000;
 /// Time ahead for which the probability of a wake is taken.
 const WAKE_HORIZON_MS: u64 = 60_000;
-/// Wake probability from which a model is loaded ahead of demand into free memory.
-const KEEP_WARM_PROBABILITY: f64 = 0.05;
+/// Wake probability within the horizon of a model without history: 15% of the models become active or idle within an
+/// hour, which is 0.27% in 60 s.
+const PRIOR_WAKE_PROBABILITY: f64 = 0.002_7;
+/// Loads ahead of demand use at most this part of the loads at once, so that a request finds a free slot.
+const KEEP_WARM_DIVISOR: u32 = 2;
 /// Expected time for an engine to unload a replica.
 const UNLOAD_MS: u64 = 500;
 /// Unloading replicas older than this are not expected to free their memory soon.
@@ -158,26 +161,51 @@
     tier: CacheTier,
 }
 
-/// Measured load times by tier, in milliseconds per byte.
+/// Load times by tier, in milliseconds per byte.
 #[derive(Debug, Clone, Copy)]
-struct LoadTimes([f64; 3]);
+struct LoadTimes {
+    ms_per_byte: [f64; 3],
+    measured: [bool; 3],
+}
 
 impl Default for LoadTimes {
-    /// Starts from 10 GB/s, 2 GB/s and 0.5 GB/s until loads have been measured.
+    /// 10 GB/s, 2 GB/s and 0.5 GB/s; of these only the ratios matter once the pool's limits are known.
     fn default() -> Self {
-        Self([1e-7, 5e-7, 2e-6])
+        Self {
+            ms_per_byte: [1e-7, 5e-7, 2e-6],
+            measured: [false; 3],
+        }
     }
 }
 
 impl LoadTimes {
     fn ms(&self, tier: CacheTier, bytes: u64) -> u64 {
-        (self.0[tier as usize] * bytes as f64) as u64
+        (self.ms_per_byte[tier as usize] * bytes as f64) as u64
     }
 
     fn learn(&mut self, tier: CacheTier, bytes: u64, ms: u64) {
         let measured = ms as f64 / bytes.max(1) as f64;
-        let known = &mut self.0[tier as usize];
+        let known = &mut self.ms_per_byte[tier as usize];
         *known += (measured - *known) * LOAD_TIME_GAIN;
+        self.measured[tier as usize] = true;
+    }
+
+    /// Derives the times that have not been measured from the weight store's limits: a load of mean size at full speed
+    /// takes `loads_at_once / loads_per_second`. Estimates that are too long refuse requests that could be served.
+    fn assume(&mut self, input: &Input<'_>) {
+        let sizes = input.config.models.values().filter(|it| it.pool == input.plan.pool);
+        let sizes: Vec<u64> = sizes.map(|it| it.bytes).collect();
+        let bytes = sizes.iter().sum::<u64>() as f64 / sizes.len().max(1) as f64;
+        let Some(limits) = input.limits().filter(|it| it.loads_per_second > 0.0 && bytes > 0.0) else {
+            return;
+        };
+        let remote = f64::from(limits.loads_at_once) / limits.loads_per_second * 1_000.0 / bytes;
+        let defaults = Self::default().ms_per_byte;
+        for (tier, measured) in self.measured.iter().enumerate() {
+            if !measured {
+                self.ms_per_byte[tier] = remote * defaults[tier] / defaults[CacheTier::Remote as usize];
+            }
+        }
     }
 }
 
@@ -230,6 +258,7 @@
     }
 
     fn observe(&mut self, now: Millis, input: &Input<'_>) {
+        self.load_times.assume(input);
         self.tracked.retain(|id, _| input.plan.replicas.contains_key(id));
         for (id, replica) in &input.plan.replicas {
             let Some(known) = self.tracked.get(id).copied() else {
@@ -487,24 +516,23 @@
         })
     }
 
-    /// The model most worth loading ahead of demand, by wake probability times load time per byte.
-    fn keep_warm(&self, now: Millis, input: &Input<'_>) -> Option<Want> {
+    /// Models worth loading ahead of demand, by probability of need times load time per byte, largest first.
+    fn keep_warm(&self, now: Millis, input: &Input<'_>) -> Vec<Want> {
         let models = input.config.models.values().filter(|it| it.pool == input.plan.pool);
         let value = |it: &Model| {
-            let wake = self.book.wake_probability(&it.name, None, WAKE_HORIZON_MS, now);
+            let wake = self.book.wake_probability(&it.name, None, WAKE_HORIZON_MS, now) + PRIOR_WAKE_PROBABILITY;
             let load = self.best_load_ms(input, it.name.as_str(), it.version, it.bytes);
-            (wake, wake * load as f64 / it.bytes.max(1) as f64)
+            wake * load as f64 / it.bytes.max(1) as f64
         };
-        models
-            .filter(|it| input.supply(&it.name, None).is_empty())
-            .map(|it| (value(it), it))
-            .filter(|((wake, _), _)| *wake >= KEEP_WARM_PROBABILITY)
-            .max_by(|((_, a), x), ((_, b), y)| a.total_cmp(b).then_with(|| y.name.cmp(&x.name)))
-            .map(|(_, it)| Want {
-                model: it.name.clone(),
-                adapter: None,
-                score: 0.0,
-            })
+        let cold = models.filter(|it| input.supply(&it.name, None).is_empty());
+        let mut valued: Vec<(f64, &Model)> = cold.map(|it| (value(it), it)).collect();
+        valued.sort_by(|(a, x), (b, y)| b.total_cmp(a).then_with(|| x.name.cmp(&y.name)));
+        let wants = valued.into_iter().map(|(_, it)| Want {
+            model: it.name.clone(),
+            adapter: None,
+            score: 0.0,
+        });
+        wants.collect()
     }
 
     /// Replicas that no longer belong where they are: on leaving servers, of old versions, of removed models or
@@ -556,12 +584,10 @@
         for want in &wants {
             self.place(want, now, input, &mut round);
         }
-        if wants.is_empty()
-            && self.loads_in_flight(input) == 0
-            && let Some(want) = self.keep_warm(now, input)
-            && leaves_headroom(&want, input)
-        {
-            self.place_if_free(&want, now, input, &mut round);
+        let at_once = input.limits().map_or(1, |it| it.loads_at_once);
+        if wants.is_empty() && self.loads_in_flight(input) < (at_once / KEEP_WARM_DIVISOR).max(1) {
+            let mut wants = self.keep_warm(now, input).into_iter();
+            wants.find(|it| leaves_headroom(it, input) && self.place_if_free(it, now, input, &mut round));
         }
         round.decisions
     }
@@ -652,26 +678,65 @@
             taken: &round.taken,
             placed: &round.placed,
         };
-        let Some(choice) = self.choose(&need, now, input, &pass) else {
+        let choice = self.choose(&need, now, input, &pass);
+        if let Some(choice) = choice {
+            round.take(&need, choice);
+        } else if want.adapter.is_some() {
+            self.place_base_elsewhere(want, now, input, round);
+        }
+    }
+
+    /// Loads a further replica of an adapter's model where the adapter fits. On the servers that hold the model, the
+    /// memory may be taken by replicas that stay busy past the adapter's deadline.
+    fn place_base_elsewhere(&self, want: &Want, now: Millis, input: &Input<'_>, round: &mut Round) {
+        let base = Want {
+            adapter: None,
+            ..want.clone()
+        };
+        let demand = round.merged.get(&(want.model.clone(), want.adapter.clone()));
+        let most = demand.map_or(1, |it| it.max_replicas) as usize;
+        let supply = input.supply(&want.model, None);
+        let is_loading = supply.iter().any(|(_, it)| it.state == ReplicaState::Loading);
+        let is_placed = round.placed.iter().any(|(model, _)| *model == want.model);
+        if supply.is_empty() || is_loading || is_placed || supply.len() >= most {
+            return;
+        }
+        let Some(need) = Need::new(&base, input, &round.merged) else {
             return;
         };
-        round.take(&need, choice);
+        let held: BTreeSet<&ServerName> = supply.iter().map(|(_, it)| &it.server).collect();
+        let spaces = round.spaces.iter().filter(|(server, _)| !held.contains(server));
+        let spaces = spaces.map(|(server, space)| (server.clone(), *space)).collect();
+        let pass = Pass {
+            spaces: &spaces,
+            merged: &round.merged,
+            taken: &round.taken,
+            placed: &round.placed,
+        };
+        if let Some(choice) = self.choose(&need, now, input, &pass) {
+            round.take(&need, choice);
+        }
     }
 
-    fn place_if_free(&self, want: &Want, now: Millis, input: &Input<'_>, round: &mut Round) {
+    /// Loads into memory that is free now; returns whether there is any.
+    fn place_if_free(&self, want: &Want, now: Millis, input: &Input<'_>, round: &mut Round) -> bool {
         let Some(need) = Need::new(want, input, &round.merged) else {
-            return;
+            return false;
         };
+        let spaces = round.spaces.iter().filter(|(_, space)| space.free >= need.bytes);
+        let spaces = spaces.map(|(server, space)| (server.clone(), *space)).collect();
         let pass = Pass {
-            spaces: &round.spaces,
+            spaces: &spaces,
             merged: &round.merged,
             taken: &round.taken,
             placed: &round.placed,
         };
-        let choice = self.choose(&need, now, input, &pass).filter(|it| it.fits_now);
+        let choice = self.choose(&need, now, input, &pass);
+        let is_found = choice.is_some();
         if let Some(choice) = choice {
             round.take(&need, choice);
         }
+        is_found
     }
 
     fn rest_of_load(&self, id: &ReplicaId, replica: &PlannedReplica, now: Millis) -> u64 {
