--- a/crates/bench/src/cmd/slopes.rs
+++ b/crates/bench/src/cmd/slopes.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::PathBuf;
 
+use clap::builder::PossibleValuesParser;
 use guava_bench::error::BenchError;
 use guava_bench::slopes::{self, Plan};
 use guava_bench::{process, table};
@@ -14,7 +15,8 @@
 
 Usage:
     guava-bench slopes --page docs/CAPACITY.md
-    guava-bench slopes --runtimes 6,18,60";
+    guava-bench slopes --runtimes 6,18,60
+    guava-bench slopes --parts membership,quota";
 
 /// Arguments.
 #[derive(Debug, clap::Args)]
@@ -25,11 +27,15 @@
     /// Numbers of real runtimes on loopback; `0` leaves them out.
     #[arg(long, value_delimiter = ',', default_values_t = [6, 18, 60])]
     runtimes: Vec<usize>,
+    /// Parts to measure; all without it. The page needs all of them.
+    #[arg(long, value_delimiter = ',', conflicts_with = "page", value_parser = PossibleValuesParser::new(slopes::PARTS))]
+    parts: Vec<String>,
 }
 
 /// Runs the command.
 pub(crate) fn run(args: &Args) -> Result<(), BenchError> {
     let plan = Plan {
+        parts: args.parts.clone(),
         runtimes: args.runtimes.iter().copied().filter(|it| *it > 0).collect(),
     };
     let before = process::load();
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -78,14 +78,31 @@
     }
 }
 
+/// Names of the parts in the order in which they are measured.
+///
+/// Memory of real runtimes is taken from the whole process, so they come before anything else has grown it.
+pub const PARTS: [&str; 9] = [
+    "runtimes",
+    "membership",
+    "gossip",
+    "spreading",
+    "leases",
+    "quota",
+    "routing",
+    "plan",
+    "configuration",
+];
+
 /// What to measure.
 #[derive(Debug, Clone)]
 pub struct Plan {
+    /// Parts of [`PARTS`] to measure; empty for all.
+    pub parts: Vec<String>,
     /// Numbers of real runtimes on loopback; empty to leave them out.
     pub runtimes: Vec<usize>,
 }
 
-/// Measures everything and returns the table.
+/// Measures the parts of the plan and returns the table.
 ///
 /// # Errors
 ///
@@ -102,24 +119,28 @@
         "at design size",
     ];
     let mut table = Table::new(&head);
-    let mut step = |name: &str, work: &mut dyn FnMut() -> Result<Vec<Series>, BenchError>| {
+    for name in PARTS {
+        let is_wanted = plan.parts.is_empty() || plan.parts.iter().any(|it| it == name);
+        if !is_wanted || (name == "runtimes" && plan.runtimes.is_empty()) {
+            continue;
+        }
         let start = Instant::now();
-        work()?.iter().for_each(|it| table.row(it.cells()));
+        let series = match name {
+            "runtimes" => runtimes::measure(&plan.runtimes)?,
+            "membership" => membership::measure(),
+            "gossip" => gossip::measure(),
+            "spreading" => spreading::measure(),
+            "leases" => leases::measure(),
+            "quota" => quota::measure(),
+            "routing" => routing::measure(),
+            "plan" => plan::measure(),
+            _ => configuration::measure(),
+        };
+        for it in &series {
+            table.row(it.cells());
+        }
         note(name, start.elapsed());
-        Ok::<(), BenchError>(())
-    };
-    // Memory of real runtimes is taken from the whole process, so they come before anything else has grown it.
-    if !plan.runtimes.is_empty() {
-        step("runtimes", &mut || runtimes::measure(&plan.runtimes))?;
     }
-    step("membership", &mut || Ok(membership::measure()))?;
-    step("gossip", &mut || Ok(gossip::measure()))?;
-    step("spreading", &mut || Ok(spreading::measure()))?;
-    step("leases", &mut || Ok(leases::measure()))?;
-    step("quota", &mut || Ok(quota::measure()))?;
-    step("routing", &mut || Ok(routing::measure()))?;
-    step("plan", &mut || Ok(plan::measure()))?;
-    step("configuration", &mut || Ok(configuration::measure()))?;
     Ok(table)
 }
 
