Skip the check of quota holders while nothing has changed

Ruled out: a larger period, which delays the take-over of an ended holder's shares. Limits are no input of claims and moves and are not compared.

Change: the live routers are read once per round, and again when the round has waited for calls for 200 ms. claims ranks only when a holder has ended, moves only when this router holds a share, and the first routers are selected without sorting all of them. An organisation for which there was nothing to claim or to move is skipped until the live routers or its map version change, a holder is proved to have ended, or a hand-over or read is open; a wait for STABLE_MS is never skipped. A spread map that is already known is not parsed again.

The slope takes the same steps as the service through the core; the service itself was not timed.

--- a/crates/bench/src/slopes/quota.rs
+++ b/crates/bench/src/slopes/quota.rs
@@ -5,6 +5,7 @@
 use guava_core::ids::{Incarnation, MemberId, OrganisationName, RequestId, Role, Term};
 use guava_core::membership::MemberInfo;
 use guava_core::quota::{Admission, Ledger, Limits, RouterLife, SHARES, ShareMap};
+use guava_core::termination::Terminations;
 use guava_core::units::Millis;
 
 use super::{Series, membership};
@@ -102,16 +103,14 @@
     }
 }
 
-/// What the quota service computes about once a second for each organisation: the live routers, the shares to take
-/// over and the shares to hand over.
-fn ownership() -> Series {
-    let mut series = Series::new(
-        "quota: check of an organisation's holders",
-        "routers",
-        "µs",
-        ROUTERS_AT_DESIGN,
-    );
-    let organisation = OrganisationName::new("callers");
+/// What the quota service computes about once a second, per organisation: it reads the live routers once for all
+/// organisations. After a change of routers it looks for shares to take over and to hand over; without one it only looks
+/// up whether a holder has ended.
+fn ownership() -> [Series; 2] {
+    let series = |what| Series::new(what, "routers", "µs", ROUTERS_AT_DESIGN);
+    let mut changed = series("quota: check of an organisation's holders, mean of 1,000, after a change of routers");
+    let mut unchanged = series("quota: check of an organisation's holders, mean of 1,000, without a change");
+    let organisations = names(DESIGN as usize);
     for size in ROUTERS {
         let members: Vec<MemberInfo> = (0..size * 3).map(|it| membership::info(it, 0)).collect();
         let routers = || -> Vec<RouterLife> {
@@ -124,20 +123,35 @@
             };
             routers.map(to_life).collect()
         };
-        let live = routers();
-        let me = live[0].clone();
-        let Some(map) = ShareMap::new(&organisation, &live) else {
-            continue;
-        };
+        let mut terminations = Terminations::default();
+        for member in &members {
+            terminations.heard(&member.id, member.incarnation, Millis(0));
+        }
+        let ended = |it: &RouterLife| terminations.has_ended(&it.member, it.incarnation);
+        let known = routers();
+        let me = known[0].clone();
+        let maps: Vec<_> = organisations
+            .iter()
+            .filter_map(|it| Some((it, ShareMap::new(it, &known)?)))
+            .collect();
         let ns = ns_per_call(CHECKS, |_| {
             let live = routers();
             let ids: Vec<MemberId> = live.iter().map(|it| it.member.clone()).collect();
-            std::hint::black_box(map.claims(&organisation, &me, &ids, |_| false));
-            std::hint::black_box(map.moves(&organisation, &me, &live));
+            for (organisation, map) in &maps {
+                std::hint::black_box(map.claims(organisation, &me, &ids, ended));
+                std::hint::black_box(map.moves(organisation, &me, &live));
+            }
+        });
+        changed.add(size, ns / 1e3 / DESIGN);
+        let ns = ns_per_call(CHECKS, |_| {
+            std::hint::black_box(routers() == known);
+            for (_, map) in &maps {
+                std::hint::black_box(map.shares.iter().any(|it| ended(&it.holder)));
+            }
         });
-        series.add(size, ns / 1e3);
+        unchanged.add(size, ns / 1e3 / DESIGN);
     }
-    series
+    [changed, unchanged]
 }
 
 pub(super) fn measure() -> Vec<Series> {
@@ -197,5 +211,6 @@
         bytes.add(size, found.bytes_per_call);
         cpu.add(size, found.ns_per_call);
     }
-    vec![share, wallet, memory, calls, bytes, cpu, ownership()]
+    let [changed, unchanged] = ownership();
+    vec![share, wallet, memory, calls, bytes, cpu, changed, unchanged]
 }
--- a/crates/core/src/quota/map.rs
+++ b/crates/core/src/quota/map.rs
@@ -65,7 +65,9 @@
             .map(|it| &it.holder)
             .map(|it| (earlier(it) || !ended(it)).then(|| it.member.clone()))
             .collect();
-        let planned = plan_holders(organisation, &kept, live);
+        // Ranking all routers is the expensive part, and only shares without a holder need it.
+        let is_open = kept.iter().any(Option::is_none);
+        let planned = is_open.then(|| plan_holders(organisation, &kept, live)).flatten();
         let given = |at: usize| planned.as_ref().is_some_and(|it| it[at] == me.member);
         (0..self.shares.len())
             .filter(|at| earlier(&self.shares[*at].holder) || (kept[*at].is_none() && given(*at)))
@@ -79,6 +81,10 @@
         me: &RouterLife,
         live: &[RouterLife],
     ) -> Vec<(usize, RouterLife)> {
+        // Most routers hold no share of an organisation and need no ranking.
+        if self.shares.iter().all(|it| it.holder != *me) {
+            return Vec::new();
+        }
         let members: Vec<_> = live.iter().map(|it| it.member.clone()).collect();
         let current: Vec<_> = self.shares.iter().map(|it| Some(it.holder.member.clone())).collect();
         let Some(planned) = plan_holders(organisation, &current, &members) else {
--- a/crates/core/src/quota/plan.rs
+++ b/crates/core/src/quota/plan.rs
@@ -1,5 +1,7 @@
 //! Plan of which router should hold which share.
 
+use std::fmt::Write;
+
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::SHARES;
@@ -14,11 +16,7 @@
     current: &[Option<MemberId>],
     live: &[MemberId],
 ) -> Option<Vec<MemberId>> {
-    let mut ranked: Vec<_> = live.iter().map(|it| (weight(organisation, it), it)).collect();
-    ranked.sort_by(|a, b| b.cmp(a));
-    ranked.dedup();
-    ranked.truncate(SHARES);
-    let holders: Vec<_> = ranked.into_iter().map(|(_, it)| it).collect();
+    let holders = first_ranked(organisation, live);
     if holders.is_empty() {
         return None;
     }
@@ -42,6 +40,23 @@
     Some(planned.into_iter().map(|it| it.unwrap_or_else(&mut fewest)).collect())
 }
 
-fn weight(organisation: &OrganisationName, router: &MemberId) -> u64 {
-    xxh3_64(format!("{organisation}\n{router}").as_bytes())
+/// First [`SHARES`] different routers by rendezvous hash.
+fn first_ranked<'a>(organisation: &OrganisationName, live: &'a [MemberId]) -> Vec<&'a MemberId> {
+    let mut text = format!("{organisation}\n");
+    let prefix = text.len();
+    let mut first: Vec<(u64, &MemberId)> = Vec::with_capacity(SHARES + 1);
+    for router in live {
+        text.truncate(prefix);
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{router}");
+        let ranked = (xxh3_64(text.as_bytes()), router);
+        if first.len() == SHARES && first[SHARES - 1] >= ranked {
+            continue;
+        }
+        if let Err(at) = first.binary_search_by(|it| ranked.cmp(it)) {
+            first.insert(at, ranked);
+            first.truncate(SHARES);
+        }
+    }
+    first.into_iter().map(|(_, it)| it).collect()
 }
--- a/crates/router/src/quota/account.rs
+++ b/crates/router/src/quota/account.rs
@@ -75,6 +75,8 @@
     pub(super) open_handover: Mutex<Option<OpenHandover>>,
     pub(super) stable_since: Mutex<Option<Millis>>,
     pub(super) missing_since: Mutex<Option<Millis>>,
+    /// Generation of the live routers and version of the map for which there was nothing to claim or to move.
+    pub(super) settled: Mutex<Option<(u64, u64)>>,
     /// Tokens granted to other routers since the start, in units.
     pub(super) granted_units: AtomicU64,
     waiting: Mutex<VecDeque<Waiter>>,
@@ -92,6 +94,7 @@
             open_handover: Mutex::default(),
             stable_since: Mutex::default(),
             missing_since: Mutex::default(),
+            settled: Mutex::default(),
             granted_units: AtomicU64::new(0),
             waiting: Mutex::default(),
             reached: AtomicBool::new(false),
--- a/crates/router/src/quota/ownership.rs
+++ b/crates/router/src/quota/ownership.rs
@@ -6,9 +6,10 @@
 
 use guava_core::config::{Kind, Organisation};
 use guava_core::events::Event;
-use guava_core::ids::{OperationId, OrganisationName, Role, Term};
+use guava_core::ids::{MemberId, OperationId, OrganisationName, Role, Term};
 use guava_core::quota::{Limits, RouterLife, ShareMap, plan_holders};
 use guava_core::spread::{Entry, EntryKey, Version};
+use guava_core::units::Millis;
 use guava_node::MemberInfo;
 use guava_platform::{Expect, PlatformError, StoredObject};
 use rand::Rng;
@@ -34,6 +35,31 @@
 /// Time limit of one hand-over message.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Age after which the live routers are read again within a round; a round that waits for calls may last for seconds.
+const LIVE_AGE_MS: u64 = 200;
+
+/// Live routers, read once for many organisations.
+#[derive(Debug, Default)]
+struct LiveRouters {
+    /// Grows with each change of the routers.
+    generation: u64,
+    read: Millis,
+    lives: Vec<RouterLife>,
+    members: Vec<MemberId>,
+}
+
+impl LiveRouters {
+    fn update(&mut self, now: Millis, lives: Vec<RouterLife>) {
+        self.read = now;
+        if self.generation > 0 && self.lives == lives {
+            return;
+        }
+        self.generation += 1;
+        self.members = lives.iter().map(|it| it.member.clone()).collect();
+        self.lives = lives;
+    }
+}
+
 enum WriteResult {
     Written,
     NotWritten,
@@ -122,21 +148,30 @@
 
     /// Takes over, starts and balances shares until the service stops.
     pub(super) async fn keep_shares(self: Arc<Self>) {
+        let mut live = LiveRouters::default();
         while !self.is_stopping() {
             let accounts: Vec<_> = self.accounts.load().values().cloned().collect();
+            live.update(self.node.clock.now(), self.live_routers());
             for account in accounts {
-                self.keep_account(&account).await;
+                let now = self.node.clock.now();
+                if now.since(live.read) >= LIVE_AGE_MS {
+                    live.update(now, self.live_routers());
+                }
+                self.keep_account(&account, &live).await;
             }
             let period = rand::rng().random_range(KEEP_PERIOD_MS);
             tokio::time::sleep(Duration::from_millis(period)).await;
         }
     }
 
-    async fn keep_account(&self, account: &Account) {
+    async fn keep_account(&self, account: &Account, live: &LiveRouters) {
         self.apply_known_entry(account);
-        if account.read_again.load(Ordering::SeqCst) || self.should_create(account) {
+        if account.read_again.load(Ordering::SeqCst) || self.should_create(account, &live.lives) {
             self.read_map(account).await;
         }
+        if self.is_settled(account, live) {
+            return;
+        }
         let Some(known) = account.map.lock().clone() else {
             return;
         };
@@ -144,12 +179,10 @@
         if let Some(open) = open {
             return self.hand_over(account, open).await;
         }
-        let live: Vec<_> = self.live_routers();
-        let members: Vec<_> = live.iter().map(|it| it.member.clone()).collect();
-        let ended = |it: &RouterLife| self.node.members.has_ended(&it.member, it.incarnation);
-        let claims = known.map.claims(&account.organisation, &self.me, &members, ended);
+        let ended = |it: &RouterLife| self.has_ended(it);
+        let claims = known.map.claims(&account.organisation, &self.me, &live.members, ended);
         if claims.is_empty() {
-            self.balance(account, &known.map, &live).await;
+            self.balance(account, &known, live).await;
         } else {
             let next = claims
                 .iter()
@@ -158,14 +191,33 @@
         }
     }
 
+    /// Whether the last check found nothing to do and nothing has changed since. The end of a holder is looked up each
+    /// time, because it can be proved without a change of the live routers.
+    fn is_settled(&self, account: &Account, live: &LiveRouters) -> bool {
+        let Some((generation, version)) = *account.settled.lock() else {
+            return false;
+        };
+        let is_open = account.open_handover.lock().is_some()
+            || account.stable_since.lock().is_some()
+            || account.read_again.load(Ordering::SeqCst);
+        let map = account.map.lock();
+        let is_same = |it: &&KnownMap| generation == live.generation && version == it.version;
+        let known = map.as_ref().filter(is_same);
+        !is_open && known.is_some_and(|it| !it.map.shares.iter().any(|share| self.has_ended(&share.holder)))
+    }
+
+    fn has_ended(&self, life: &RouterLife) -> bool {
+        self.node.members.has_ended(&life.member, life.incarnation)
+    }
+
     /// Whether this router is to look for a missing map: at once if it would hold a share, else after some time.
-    fn should_create(&self, account: &Account) -> bool {
+    fn should_create(&self, account: &Account, live: &[RouterLife]) -> bool {
         if account.map.lock().is_some() {
             return false;
         }
         let now = self.node.clock.now();
         let since = *account.missing_since.lock().get_or_insert(now);
-        let planned = ShareMap::new(&account.organisation, &self.live_routers());
+        let planned = ShareMap::new(&account.organisation, live);
         let holds = planned.is_some_and(|it| it.shares.iter().any(|it| it.holder == self.me));
         holds || now.since(since) >= STABLE_MS
     }
@@ -173,7 +225,9 @@
     /// Applies the spread entry that may have arrived before the organisation itself.
     fn apply_known_entry(&self, account: &Account) {
         let key = EntryKey::Shares(account.organisation.to_string());
+        let known = account.map.lock().as_ref().map(|it| it.version);
         if let Some(entry) = self.node.spread.get(&key)
+            && known.is_none_or(|it| it < entry.version.sequence)
             && let Ok(map) = serde_json::from_slice(&entry.value)
         {
             self.apply_map(account, entry.version.sequence, map);
@@ -243,12 +297,14 @@
     }
 
     /// Hands over one share that the plan has wanted elsewhere for some time.
-    async fn balance(&self, account: &Account, map: &ShareMap, live: &[RouterLife]) {
-        let moves = map.moves(&account.organisation, &self.me, live);
+    async fn balance(&self, account: &Account, known: &KnownMap, live: &LiveRouters) {
+        let moves = known.map.moves(&account.organisation, &self.me, &live.lives);
         let Some((share, to)) = moves.into_iter().next() else {
             *account.stable_since.lock() = None;
+            *account.settled.lock() = Some((live.generation, known.version));
             return;
         };
+        *account.settled.lock() = None;
         let now = self.node.clock.now();
         let since = *account.stable_since.lock().get_or_insert(now);
         if now.since(since) >= STABLE_MS {
--- a/crates/router/tests/fakes/mod.rs
+++ b/crates/router/tests/fakes/mod.rs
@@ -104,6 +104,12 @@
         self.state.lock().modules.insert(life(node), module);
     }
 
+    /// Makes all believe that a router is down, without proof.
+    pub fn leave(&self, node: &Node) {
+        let id = &node.members.me().id;
+        self.state.lock().live.remove(id);
+    }
+
     /// Ends a router with proof.
     pub fn end(&self, node: &Node) {
         let mut state = self.state.lock();
--- a/crates/router/tests/quota.rs
+++ b/crates/router/tests/quota.rs
@@ -300,3 +300,39 @@
     assert_eq!(held(node), 0, "the write took effect");
     assert_eq!(admitted, 0, "the share may have another holder");
 }
+
+/// Guards against a check of holders that is skipped after a quiet time although a router has joined or a holder's end
+/// has been proved without any change of the live routers.
+#[tokio::test(start_paused = true)]
+async fn changes_after_a_quiet_time_move_shares() {
+    let world = World::new(11);
+    let mut routers = three(&world).await;
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    let before = shares(&world);
+
+    let joined: Vec<_> = ["d", "e", "f", "g", "h"]
+        .iter()
+        .map(|vm| start(&world, vm, 1))
+        .collect();
+    routers.extend(joined);
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let early = shares(&world);
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    let moved = shares(&world);
+
+    let gone = moved.shares[0].holder.clone();
+    let at = routers.iter().position(|(node, _)| node.members.me().id == gone.member);
+    let dead = routers.swap_remove(at.unwrap());
+    dead.1.abort();
+    world.leave(&dead.0);
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    let unproved = shares(&world);
+    world.end(&dead.0);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let proved = shares(&world);
+
+    assert_eq!(early, before, "a share is handed over only after a stable time");
+    assert_ne!(moved, before, "the routers that joined hold nothing");
+    assert_eq!(unproved.shares[0].holder, gone, "no proof, no take-over");
+    assert!(proved.shares.iter().all(|it| it.holder != gone));
+}
