Rank members once for all leases and watches

Cause: after each event of membership every lease and watch role copied and sorted all members and built their names again.

Ruled out: comparing only the changed member with kept top candidates, which needs the events in order for each lease and saves little more.

Change: the names of the candidates are collected once per event and shared; their generation changes only when the names do, so a suspicion or a return from a restart that was not believed down ranks nothing. The position is counted without a sort. Order and hash are unchanged, which a test checks against the full ranking.

--- a/crates/bench/src/slopes/leases.rs
+++ b/crates/bench/src/slopes/leases.rs
@@ -110,28 +110,31 @@
     cost
 }
 
-/// What the lease keeper computes for each lease when a belief about a member has changed.
-fn ranking() -> Series {
-    let mut series = Series::new(
-        "leases: ranking after a change of membership, per lease",
-        "members",
-        "µs",
-        MEMBERS_AT_DESIGN,
-    );
+/// What the lease keeper computes when a member has come or gone: the names of the candidates, once, and the rank for
+/// each lease.
+fn ranking() -> [Series; 2] {
+    let series = |what| Series::new(what, "members", "µs", MEMBERS_AT_DESIGN);
+    let mut collected = series("leases: names of the candidates after a change of membership, once for all leases");
+    let mut ranked = series("leases: ranking after a change of membership, per lease");
     for size in RANKED {
         let known: Vec<MemberInfo> = (0..size).map(|it| membership::info(it, 0)).collect();
         let me = known[0].id.to_string();
+        let names = || -> Vec<String> {
+            let same_role = known.iter().filter(|it| it.id.role == known[0].id.role);
+            same_role.map(|it| it.id.to_string()).collect()
+        };
         let ns = ns_per_call(RANKINGS, |_| {
-            let mut live = known.clone();
-            live.sort_by(|a, b| a.id.cmp(&b.id));
-            let same_role = live.iter().filter(|it| it.id.role == known[0].id.role);
-            let names: Vec<String> = same_role.map(|it| it.id.to_string()).collect();
-            let names = names.iter().map(String::as_str);
-            std::hint::black_box(rendezvous::position("pool/pool-001", names, &me));
+            std::hint::black_box(names());
         });
-        series.add(size, ns / 1e3);
+        collected.add(size, ns / 1e3);
+        let candidates = names();
+        let ns = ns_per_call(RANKINGS, |_| {
+            let candidates = candidates.iter().map(String::as_str);
+            std::hint::black_box(rendezvous::position("pool/pool-001", candidates, &me));
+        });
+        ranked.add(size, ns / 1e3);
     }
-    series
+    [collected, ranked]
 }
 
 fn vm_list() -> Series {
@@ -169,5 +172,6 @@
         let per_step = cost.ns / cost.steps as f64;
         cpu.add(size, per_step / 1e3 * size as f64 * 1e3 / STEP_MS as f64);
     }
-    vec![reads, writes, cpu, ranking(), vm_list()]
+    let [collected, ranked] = ranking();
+    vec![reads, writes, cpu, collected, ranked, vm_list()]
 }
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -23,6 +23,17 @@
 }
 
 /// Position of `me` among the candidates for `key`, or `None` when it is not one of them.
+///
+/// Counts the candidates before `me` without sorting, because leases need it after each change of members.
 pub fn position<'a>(key: &str, candidates: impl IntoIterator<Item = &'a str>, me: &str) -> Option<usize> {
-    rank(key, candidates, |it| *it).iter().position(|it| *it == me)
+    let seed = xxh3_64(key.as_bytes());
+    let order = |it: &'a str| (Reverse(xxh3_64_with_seed(it.as_bytes(), seed)), it);
+    let mine = (Reverse(xxh3_64_with_seed(me.as_bytes(), seed)), me);
+    let mut is_candidate = false;
+    let mut before = 0;
+    for candidate in candidates {
+        is_candidate |= candidate == me;
+        before += usize::from(order(candidate) < mine);
+    }
+    is_candidate.then_some(before)
 }
--- a/crates/core/tests/contact.rs
+++ b/crates/core/tests/contact.rs
@@ -126,6 +126,22 @@
     assert_eq!(terminations.latest(&router()), Some(Incarnation(7)));
 }
 
+/// Guards against a position that is counted in another order than that of the ranking: two members would both try
+/// first for a lease, or none.
+#[test]
+fn positions_follow_the_ranking() {
+    let names: Vec<String> = (0..50).map(|it| format!("vm{it}/controller")).collect();
+    for key in ["pool/a", "pool/b", "job/3"] {
+        let ranked = rendezvous::rank(key, &names, |it| it.as_str());
+        for (rank, name) in ranked.iter().enumerate() {
+            let position = rendezvous::position(key, names.iter().map(String::as_str), name);
+            assert_eq!(position, Some(rank));
+        }
+        let stranger = rendezvous::position(key, names.iter().map(String::as_str), "vm50/controller");
+        assert_eq!(stranger, None);
+    }
+}
+
 /// Guards against ranks that depend on the order of the candidates or move when another candidate leaves.
 #[test]
 fn ranks_are_stable_and_spread() {
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -195,23 +195,16 @@
         self.lease.lock().step(standing, now, &mut rand::rng())
     }
 
-    /// Rank among live members of the same role; computed again when beliefs change.
+    /// Rank among live members of the same role; computed again when the members change.
     fn rank(&mut self, shared: &Shared) -> Option<usize> {
         if shared.is_shutting_down() {
             return None;
         }
-        let epoch = shared.members.epoch();
-        if self.rank.0 != epoch {
-            let me = &shared.me().id;
-            let live = shared.members.live();
-            let names: Vec<String> = live
-                .iter()
-                .filter(|it| it.id.role == me.role)
-                .map(|it| it.id.to_string())
-                .collect();
-            let names = names.iter().map(String::as_str);
-            let position = rendezvous::position(self.name.as_str(), names, &me.to_string());
-            self.rank = (epoch, position);
+        let candidates = shared.members.candidates();
+        if self.rank.0 != candidates.generation {
+            let names = candidates.role.iter().map(String::as_str);
+            let position = rendezvous::position(self.name.as_str(), names, &shared.me().id.to_string());
+            self.rank = (candidates.generation, position);
         }
         self.rank.1
     }
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -14,6 +14,17 @@
 
 use crate::{Clock, Members};
 
+/// Names of the members among which this process is ranked.
+#[derive(Debug, Default)]
+pub(crate) struct Candidates {
+    /// Changes with the names, so that rankings are only computed again when they may change.
+    pub(crate) generation: u64,
+    /// Live members of this process's role, this process included.
+    pub(crate) role: Vec<String>,
+    /// Other live members of its zone.
+    pub(crate) zone: Vec<String>,
+}
+
 /// Membership, confirmation and terminations of one process.
 #[derive(Debug)]
 pub(crate) struct MemberTable {
@@ -23,8 +34,10 @@
     terminations: Mutex<Terminations>,
     confirmation: Mutex<Confirmation>,
     entry_vms: Mutex<HashSet<VmName>>,
-    /// Grows with each change of beliefs, so that rankings are only computed again when they may change.
+    /// Grows with each change of beliefs.
     epoch: AtomicU64,
+    /// Candidates and the epoch for which they were last looked up.
+    candidates: Mutex<(u64, Arc<Candidates>)>,
     superseded: AtomicBool,
 }
 
@@ -37,6 +50,7 @@
             confirmation: Mutex::new(Confirmation::new(me.id.vm.clone(), now)),
             entry_vms: Mutex::default(),
             epoch: AtomicU64::new(1),
+            candidates: Mutex::default(),
             superseded: AtomicBool::new(false),
             me,
             clock,
@@ -47,6 +61,37 @@
         self.epoch.load(Ordering::Acquire)
     }
 
+    /// Candidates for leases and watches, collected once after each change of beliefs for all of them.
+    pub(crate) fn candidates(&self) -> Arc<Candidates> {
+        let epoch = self.epoch();
+        let mut known = self.candidates.lock();
+        if known.0 != epoch {
+            let (role, zone) = self.candidate_names();
+            // A suspicion and a return from a restart change beliefs, but not the names that are ranked.
+            if known.1.generation == 0 || known.1.role != role || known.1.zone != zone {
+                let generation = known.1.generation + 1;
+                known.1 = Arc::new(Candidates { generation, role, zone });
+            }
+            known.0 = epoch;
+        }
+        Arc::clone(&known.1)
+    }
+
+    fn candidate_names(&self) -> (Vec<String>, Vec<String>) {
+        let me = &self.me;
+        let membership = self.membership.lock();
+        let (mut role, mut zone) = (vec![me.id.to_string()], Vec::new());
+        for member in membership.others() {
+            if member.id.role == me.id.role {
+                role.push(member.id.to_string());
+            }
+            if member.zone == me.zone {
+                zone.push(member.id.to_string());
+            }
+        }
+        (role, zone)
+    }
+
     pub(crate) fn others(&self) -> Vec<MemberInfo> {
         self.membership.lock().others().cloned().collect()
     }
--- a/crates/node/src/watchers.rs
+++ b/crates/node/src/watchers.rs
@@ -45,11 +45,11 @@
 /// Pauses after failed calls, in milliseconds; the jitter keeps watchers from listing all at once after an outage.
 const RETRY_MS: std::ops::Range<u64> = 200..5_000;
 
-/// Ranking of the members of a zone for one watched thing, computed again when beliefs change.
+/// Ranking of the members of a zone for one watched thing, computed again when the members change.
 #[derive(Debug)]
 pub(crate) struct WatchRole {
     key: String,
-    epoch: u64,
+    generation: u64,
     is_watcher: bool,
 }
 
@@ -57,30 +57,25 @@
     pub(crate) fn new(key: impl Into<String>) -> Self {
         Self {
             key: key.into(),
-            epoch: 0,
+            generation: 0,
             is_watcher: false,
         }
     }
 
     /// Whether this process is one of its zone's watchers.
     pub(crate) fn is_watcher(&mut self, shared: &Shared) -> bool {
-        let epoch = shared.members.epoch();
-        if epoch != self.epoch {
-            self.epoch = epoch;
-            self.is_watcher = ranks_first(shared, &self.key);
+        let candidates = shared.members.candidates();
+        if candidates.generation != self.generation {
+            self.generation = candidates.generation;
+            self.is_watcher = ranks_first(&shared.me().id.to_string(), &candidates.zone, &self.key);
         }
         self.is_watcher
     }
 }
 
-fn ranks_first(shared: &Shared, key: &str) -> bool {
-    let me = shared.me();
-    let mine = rendezvous::weight(key, &me.id.to_string());
-    let others = shared.members.others();
-    let before = others
-        .iter()
-        .filter(|it| it.zone == me.zone && rendezvous::weight(key, &it.id.to_string()) > mine)
-        .count();
+fn ranks_first(me: &str, others: &[String], key: &str) -> bool {
+    let mine = rendezvous::weight(key, me);
+    let before = others.iter().filter(|it| rendezvous::weight(key, it) > mine).count();
     before < WATCHERS_PER_ZONE
 }
 
