Repeat only failed lists at a start, and spread retries

Lease retries after failed calls, and the first read of the list of VMs when contact is lost, came at the same moment in all processes.

Ruled out: a lower bound for the age at which the list is read of 3 s: members ask a watcher from 1.5 s on, and more of them would read in ordinary running.

Change: a start remembers the kinds that were listed and lists only the others again after the existing random pause; each list has its own time limit. A lease whose call was not answered waits up to 0.5 s more. A member reads the list at an age that it draws between 3.5 and 4 s instead of at 4 s, still before it counts as isolated.

Not measured: calls of the platform at the start of a fleet or in an outage. The new test starts a process against a platform that answers every third list.

Conclusion: the number of lists that are still missing only shrinks.

--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use guava_core::config::Kind;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
@@ -18,7 +19,7 @@
 const PEER_WAIT_MS: u64 = 2_000;
 /// Time between looks for a peer.
 const PEER_POLL: Duration = Duration::from_millis(50);
-/// Time limit of one list of all kinds.
+/// Time limit of the list of one kind.
 const LIST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Shortest and longest time until a failed fill is tried again, in milliseconds.
 const RETRY_MS: std::ops::Range<u64> = 300..1_200;
@@ -28,13 +29,13 @@
     if has_seeds {
         wait_for_peer(&shared).await;
     }
-    let mut listed = false;
+    let mut missing = watchers::KINDS.to_vec();
     loop {
-        let (from_platform, from_peer) = tokio::join!(list(&shared, listed), pull(&shared));
-        listed |= from_platform;
+        let (failed, from_peer) = tokio::join!(list(&shared, &missing), pull(&shared));
+        missing = failed;
         let done = match from_peer {
             Peer::Configured => true,
-            Peer::Unconfigured | Peer::None => listed,
+            Peer::Unconfigured | Peer::None => missing.is_empty(),
             Peer::Failed => false,
         };
         if done {
@@ -54,13 +55,15 @@
     }
 }
 
-async fn list(shared: &Shared, listed: bool) -> bool {
-    if listed {
-        return true;
-    }
-    let all = watchers::KINDS.map(|kind| watchers::list(shared, kind));
-    let lists = tokio::time::timeout(LIST_TIMEOUT, futures::future::join_all(all)).await;
-    lists.is_ok_and(|it| it.iter().all(Option::is_some))
+/// Lists `kinds` and returns those whose list failed. Only they are listed again: a platform that refuses a part of the
+/// calls when many processes start at once would hardly ever answer all of one attempt.
+async fn list(shared: &Shared, kinds: &[Kind]) -> Vec<Kind> {
+    let lists = kinds.iter().map(|kind| async move {
+        let list = tokio::time::timeout(LIST_TIMEOUT, watchers::list(shared, *kind)).await;
+        let is_listed = list.is_ok_and(|it| it.is_some());
+        (!is_listed).then_some(*kind)
+    });
+    futures::future::join_all(lists).await.into_iter().flatten().collect()
 }
 
 enum Peer {
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -12,6 +12,7 @@
 use guava_core::spread::{Entry, EntryKey, Version};
 use guava_platform::{Expect, PlatformError, StoredObject};
 use parking_lot::Mutex;
+use rand::Rng;
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 
@@ -27,6 +28,10 @@
 /// Time limit for giving back all leases at a shutdown.
 const RELEASE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Bounds of the pause after a failed call, in milliseconds, in addition to the pause of the lease logic: leases whose
+/// calls fail at the same moment would otherwise all repeat them at the same moment.
+const RETRY_JITTER_MS: std::ops::Range<u64> = 0..500;
+
 /// Sequence of the entry of a lease that has been given back.
 const RELEASED: u64 = 1;
 
@@ -162,13 +167,17 @@
             self.look_when_given_back(&shared, &mut last_entry);
             let call = self.step(&shared);
             let made_call = call.is_some();
-            if let Some(call) = call {
-                self.make(&shared, call).await;
-            }
+            let answered = match call {
+                Some(call) => self.make(&shared, call).await,
+                None => true,
+            };
             self.report(&shared);
             drop(shared);
             if !made_call {
                 tokio::time::sleep(STEP).await;
+            } else if !answered {
+                let pause = rand::rng().random_range(RETRY_JITTER_MS);
+                tokio::time::sleep(Duration::from_millis(pause)).await;
             }
         }
     }
@@ -209,7 +218,8 @@
         self.rank.1
     }
 
-    async fn make(&self, shared: &Shared, call: LeaseCall) {
+    /// Makes a call; false when the platform did not answer it.
+    async fn make(&self, shared: &Shared, call: LeaseCall) -> bool {
         match &call {
             LeaseCall::Read => self.read(shared).await,
             LeaseCall::Write {
@@ -227,16 +237,20 @@
                     Ok(answer) => outcome_of(&answer),
                     Err(_) => WriteOutcome::Unknown,
                 };
+                let answered = matches!(outcome, WriteOutcome::Done { .. } | WriteOutcome::Conflict);
                 let now = shared.clock.now();
                 self.lease.lock().on_write(&call, outcome, now);
+                answered
             }
         }
     }
 
-    async fn read(&self, shared: &Shared) {
+    /// Reads the object; false when the platform did not answer.
+    async fn read(&self, shared: &Shared) -> bool {
         let get = shared.store.get(Kind::Lease, self.name.as_str());
         let answer = tokio::time::timeout(READ_LIMIT, get).await;
         let now = shared.clock.now();
+        let answered = matches!(answer, Ok(Ok(_)));
         let mut lease = self.lease.lock();
         match answer {
             Ok(Ok(found)) => match found.map(stored_lease).transpose() {
@@ -248,6 +262,7 @@
             },
             Ok(Err(_)) | Err(_) => lease.on_read_failed(now),
         }
+        answered
     }
 
     fn report(&self, shared: &Shared) {
--- a/crates/node/src/vms.rs
+++ b/crates/node/src/vms.rs
@@ -27,8 +27,10 @@
 const WATCHER_MS: u64 = 1_500;
 /// Time between reads of other members.
 const OTHER_MS: u64 = 60_000;
-/// Age of the last confirmation after which a member that is no watcher reads the list.
-const UNCONFIRMED_MS: u64 = 4_000;
+/// Bounds of the age of the last confirmation after which a member that is no watcher reads the list. Each member draws
+/// its own age, so that a part of the fleet that loses confirmation at once does not read at once. The upper bound leaves
+/// time for the read before the VM counts as isolated.
+const UNCONFIRMED_MS: std::ops::RangeInclusive<u64> = 3_500..=4_000;
 /// First and longest pause between such reads; all members make them at once when the platform is down.
 const BACKOFF_MS: (u64, u64) = (2_000, 40_000);
 /// Time between looks at whether a read is due.
@@ -47,19 +49,26 @@
     let mut known: Option<(Millis, Vec<VmInfo>)> = None;
     let mut was_configured = false;
     let mut backoff = BACKOFF_MS.0;
+    let mut unconfirmed = rand::rng().random_range(UNCONFIRMED_MS);
+    let mut was_confirmed = true;
     loop {
         let now = shared.clock.now();
         let is_watcher = role.is_watcher(&shared);
         let age = shared.members.age();
-        if age < UNCONFIRMED_MS {
+        let is_confirmed = age < unconfirmed;
+        if is_confirmed && !was_confirmed {
+            unconfirmed = rand::rng().random_range(UNCONFIRMED_MS);
+        }
+        was_confirmed = is_confirmed;
+        if is_confirmed {
             backoff = BACKOFF_MS.0;
         }
         let gap = if is_watcher {
             WATCHER_MS
-        } else if age >= UNCONFIRMED_MS {
-            backoff
-        } else {
+        } else if is_confirmed {
             OTHER_MS
+        } else {
+            backoff
         };
         if polled == Millis(0) || now.since(polled) >= gap {
             polled = now;
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -31,6 +31,8 @@
     vms: Mutex<Vec<VmInfo>>,
     down: AtomicBool,
     lose_answers: AtomicBool,
+    lists: AtomicUsize,
+    refuse_most_lists: AtomicBool,
 }
 
 impl FakePlatform {
@@ -39,6 +41,11 @@
         self.down.store(down, Ordering::SeqCst);
     }
 
+    /// Answers only every third list from now on, as a platform over its limit of calls does.
+    pub fn refuse_most_lists(&self) {
+        self.refuse_most_lists.store(true, Ordering::SeqCst);
+    }
+
     /// Loses the answer of the next write that takes effect.
     pub fn lose_next_answer(&self) {
         self.lose_answers.store(true, Ordering::SeqCst);
@@ -87,6 +94,10 @@
 
     async fn list(&self, kind: Kind) -> Result<ObjectList, PlatformError> {
         self.check()?;
+        let count = self.lists.fetch_add(1, Ordering::SeqCst);
+        if self.refuse_most_lists.load(Ordering::SeqCst) && !count.is_multiple_of(3) {
+            return Err(PlatformError::RateLimited);
+        }
         let objects = self.objects.lock();
         let items = objects.values().filter(|it| it.kind == kind).cloned().collect();
         Ok(ObjectList {
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -104,6 +104,17 @@
     assert!(!lonely.ready(), "ready without platform and peers");
 }
 
+/// Guards against a start that never ends because the platform refuses a part of the lists of each attempt.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn process_becomes_ready_although_most_lists_are_refused() {
+    let platform = Arc::new(FakePlatform::default());
+    platform.refuse_most_lists();
+
+    let runtime = start(&settings("vm0", Vec::new()), &platform).await;
+
+    eventually("ready", || runtime.ready()).await;
+}
+
 /// Guards against work without a decider after a holder stops, and against a term that does not grow.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn lease_moves_when_its_holder_stops_or_crashes() {
