--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -12,6 +12,7 @@
 use guava_core::spread::{Entry, EntryKey, Version};
 use guava_platform::{Expect, PlatformError, StoredObject};
 use parking_lot::Mutex;
+use rand::Rng;
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 
@@ -27,6 +28,10 @@
 /// Time limit for giving back all leases at a shutdown.
 const RELEASE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Bounds of the pause after a failed call, in milliseconds, in addition to the pause of the lease logic: leases whose
+/// calls fail at the same moment would otherwise all repeat them at the same moment.
+const RETRY_JITTER_MS: std::ops::Range<u64> = 0..500;
+
 /// Sequence of the entry of a lease that has been given back.
 const RELEASED: u64 = 1;
 
@@ -162,13 +167,17 @@
             self.look_when_given_back(&shared, &mut last_entry);
             let call = self.step(&shared);
             let made_call = call.is_some();
-            if let Some(call) = call {
-                self.make(&shared, call).await;
-            }
+            let answered = match call {
+                Some(call) => self.make(&shared, call).await,
+                None => true,
+            };
             self.report(&shared);
             drop(shared);
             if !made_call {
                 tokio::time::sleep(STEP).await;
+            } else if !answered {
+                let pause = rand::rng().random_range(RETRY_JITTER_MS);
+                tokio::time::sleep(Duration::from_millis(pause)).await;
             }
         }
     }
@@ -195,28 +204,22 @@
         self.lease.lock().step(standing, now, &mut rand::rng())
     }
 
-    /// Rank among live members of the same role; computed again when beliefs change.
+    /// Rank among live members of the same role; computed again when the members change.
     fn rank(&mut self, shared: &Shared) -> Option<usize> {
         if shared.is_shutting_down() {
             return None;
         }
-        let epoch = shared.members.epoch();
-        if self.rank.0 != epoch {
-            let me = &shared.me().id;
-            let live = shared.members.live();
-            let names: Vec<String> = live
-                .iter()
-                .filter(|it| it.id.role == me.role)
-                .map(|it| it.id.to_string())
-                .collect();
-            let names = names.iter().map(String::as_str);
-            let position = rendezvous::position(self.name.as_str(), names, &me.to_string());
-            self.rank = (epoch, position);
+        let candidates = shared.members.candidates();
+        if self.rank.0 != candidates.generation {
+            let names = candidates.role.iter().map(String::as_str);
+            let position = rendezvous::position(self.name.as_str(), names, &shared.me().id.to_string());
+            self.rank = (candidates.generation, position);
         }
         self.rank.1
     }
 
-    async fn make(&self, shared: &Shared, call: LeaseCall) {
+    /// Makes a call; false when the platform did not answer it.
+    async fn make(&self, shared: &Shared, call: LeaseCall) -> bool {
         match &call {
             LeaseCall::Read => self.read(shared).await,
             LeaseCall::Write {
@@ -234,16 +237,20 @@
                     Ok(answer) => outcome_of(&answer),
                     Err(_) => WriteOutcome::Unknown,
                 };
+                let answered = matches!(outcome, WriteOutcome::Done { .. } | WriteOutcome::Conflict);
                 let now = shared.clock.now();
                 self.lease.lock().on_write(&call, outcome, now);
+                answered
             }
         }
     }
 
-    async fn read(&self, shared: &Shared) {
+    /// Reads the object; false when the platform did not answer.
+    async fn read(&self, shared: &Shared) -> bool {
         let get = shared.store.get(Kind::Lease, self.name.as_str());
         let answer = tokio::time::timeout(READ_LIMIT, get).await;
         let now = shared.clock.now();
+        let answered = matches!(answer, Ok(Ok(_)));
         let mut lease = self.lease.lock();
         match answer {
             Ok(Ok(found)) => match found.map(stored_lease).transpose() {
@@ -255,6 +262,7 @@
             },
             Ok(Err(_)) | Err(_) => lease.on_read_failed(now),
         }
+        answered
     }
 
     fn report(&self, shared: &Shared) {
