--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -64,8 +64,7 @@
 pub struct Permits {
     limits: StoreLimits,
     slots: BTreeMap<ReplicaId, (PermitKind, Millis)>,
-    /// Time at which the loads begun so far are used up at the allowed rate.
-    paid_until: Millis,
+    next_load: Millis,
     learning_until: Millis,
 }
 
@@ -75,7 +74,7 @@
         Self {
             limits,
             slots: BTreeMap::new(),
-            paid_until: Millis(0),
+            next_load: Millis(0),
             learning_until,
         }
     }
@@ -102,7 +101,7 @@
                 };
             }
             if req.kind == PermitKind::Model {
-                self.paid_until = self.paid_until.max(now) + self.interval_ms();
+                self.next_load = now + self.interval_ms();
             }
         }
         self.slots.insert(req.replica.clone(), (req.kind, now + PERMIT_TTL_MS));
@@ -136,9 +135,7 @@
             return 50;
         }
         if kind == PermitKind::Model {
-            // Loads may begin together as long as no more than `loads_at_once` are ahead of the rate.
-            let ahead = self.interval_ms() * u64::from(self.limits.loads_at_once.saturating_sub(1));
-            return self.paid_until.since(now + ahead);
+            return self.next_load.since(now);
         }
         0
     }
