Split stream forwarding and load times into modules of their own, and use the field's names

Cause: read as a newcomer: path.rs and scheduler.rs each did several jobs, and some names needed explaining. Change: router path/relay.rs, core scheduler/load_times.rs; lease manager in place of keeper, unattainable in place of hopeless. Behaviour is the same.

--- a/crates/bench/src/slopes/leases.rs
+++ b/crates/bench/src/slopes/leases.rs
@@ -110,7 +110,7 @@
     cost
 }
 
-/// What the lease keeper computes when a member has come or gone: the names of the candidates, once, and the rank for
+/// What the lease manager computes when a member has come or gone: the names of the candidates, once, and the rank for
 /// each lease.
 fn ranking() -> [Series; 2] {
     let series = |what| Series::new(what, "members", "µs", MEMBERS_AT_DESIGN);
--- a/crates/bench/src/slopes/membership.rs
+++ b/crates/bench/src/slopes/membership.rs
@@ -228,7 +228,7 @@
     );
     let mut start_bytes = Series::new("membership logic, after a start: bytes sent", "members", "B/s", design);
     let mut start_time = Series::new(
-        "membership logic: time for which a start is told on",
+        "membership logic: time for which news of a start is spread",
         "members",
         "s",
         design,
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// Call to the platform that the keeper must make next.
+/// Call to the platform that the manager must make next.
 #[derive(Debug, Clone, PartialEq)]
 pub enum LeaseCall {
     /// Read the lease object.
@@ -85,7 +85,7 @@
     Unknown,
 }
 
-/// What a keeper knows about the other members when it decides.
+/// What a manager knows about the other members when it decides.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Standing {
     /// Rank of this process among the live candidates; `None` when it must not acquire.
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -359,7 +359,7 @@
 
     /// Merges all beliefs of another member, as a pull brings them.
     ///
-    /// Members that were unknown here are not told on: they are known where the beliefs come from and were told of
+    /// Members that were unknown here are not spread as news: they are known where the beliefs come from and were told of
     /// there. A process that told of a whole fleet after its start would send nothing else for hours at 4,500 members.
     pub fn merge(&mut self, beliefs: Vec<Belief>, now: Millis, out: &mut Output) {
         for belief in beliefs {
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -276,7 +276,7 @@
         pub instance: String,
         /// Newest fencing token seen.
         pub term: Term,
-        /// Whether the engine is leaving by its own word.
+        /// Whether the engine reports that it is leaving.
         pub leaving: bool,
         /// Memory in all, in bytes.
         pub memory_bytes: u64,
@@ -294,7 +294,7 @@
         pub checks_fence: bool,
         /// Whether its engine forgets cancelled replica ids.
         pub forgets_orders: bool,
-        /// Whether it is leaving by configuration, list or its own word.
+        /// Whether it is leaving by configuration, list or its own report.
         pub leaving: bool,
     }
 }
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -15,8 +15,11 @@
 use crate::snapshot::Snapshot;
 use crate::units::Millis;
 
+mod load_times;
 pub mod naive;
 
+use load_times::LoadTimes;
+
 /// Least time a replica stays loaded.
 pub const LEAST_RESIDENCE_MS: u64 = 2_000;
 /// Time ahead for which the probability of a wake is taken.
@@ -46,8 +49,6 @@
 const DEMAND_ZONE_BONUS_MS: f64 = 10.0;
 /// Bonus of a server for each of the model's adapters that is present there, in milliseconds.
 const ADAPTER_BONUS_MS: f64 = 5.0;
-/// Weight of a new measurement of a load time.
-const LOAD_TIME_GAIN: f64 = 0.3;
 
 /// What a scheduler looks at.
 #[derive(Debug, Clone, Copy)]
@@ -161,54 +162,6 @@
     tier: CacheTier,
 }
 
-/// Load times by tier, in milliseconds per byte.
-#[derive(Debug, Clone, Copy)]
-struct LoadTimes {
-    ms_per_byte: [f64; 3],
-    measured: [bool; 3],
-}
-
-impl Default for LoadTimes {
-    /// 10 GB/s, 2 GB/s and 0.5 GB/s; of these only the ratios matter once the pool's limits are known.
-    fn default() -> Self {
-        Self {
-            ms_per_byte: [1e-7, 5e-7, 2e-6],
-            measured: [false; 3],
-        }
-    }
-}
-
-impl LoadTimes {
-    fn ms(&self, tier: CacheTier, bytes: u64) -> u64 {
-        (self.ms_per_byte[tier as usize] * bytes as f64) as u64
-    }
-
-    fn learn(&mut self, tier: CacheTier, bytes: u64, ms: u64) {
-        let measured = ms as f64 / bytes.max(1) as f64;
-        let known = &mut self.ms_per_byte[tier as usize];
-        *known += (measured - *known) * LOAD_TIME_GAIN;
-        self.measured[tier as usize] = true;
-    }
-
-    /// Derives the times that have not been measured from the weight store's limits: a load of mean size at full speed
-    /// takes `loads_at_once / loads_per_second`. Estimates that are too long refuse requests that could be served.
-    fn assume(&mut self, input: &Input<'_>) {
-        let sizes = input.config.models.values().filter(|it| it.pool == input.plan.pool);
-        let sizes: Vec<u64> = sizes.map(|it| it.bytes).collect();
-        let bytes = sizes.iter().sum::<u64>() as f64 / sizes.len().max(1) as f64;
-        let Some(limits) = input.limits().filter(|it| it.loads_per_second > 0.0 && bytes > 0.0) else {
-            return;
-        };
-        let remote = f64::from(limits.loads_at_once) / limits.loads_per_second * 1_000.0 / bytes;
-        let defaults = Self::default().ms_per_byte;
-        for (tier, measured) in self.measured.iter().enumerate() {
-            if !measured {
-                self.ms_per_byte[tier] = remote * defaults[tier] / defaults[CacheTier::Remote as usize];
-            }
-        }
-    }
-}
-
 /// A model or adapter that lacks replicas.
 #[derive(Debug, Clone)]
 struct Want {
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -142,7 +142,7 @@
 }
 
 struct Process<K> {
-    keeper: K,
+    manager: K,
     clock_offset: u64,
     paused_until: u64,
     call: Option<InFlight>,
@@ -173,7 +173,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let processes = (0..PROCESSES)
             .map(|index| Process {
-                keeper: K::new(MemberId::new(format!("vm{index}"), Role::Controller)),
+                manager: K::new(MemberId::new(format!("vm{index}"), Role::Controller)),
                 clock_offset: rng.random_range(0..60_000),
                 paused_until: 0,
                 call: None,
@@ -207,7 +207,7 @@
             self.serve(index, now);
             self.act(index, now, trouble);
         }
-        let local = |it: &Process<K>| it.keeper.held(Millis(now + it.clock_offset));
+        let local = |it: &Process<K>| it.manager.held(Millis(now + it.clock_offset));
         let held: Vec<(usize, Term)> = self
             .processes
             .iter()
@@ -273,24 +273,24 @@
             let is_write = matches!(call.call, LeaseCall::Write { .. });
             let is_applied = call.answer.is_some();
             match call.answer.filter(|_| !call.lost) {
-                Some(Ok(found)) if !is_write => process.keeper.on_read(Ok(found), local),
-                Some(Err(_)) => process.keeper.on_write(&call.call, WriteOutcome::Conflict, local),
+                Some(Ok(found)) if !is_write => process.manager.on_read(Ok(found), local),
+                Some(Err(_)) => process.manager.on_write(&call.call, WriteOutcome::Conflict, local),
                 Some(Ok(Some(lease))) => {
                     let version = lease.version;
                     process
-                        .keeper
+                        .manager
                         .on_write(&call.call, WriteOutcome::Done { version }, local);
                 }
                 _ if is_write => {
-                    process.keeper.on_write(&call.call, WriteOutcome::Unknown, local);
+                    process.manager.on_write(&call.call, WriteOutcome::Unknown, local);
                     if !is_applied {
                         self.late.push((call.applied_at, call.call));
                     }
                 }
-                _ => process.keeper.on_read(Err(ReadFailed), local),
+                _ => process.manager.on_read(Err(ReadFailed), local),
             }
         }
-        if let Some(call) = process.keeper.step(index, local, &mut self.rng) {
+        if let Some(call) = process.manager.step(index, local, &mut self.rng) {
             let slow = trouble && self.rng.random_bool(0.1);
             let latency = if slow {
                 self.rng.random_range(0..12_000)
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -169,7 +169,7 @@
         pub instance: String,
         /// Largest term seen.
         pub term: Term,
-        /// Whether the engine is leaving by its own word.
+        /// Whether the engine reports that it is leaving.
         pub leaving: bool,
         /// Role.
         pub role: EngineRole,
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/lease_manager.rs
@@ -1,4 +1,4 @@
-//! Keeper of leases: makes the calls that the lease logic decides.
+//! Lease manager: makes the calls that the lease logic decides.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Weak};
@@ -49,7 +49,7 @@
 
 /// Leases this process competes for.
 #[derive(Debug)]
-pub(crate) struct LeaseKeeper {
+pub(crate) struct LeaseManager {
     shared: Weak<Shared>,
     handle: Handle,
     kept: Mutex<BTreeMap<LeaseName, Kept>>,
@@ -57,7 +57,7 @@
     clock: Arc<dyn crate::Clock>,
 }
 
-impl LeaseKeeper {
+impl LeaseManager {
     pub(crate) fn new(shared: &Arc<Shared>) -> Self {
         Self {
             shared: Arc::downgrade(shared),
@@ -102,7 +102,7 @@
     }
 }
 
-impl Leases for LeaseKeeper {
+impl Leases for LeaseManager {
     fn compete(&self, name: &LeaseName) {
         let Some(shared) = self.shared.upgrade() else {
             return;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,7 +21,7 @@
 mod gossip;
 pub mod health;
 pub mod health_server;
-mod keeper;
+mod lease_manager;
 pub mod logging;
 mod members;
 mod metrics;
@@ -107,7 +107,7 @@
 
 /// Leases on divided work.
 pub trait Leases: std::fmt::Debug + Send + Sync {
-    /// Starts to compete for a lease; the keeper acquires and renews it from now on.
+    /// Starts to compete for a lease; the manager acquires and renews it from now on.
     fn compete(&self, name: &LeaseName);
 
     /// Term under which this process holds the lease and may act now.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,7 +9,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use crate::keeper::LeaseKeeper;
+use crate::lease_manager::LeaseManager;
 use crate::shared::Shared;
 use crate::{Members, Spread};
 
@@ -50,7 +50,7 @@
 
 impl Metrics {
     /// Registers the runtime's own metrics.
-    pub(crate) fn observe(&self, shared: &Arc<Shared>, keeper: &Arc<LeaseKeeper>) {
+    pub(crate) fn observe(&self, shared: &Arc<Shared>, manager: &Arc<LeaseManager>) {
         let meter = self.meter();
         let gauge = |name: &'static str, text: &'static str, read: fn(&Shared) -> u64| {
             let shared = Arc::downgrade(shared);
@@ -101,13 +101,13 @@
             .with_description("Bytes sent in datagrams")
             .with_callback(move |observer| observer.observe(sent.load(Ordering::Relaxed), &[]))
             .build();
-        let keeper = Arc::downgrade(keeper);
+        let manager = Arc::downgrade(manager);
         meter
             .u64_observable_gauge("guava_leases_held")
             .with_description("Leases held")
             .with_callback(move |observer| {
-                if let Some(keeper) = keeper.upgrade() {
-                    observer.observe(keeper.all_held().len() as u64, &[]);
+                if let Some(manager) = manager.upgrade() {
+                    observer.observe(manager.all_held().len() as u64, &[]);
                 }
             })
             .build();
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -20,7 +20,7 @@
 use crate::clock::SystemClock;
 use crate::gossip::{self, Sender};
 use crate::health::Health;
-use crate::keeper::LeaseKeeper;
+use crate::lease_manager::LeaseManager;
 use crate::members::MemberTable;
 use crate::metrics::Metrics;
 use crate::peers::PeerClients;
@@ -72,7 +72,7 @@
     /// Parts that the program uses.
     pub node: Node,
     shared: Arc<Shared>,
-    keeper: Arc<LeaseKeeper>,
+    manager: Arc<LeaseManager>,
     metrics: Metrics,
     tasks: JoinSet<()>,
     listener: Mutex<Option<TcpListener>>,
@@ -114,16 +114,16 @@
             rpc_addr: listener.local_addr()?,
         };
         let shared = assemble(me, clock, Arc::clone(&socket), store, vms);
-        let keeper = Arc::new(LeaseKeeper::new(&shared));
+        let manager = Arc::new(LeaseManager::new(&shared));
         let metrics = Metrics::new();
-        metrics.observe(&shared, &keeper);
+        metrics.observe(&shared, &manager);
         let tasks = spawn_tasks(&shared, &socket, &seeds);
         let detail = format!("{} incarnation {}", shared.me().id, shared.me().incarnation.0);
         shared.timeline.record(Event::ProcessStarted, None, None, &detail);
         Ok(Self {
-            node: node_of(&shared, &keeper),
+            node: node_of(&shared, &manager),
             shared,
-            keeper,
+            manager,
             metrics,
             tasks,
             listener: Mutex::new(Some(listener)),
@@ -140,7 +140,7 @@
     pub async fn serve_rpc(&self, mut module: RpcModule<()>) -> Result<(), NodeError> {
         let methods = Methods {
             shared: Arc::clone(&self.shared),
-            keeper: Arc::clone(&self.keeper),
+            manager: Arc::clone(&self.manager),
         };
         let own = server::module(methods).map_err(|error| NodeError::Rpc(error.to_string()))?;
         module.merge(own).map_err(|error| NodeError::Rpc(error.to_string()))?;
@@ -182,7 +182,7 @@
     /// Hands over leases, tells peers that the process ends and stops the background tasks.
     pub async fn stop(mut self) {
         self.shared.begin_shutdown("");
-        self.keeper.release_all().await;
+        self.manager.release_all().await;
         push_rest(&self.shared).await;
         let out = self.shared.members.leave();
         self.shared.dispatch(out).await;
@@ -200,7 +200,7 @@
 
 impl Drop for Runtime {
     fn drop(&mut self) {
-        self.keeper.abandon_all();
+        self.manager.abandon_all();
         if let Some(server) = self.server.lock().take() {
             // Fails when the server has stopped already.
             let _ = server.stop();
@@ -249,13 +249,13 @@
     })
 }
 
-fn node_of(shared: &Arc<Shared>, keeper: &Arc<LeaseKeeper>) -> Node {
+fn node_of(shared: &Arc<Shared>, manager: &Arc<LeaseManager>) -> Node {
     Node {
         clock: Arc::clone(&shared.clock),
         members: Arc::<MemberTable>::clone(&shared.members),
         spread: Arc::<SpreadMap>::clone(&shared.spread),
         peers: Arc::clone(&shared.peers),
-        leases: Arc::<LeaseKeeper>::clone(keeper),
+        leases: Arc::<LeaseManager>::clone(manager),
         timeline: Arc::clone(&shared.timeline),
         store: Arc::clone(&shared.store),
         vms: Arc::clone(&shared.vms),
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 
 use crate::antientropy::{self, PULL_METHOD, PullParams};
-use crate::keeper::LeaseKeeper;
+use crate::lease_manager::LeaseManager;
 use crate::peers::MAX_MESSAGE_BYTES;
 use crate::shared::Shared;
 use crate::status::{LeaseStatus, MemberStatus, Status};
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub(crate) struct Methods {
     pub(crate) shared: Arc<Shared>,
-    pub(crate) keeper: Arc<LeaseKeeper>,
+    pub(crate) manager: Arc<LeaseManager>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -104,7 +104,7 @@
         .into_iter()
         .map(|kind| (kind.plural().to_owned(), shared.spread.newest(kind)))
         .collect();
-    let leases = cx.keeper.all_held();
+    let leases = cx.manager.all_held();
     let status = Status {
         member: me.id.clone(),
         incarnation: me.incarnation,
--- a/crates/router/src/path.rs
+++ b/crates/router/src/path.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::answer::{Answer, Part, StreamAnswer, WholeAnswer};
+use crate::answer::{Answer, StreamAnswer, WholeAnswer};
 use crate::args::RouterArgs;
 use crate::config::Config;
 use crate::dispatch::{Claimant, Grant, Target, TargetKey, Targets};
@@ -28,14 +28,16 @@
 use crate::usage::{self, StreamReader};
 use crate::{IdempotencyRecords, Jobs, Outcome, Quota};
 
+mod relay;
+
+use relay::StreamRelay;
+
 /// Sendings of one idempotent request.
 const MAX_ATTEMPTS: usize = 3;
 /// Parts of a stream held between backend server and caller.
 const STREAM_PARTS: usize = 16;
 /// Longest incomplete event of a stream.
 const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
-/// Longest wait for room for the error event of a cut stream.
-const ERROR_EVENT_WAIT: Duration = Duration::from_secs(1);
 /// First pause after a connection could not be opened; it doubles up to the largest.
 const CONNECT_PAUSE: Duration = Duration::from_millis(50);
 const MAX_CONNECT_PAUSE: Duration = Duration::from_secs(1);
@@ -632,7 +634,7 @@
             headers: arriving.caller_headers(),
             parts: rx,
         };
-        let pump = Pump {
+        let relay = StreamRelay {
             router: Arc::clone(self),
             finish_at: self.finish_instant(&running.work),
             running,
@@ -641,7 +643,7 @@
             kept: Vec::new(),
             sent_at,
         };
-        tokio::spawn(pump.run(arriving, first));
+        tokio::spawn(relay.run(arriving, first));
         Answer::Stream(answer)
     }
 }
@@ -660,118 +662,6 @@
     }
 }
 
-/// Passes a stream on.
-struct Pump {
-    router: Arc<Router>,
-    running: Running,
-    reader: StreamReader,
-    tx: mpsc::Sender<Part>,
-    /// Copy of the answer for the idempotency record.
-    kept: Vec<u8>,
-    finish_at: Instant,
-    sent_at: Millis,
-}
-
-enum Passed {
-    Complete,
-    Cut(FailureKind),
-    CallerLeft,
-}
-
-impl Pump {
-    async fn run(mut self, mut arriving: Arriving, first: Vec<u8>) {
-        let content_type = arriving.caller_headers();
-        let status = arriving.status();
-        let passed = self.pass_on(&mut arriving, first).await;
-        let work = Arc::clone(&self.running.work);
-        self.running.set_used(self.reader.total_tokens(work.prompt_tokens));
-        match passed {
-            Passed::Complete => {
-                arriving.finish();
-                let held_ms = self.router.node.clock.now().since(self.sent_at);
-                self.running.target.observe(work.tokens, held_ms);
-                if let Some(claim) = self.running.claim.take() {
-                    let answer = WholeAnswer {
-                        status,
-                        headers: content_type,
-                        body: Bytes::from(std::mem::take(&mut self.kept)),
-                    };
-                    claim.finish(Outcome::Answered(answer.to_stored())).await;
-                }
-                // The caller may have left; the answer is complete all the same.
-                drop(tokio::time::timeout_at(self.finish_at, self.tx.send(Part::End)).await);
-                self.router.finished(&mut self.running);
-            }
-            Passed::Cut(kind) => self.cut(kind).await,
-            // The guards say the rest: dropping `arriving` closes the connection and cancels the call.
-            Passed::CallerLeft => {}
-        }
-    }
-
-    async fn pass_on(&mut self, arriving: &mut Arriving, first: Vec<u8>) -> Passed {
-        let cancel_with_caller = self.running.work.class == Class::Idempotent;
-        let limit = self.router.args.answer_limit_bytes;
-        let mut events = Some(first);
-        loop {
-            if let Some(events) = events.take() {
-                if self.running.claim.is_some() {
-                    if self.kept.len() + events.len() > limit {
-                        return Passed::Cut(FailureKind::TooLarge);
-                    }
-                    self.kept.extend_from_slice(&events);
-                }
-                // The timeout also ends a stream whose caller reads too slowly and would keep its slot.
-                let sent = self.tx.send(Part::Data(Bytes::from(events)));
-                match tokio::time::timeout_at(self.finish_at, sent).await {
-                    Err(_) => return Passed::Cut(FailureKind::Timeout),
-                    Ok(Err(_)) if cancel_with_caller => return Passed::CallerLeft,
-                    Ok(_) => {}
-                }
-            }
-            let next = tokio::time::timeout_at(self.finish_at, arriving.next_part());
-            let part = tokio::select! {
-                part = next => part,
-                () = self.tx.closed(), if cancel_with_caller => return Passed::CallerLeft,
-            };
-            match part {
-                Err(_) => return Passed::Cut(FailureKind::Timeout),
-                Ok(Err(kind)) => return Passed::Cut(kind),
-                Ok(Ok(None)) if self.reader.is_done() => return Passed::Complete,
-                Ok(Ok(None)) => return Passed::Cut(FailureKind::Broken),
-                Ok(Ok(Some(part))) => events = self.reader.take(&part),
-            }
-            if self.reader.held_bytes() > MAX_EVENT_BYTES {
-                return Passed::Cut(FailureKind::TooLarge);
-            }
-        }
-    }
-
-    async fn cut(&mut self, kind: FailureKind) {
-        let code = match kind {
-            FailureKind::Timeout => Code::TimedOut,
-            _ => Code::AnswerCut,
-        };
-        self.running.step(RequestEvent::Fail);
-        self.running.ending.ending = Ending::Failed;
-        let organisation = self.running.work.caller.organisation.as_ref();
-        self.router.metrics.refused(code, organisation);
-        let work = &self.running.work;
-        let timeline = &self.router.node.timeline;
-        timeline.record(
-            Event::RequestFailed,
-            Some(work.id.as_str()),
-            Some(work.target.name()),
-            &code.to_string(),
-        );
-        let mut event = b"event: error\ndata: ".to_vec();
-        event.extend(Refusal::outcome_unknown(code).body());
-        event.extend(b"\n\n");
-        // The caller may have left or may not read; then nobody needs the error.
-        let sent = self.tx.send(Part::Data(Bytes::from(event)));
-        drop(tokio::time::timeout(ERROR_EVENT_WAIT, sent).await);
-    }
-}
-
 fn refuse(mut running: Running, refusal: Refusal) -> Answer {
     running.ending.ending = Ending::Refused;
     if running.lifecycle.step(RequestEvent::Refuse).is_err() {
--- a/crates/router/src/quota/account.rs
+++ b/crates/router/src/quota/account.rs
@@ -199,7 +199,7 @@
                 account.ledger.lock().shrink_wallet(now);
                 continue;
             }
-            self.refuse_hopeless(&account);
+            self.refuse_unattainable(&account);
             account.ledger.lock().empty_wallet(self.node.clock.now());
             self.report(&account).await;
             let pause = rand::rng().random_range(BACK_OFF_MS);
@@ -253,7 +253,7 @@
     }
 
     /// Refuses at once what the known tokens and the accrual of the remaining wait cannot cover.
-    fn refuse_hopeless(&self, account: &Account) {
+    fn refuse_unattainable(&self, account: &Account) {
         let now = self.node.clock.now();
         let (known, limits) = {
             let mut ledger = account.ledger.lock();
