Log a lease that is given back as information and not as a loss

Cause: a planned stop logged one warning E4009 for each lease, 64 lines for the job shards, so the warning meant nothing. Change: event E4015 for leases given back; E4009 stays for lost ones.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -89,6 +89,7 @@
     ConfigApplied = 4012, Debug, "A configuration change is in force here.";
     LogLevelChanged = 4013, Info, "The log level was changed.";
     PauseDetected = 4014, Warn, "The process was paused.";
+    LeaseReleased = 4015, Info, "This process gave a lease back.";
 
     // 5xxx: platform.
     PlatformUnavailable = 5001, Warn, "The platform's object service does not answer.";
--- a/crates/node/src/lease_manager.rs
+++ b/crates/node/src/lease_manager.rs
@@ -277,7 +277,7 @@
                 LeaseEvent::Released(term) => {
                     self.spread_release(shared, term);
                     let detail = format!("{} term {} given back", self.name, term.0);
-                    shared.timeline.record(Event::LeaseLost, None, None, &detail);
+                    shared.timeline.record(Event::LeaseReleased, None, None, &detail);
                 }
                 LeaseEvent::Lost(term) => {
                     let detail = format!("{} term {}", self.name, term.0);
