Share the small HTTP servers of administration and health checks

Cause: the administration API and the health server repeated handle, start and answers. Change: guava_node::http has the handle and the answer; both use it.

--- a/crates/admin/src/http.rs
+++ b/crates/admin/src/http.rs
@@ -1,14 +1,13 @@
 //! HTTP side of the administration API on xitca-web.
 
 use std::borrow::Cow;
-use std::fmt;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
 use bytes::Bytes;
 use guava_core::codes::Code;
+use guava_node::http::{HttpServer, response};
 use subtle::ConstantTimeEq;
-use xitca_web::body::ResponseBody;
 use xitca_web::handler::body::Limit;
 use xitca_web::handler::handler_service;
 use xitca_web::http::{HeaderMap, WebResponse, header};
@@ -22,32 +21,10 @@
 /// Threads that serve operators.
 const WORKER_THREADS: usize = 1;
 
-/// A running administration API.
-pub struct AdminHandle {
-    /// Address it listens on.
-    pub addr: SocketAddr,
-    server: xitca_server::ServerHandle,
-}
-
-impl fmt::Debug for AdminHandle {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("AdminHandle")
-            .field("addr", &self.addr)
-            .finish_non_exhaustive()
-    }
-}
-
-impl AdminHandle {
-    /// Stops after running calls have finished.
-    pub fn stop(&self) {
-        self.server.stop(true);
-    }
-}
-
-pub(crate) fn serve(addr: SocketAddr, admin: Arc<Admin>) -> Result<AdminHandle, AdminError> {
+pub(crate) fn serve(addr: SocketAddr, admin: Arc<Admin>) -> Result<HttpServer, AdminError> {
     let listener = TcpListener::bind(addr)?;
     let addr = listener.local_addr()?;
-    let mut server = App::new()
+    let server = App::new()
         .with_state(admin)
         .at("/{*path}", handler_service(handle))
         .serve()
@@ -55,9 +32,7 @@
         .worker_threads(WORKER_THREADS)
         .listen(listener)?
         .run();
-    let handle = server.handle()?;
-    tokio::spawn(server);
-    Ok(AdminHandle { addr, server: handle })
+    Ok(HttpServer::spawn(addr, server)?)
 }
 
 async fn handle(cx: &WebContext<'_, Arc<Admin>>) -> WebResponse {
@@ -75,14 +50,6 @@
     response(status, "application/json", body.to_string())
 }
 
-fn response(status: u16, content_type: &'static str, body: String) -> WebResponse {
-    let mut res = WebResponse::new(ResponseBody::from(body));
-    *res.status_mut() = status.try_into().unwrap_or_default();
-    res.headers_mut()
-        .insert(header::CONTENT_TYPE, header::HeaderValue::from_static(content_type));
-    res
-}
-
 async fn parse(cx: &WebContext<'_, Arc<Admin>>) -> Result<ApiRequest, Failure> {
     let req = cx.req();
     cx.state().authorise(req.headers())?;
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -10,6 +10,7 @@
 use guava_core::keys::{KeyHasher, MIN_PEPPER_BYTES};
 use guava_node::Node;
 use guava_node::health::Health;
+use guava_node::http::HttpServer;
 use guava_node::runtime::NodeError;
 use parking_lot::Mutex;
 use quick_error::quick_error;
@@ -113,7 +114,7 @@
 /// # Errors
 ///
 /// Fails when settings have faults or the listener cannot be opened.
-pub fn serve(args: &AdminArgs, node: Node, health: Health) -> Result<http::AdminHandle, AdminError> {
+pub fn serve(args: &AdminArgs, node: Node, health: Health) -> Result<HttpServer, AdminError> {
     let faults = args.check();
     if !faults.is_empty() {
         return Err(AdminError::Settings(faults));
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -6,7 +6,7 @@
 use guava_controller::{ControllerArgs, ControllerError, serve};
 use guava_core::ids::Role;
 use guava_engine::HttpEngine;
-use guava_node::health_server::HealthServer;
+use guava_node::health_server;
 use guava_node::program::{self, Program};
 use guava_node::runtime::Runtime;
 use guava_node::settings::CommonArgs;
@@ -36,7 +36,7 @@
     ) -> Result<(), ControllerError> {
         let health = common
             .health_addr
-            .map(|addr| HealthServer::start(addr, runtime.health()));
+            .map(|addr| health_server::serve(addr, runtime.health()));
         let health = health.transpose()?;
         let engine = Arc::new(HttpEngine::new());
         let controller = serve(args, runtime.node.clone(), engine, runtime.meter()).await?;
--- a/crates/dev/src/system.rs
+++ b/crates/dev/src/system.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use guava_admin::AdminArgs;
-use guava_admin::http::AdminHandle;
 use guava_controller::{ControllerArgs, ControllerHandle};
 use guava_core::config::Object;
 use guava_core::ids::{Role, Zone};
 use guava_engine::HttpEngine;
-use guava_node::health_server::HealthServer;
+use guava_node::health_server;
+use guava_node::http::HttpServer;
 use guava_node::runtime::Runtime;
 use guava_node::settings::CommonArgs;
 use guava_node::signal::shutdown_signal;
@@ -40,8 +40,8 @@
 struct EntryVm {
     router: (Runtime, RouterProgram),
     controller: (Runtime, ControllerHandle),
-    health: HealthServer,
-    admin: (Runtime, AdminHandle),
+    health: HttpServer,
+    admin: (Runtime, HttpServer),
 }
 
 /// Runs the system until a signal asks it to stop.
@@ -144,7 +144,7 @@
     )
     .await?;
     controller.serve_rpc(handle.rpc_module()).await?;
-    let health = HealthServer::start(loopback(args.health_port + number), controller.health())?;
+    let health = health_server::serve(loopback(args.health_port + number), controller.health())?;
 
     let router = start(Role::Router).await?;
     let router_args = RouterArgs::new(loopback(args.router_port + number), PEPPER);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod gossip;
 pub mod health;
 pub mod health_server;
+pub mod http;
 mod lease_manager;
 pub mod logging;
 mod members;
