--- a/crates/admin/src/keys.rs
+++ b/crates/admin/src/keys.rs
@@ -28,15 +28,11 @@
     pub(crate) async fn grant_key(&self, req: &ApiRequest) -> Result<Reply, Failure> {
         let grant: GrantRequest =
             serde_json::from_value(req.json()?).map_err(|error| Failure::new(Code::InvalidField, error.to_string()))?;
-        if !self.snapshot().organisations.contains_key(&grant.organisation) {
-            return Err(Failure::new(
-                Code::UnknownReference,
-                format!("organisation {}", grant.organisation),
-            ));
-        }
         let id = self.random_id();
         let new = keys::new_key(&self.hasher, &id, &grant.organisation, &mut *self.rng.lock());
-        let mut shown = self.create_object(&Object::Key(new.key)).await?;
+        let object = Object::Key(new.key);
+        self.check_references(&object)?;
+        let mut shown = self.create_object(&object).await?;
         if let Value::Object(fields) = &mut shown {
             fields.insert("key".to_owned(), json!(new.text));
         }
--- a/crates/admin/src/objects.rs
+++ b/crates/admin/src/objects.rs
@@ -143,8 +143,8 @@
         if !faults.is_empty() {
             return Err(Failure::new(Code::InvalidObject, "see faults").with(json!({ "faults": faults })));
         }
-        self.missing_reference(&object)
-            .map_or(Ok(object), |missing| Err(Failure::new(Code::UnknownReference, missing)))
+        self.check_references(&object)?;
+        Ok(object)
     }
 
     /// Writes an object and puts it into the spread.
@@ -200,7 +200,7 @@
     }
 
     /// Configuration known to this process.
-    pub(crate) fn snapshot(&self) -> Snapshot {
+    fn snapshot(&self) -> Snapshot {
         let mut snapshot = Snapshot::default();
         for entry in self.node.spread.entries() {
             snapshot.apply(&entry);
@@ -208,28 +208,33 @@
         snapshot
     }
 
-    /// An object that `object` names and that is not known.
+    /// Refuses an object that names another one that is not known.
     ///
     /// The check reads the spread and can miss an edit made at the same moment; routers refuse requests for which a
     /// referenced object is missing.
-    fn missing_reference(&self, object: &Object) -> Option<String> {
-        let known = self.snapshot();
-        let missing = |exists: bool, what: &str, name: &str| (!exists).then(|| format!("{what} {name}"));
-        match object {
-            Object::Model(it) => missing(known.pools.contains_key(&it.pool), "pool", it.pool.as_str())
-                .or_else(|| missing(known.profiles.contains_key(&it.profile), "profile", it.profile.as_str())),
-            Object::Adapter(it) => missing(known.models.contains_key(&it.model), "model", it.model.as_str()),
-            Object::Key(it) => missing(
-                known.organisations.contains_key(&it.organisation),
-                "organisation",
-                it.organisation.as_str(),
-            ),
-            Object::Server(it) => missing(known.pools.contains_key(&it.pool), "pool", it.pool.as_str()),
-            Object::Route(it) => missing(known.pools.contains_key(&it.pool), "pool", it.pool.as_str()),
-            Object::Profile(_) | Object::Organisation(_) | Object::Pool(_) => None,
+    pub(crate) fn check_references(&self, object: &Object) -> Result<(), Failure> {
+        let references = match object {
+            Object::Model(it) => vec![(Kind::Pool, it.pool.as_str()), (Kind::Profile, it.profile.as_str())],
+            Object::Adapter(it) => vec![(Kind::Model, it.model.as_str())],
+            Object::Key(it) => vec![(Kind::Organisation, it.organisation.as_str())],
+            Object::Server(it) => vec![(Kind::Pool, it.pool.as_str())],
+            Object::Route(it) => vec![(Kind::Pool, it.pool.as_str())],
+            Object::Profile(_) | Object::Organisation(_) | Object::Pool(_) => Vec::new(),
+        };
+        match references.into_iter().find(|(kind, name)| !self.is_known(*kind, name)) {
+            Some((kind, name)) => Err(Failure::new(
+                Code::UnknownReference,
+                format!("{} {name}", kind.plural()),
+            )),
+            None => Ok(()),
         }
     }
 
+    fn is_known(&self, kind: Kind, name: &str) -> bool {
+        let entry = self.node.spread.get(&EntryKey::Config(kind, name.to_owned()));
+        entry.is_some_and(|it| !it.value.is_empty())
+    }
+
     /// An object that names the object `name` of `kind`.
     fn user_of(&self, kind: Kind, name: &str) -> Option<String> {
         let known = self.snapshot();
