Rename the platform crate to guava-objects

The adapter to the users' platform will live in platform/, and a crate of the same name would be taken for it. The crate holds the traits and stand-ins of an object store, a VM list and a weight store, so it is named after the first.

--- a/crates/admin/src/keys.rs
+++ b/crates/admin/src/keys.rs
@@ -7,7 +7,7 @@
 use guava_core::config::{Kind, Object};
 use guava_core::ids::OrganisationName;
 use guava_core::keys;
-use guava_platform::Expect;
+use guava_objects::Expect;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
--- a/crates/admin/src/objects.rs
+++ b/crates/admin/src/objects.rs
@@ -12,7 +12,7 @@
 use guava_core::snapshot::Snapshot;
 use guava_core::spread::{Entry, EntryKey, Version};
 
-use guava_platform::{Change, Expect, PlatformError, StoredObject, put_recovered};
+use guava_objects::{Change, Expect, PlatformError, StoredObject, put_recovered};
 use serde_json::{Value, json};
 
 use crate::Admin;
--- a/crates/admin/src/reply.rs
+++ b/crates/admin/src/reply.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use guava_core::codes::{Code, Run};
 use guava_node::PeerError;
-use guava_platform::PlatformError;
+use guava_objects::PlatformError;
 use serde_json::{Value, json};
 
 /// A request with its path split and decoded.
--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -1,7 +1,7 @@
 //! Failures of the benchmarks.
 
 use guava_node::runtime::NodeError;
-use guava_platform::PlatformError;
+use guava_objects::PlatformError;
 use guava_router::RouterError;
 use quick_error::quick_error;
 
--- a/crates/bench/src/parts.rs
+++ b/crates/bench/src/parts.rs
@@ -15,7 +15,7 @@
 use guava_engine::{Action, EngineSettings, Front, Order, StandInEngine, serve_engine};
 use guava_node::runtime::Runtime;
 use guava_node::settings::CommonArgs;
-use guava_platform::{Expect, MemoryObjectStore, MemoryVmList, ObjectStore, VmInfo, VmState};
+use guava_objects::{Expect, MemoryObjectStore, MemoryVmList, ObjectStore, VmInfo, VmState};
 use guava_router::idempotency::RecordService;
 use guava_router::jobs::JobService;
 use guava_router::quota::QuotaService;
--- a/crates/bench/src/slopes/leases.rs
+++ b/crates/bench/src/slopes/leases.rs
@@ -7,7 +7,7 @@
 use guava_core::membership::MemberInfo;
 use guava_core::rendezvous;
 use guava_core::units::Millis;
-use guava_platform::{VmInfo, VmState};
+use guava_objects::{VmInfo, VmState};
 use rand_chacha::ChaCha8Rng;
 
 use super::{Series, membership, seeded};
--- a/crates/bench/src/slopes/runtimes.rs
+++ b/crates/bench/src/slopes/runtimes.rs
@@ -6,7 +6,7 @@
 use guava_core::config::Kind;
 use guava_core::ids::{OperationId, Role, VmName, Zone};
 use guava_node::runtime::Runtime;
-use guava_platform::{Expect, MemoryObjectStore, MemoryVmList, ObjectStore, VmInfo, VmState};
+use guava_objects::{Expect, MemoryObjectStore, MemoryVmList, ObjectStore, VmInfo, VmState};
 use jsonrpsee::RpcModule;
 use serde_json::json;
 
--- a/crates/controller/src/plan_store.rs
+++ b/crates/controller/src/plan_store.rs
@@ -10,7 +10,7 @@
 use guava_core::config::Kind;
 use guava_core::ids::{OperationId, PoolName};
 use guava_core::plan::Plan;
-use guava_platform::{Expect, ObjectStore, PlatformError};
+use guava_objects::{Expect, ObjectStore, PlatformError};
 use quick_error::quick_error;
 
 /// Wait before an unresolved write is read back again.
--- a/crates/controller/src/shared.rs
+++ b/crates/controller/src/shared.rs
@@ -13,7 +13,7 @@
 use guava_core::units::Millis;
 use guava_engine::Engine;
 use guava_node::Node;
-use guava_platform::VmInfo;
+use guava_objects::VmInfo;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
 
--- a/crates/controller/src/worker.rs
+++ b/crates/controller/src/worker.rs
@@ -14,7 +14,7 @@
 use guava_core::scheduler::{Decision, Input};
 use guava_core::snapshot::Snapshot;
 use guava_core::units::Millis;
-use guava_platform::{VmInfo, VmState};
+use guava_objects::{VmInfo, VmState};
 use parking_lot::MutexGuard;
 use tokio::sync::mpsc;
 
--- a/crates/controller/tests/controller.rs
+++ b/crates/controller/tests/controller.rs
@@ -17,7 +17,7 @@
 use guava_core::units::Millis;
 use guava_engine::{Action, Engine, EngineError, EngineReplica, EngineReplicaState, EngineReport, EngineRole, Order};
 use guava_node::{Clock, Leases, MemberInfo, Members, Node, PeerError, Peers, Spread, Timeline};
-use guava_platform::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
+use guava_objects::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
 use jsonrpsee::core::server::MethodsError;
 use parking_lot::Mutex;
 use rstest::rstest;
--- a/crates/dev/src/error.rs
+++ b/crates/dev/src/error.rs
@@ -3,7 +3,7 @@
 use guava_admin::AdminError;
 use guava_controller::ControllerError;
 use guava_node::runtime::NodeError;
-use guava_platform::PlatformError;
+use guava_objects::PlatformError;
 use guava_router::RouterError;
 use quick_error::quick_error;
 
--- a/crates/dev/src/standins.rs
+++ b/crates/dev/src/standins.rs
@@ -8,7 +8,7 @@
 use guava_core::ids::{KeyId, OperationId, OrganisationName, VmName, Zone};
 use guava_core::keys::KeyHasher;
 use guava_engine::{EngineSettings, Front, StandInEngine, StandInService, serve_engine, serve_service};
-use guava_platform::{CheckpointKind, Expect, ObjectStore, StandInPlatform, VmInfo, VmState, checkpoint_name};
+use guava_objects::{CheckpointKind, Expect, ObjectStore, StandInPlatform, VmInfo, VmState, checkpoint_name};
 
 use crate::error::DevError;
 
@@ -77,7 +77,7 @@
     };
     let engine = StandInEngine::new(
         settings,
-        Some(Arc::<guava_platform::MemoryWeightStore>::clone(&platform.weights)),
+        Some(Arc::<guava_objects::MemoryWeightStore>::clone(&platform.weights)),
     );
     Ok(serve_engine(&engine, addr).await?)
 }
@@ -117,5 +117,5 @@
 
 /// Shares one stand-in as the traits that the process runtime takes.
 pub fn object_store(platform: &StandInPlatform) -> Arc<dyn ObjectStore> {
-    Arc::<guava_platform::MemoryObjectStore>::clone(&platform.objects)
+    Arc::<guava_objects::MemoryObjectStore>::clone(&platform.objects)
 }
--- a/crates/dev/src/system.rs
+++ b/crates/dev/src/system.rs
@@ -15,7 +15,7 @@
 use guava_node::runtime::Runtime;
 use guava_node::settings::CommonArgs;
 use guava_node::signal::shutdown_signal;
-use guava_platform::StandInPlatform;
+use guava_objects::StandInPlatform;
 use guava_router::RouterArgs;
 use guava_router::program::RouterProgram;
 use jsonrpsee::RpcModule;
@@ -126,7 +126,7 @@
             &common,
             role,
             store,
-            Arc::<guava_platform::MemoryVmList>::clone(&platform.vms),
+            Arc::<guava_objects::MemoryVmList>::clone(&platform.vms),
         )
         .await
     };
--- a/crates/e2e/tests/faults_once.rs
+++ b/crates/e2e/tests/faults_once.rs
@@ -177,7 +177,7 @@
 
     let bearer = format!("Bearer {}", fleet::key_text("bangor"));
     let addr = fleet.vms[1].router_addr();
-    fleet.list_vm(0, guava_platform::VmState::Ended, "1").await;
+    fleet.list_vm(0, guava_objects::VmState::Ended, "1").await;
     wait_for("the job has ended", async || {
         let path = format!("/v1/jobs/{job}");
         let state = fleet
--- a/crates/e2e/tests/fleet/mod.rs
+++ b/crates/e2e/tests/fleet/mod.rs
@@ -17,7 +17,7 @@
 use guava_core::ids::{KeyId, OperationId, VmName, Zone};
 use guava_core::keys::KeyHasher;
 use guava_engine::EngineRecord;
-use guava_platform::{Expect, HttpObjectStore, ObjectStore, VmInfo, VmState};
+use guava_objects::{Expect, HttpObjectStore, ObjectStore, VmInfo, VmState};
 use http::{HeaderMap, Method, Request};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
--- a/crates/engine/src/http_engine.rs
+++ b/crates/engine/src/http_engine.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use guava_core::ids::Term;
-use guava_platform::client::{Answer, CallError, HttpCaller};
+use guava_objects::client::{Answer, CallError, HttpCaller};
 use http::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 
--- a/crates/engine/src/standin.rs
+++ b/crates/engine/src/standin.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use guava_core::ids::{ModelName, ReplicaId, Term};
-use guava_platform::{WeightStore, checkpoint_name};
+use guava_objects::{WeightStore, checkpoint_name};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
 
--- a/crates/engine/tests/orders.rs
+++ b/crates/engine/tests/orders.rs
@@ -9,7 +9,7 @@
     Action, CachedCheckpoint, Engine, EngineError, EngineFaults, EngineReplicaState, EngineSettings, Front, HttpEngine,
     Order, OrderOutcome, ReplicaEventKind, StandInEngine, StandInEngines, Tier, serve_engine,
 };
-use guava_platform::{CheckpointKind, MemoryWeightStore, WeightStoreSpeed};
+use guava_objects::{CheckpointKind, MemoryWeightStore, WeightStoreSpeed};
 use rstest::rstest;
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/node/src/lease_manager.rs
+++ b/crates/node/src/lease_manager.rs
@@ -10,7 +10,7 @@
 use guava_core::lease::{Lease, LeaseCall, LeaseEvent, LeaseSpec, Standing, StoredLease, WriteOutcome};
 use guava_core::rendezvous;
 use guava_core::spread::{Entry, EntryKey, Version};
-use guava_platform::{Expect, PlatformError, StoredObject};
+use guava_objects::{Expect, PlatformError, StoredObject};
 use parking_lot::Mutex;
 use rand::Rng;
 use tokio::runtime::Handle;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,7 @@
 use guava_core::ids::{Incarnation, LeaseName, MemberId, Term};
 use guava_core::spread::{Entry, EntryKey, Version};
 use guava_core::units::Millis;
-use guava_platform::{ObjectStore, VmList};
+use guava_objects::{ObjectStore, VmList};
 use quick_error::quick_error;
 
 mod antientropy;
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -21,7 +21,7 @@
 const TARGETS: [&str; 11] = [
     "guava",
     "guava_core",
-    "guava_platform",
+    "guava_objects",
     "guava_engine",
     "guava_node",
     "guava_router",
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -9,7 +9,7 @@
 use guava_core::events::Event;
 use guava_core::ids::OperationId;
 use guava_core::units::Millis;
-use guava_platform::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
+use guava_objects::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
 use serde_json::Value;
 
 use crate::members::MemberTable;
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -6,7 +6,7 @@
 
 use clap::{Args, CommandFactory, FromArgMatches, Parser};
 use guava_core::ids::Role;
-use guava_platform::{HttpObjectStore, HttpVmList};
+use guava_objects::{HttpObjectStore, HttpVmList};
 
 use crate::runtime::{NodeError, Runtime};
 use crate::settings::CommonArgs;
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -8,7 +8,7 @@
 use guava_core::chart;
 use guava_core::events::Event;
 use guava_core::ids::{Incarnation, MemberId, Role, Zone};
-use guava_platform::{ObjectStore, VmList};
+use guava_objects::{ObjectStore, VmList};
 use jsonrpsee::RpcModule;
 use jsonrpsee::server::ServerHandle;
 use parking_lot::Mutex;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -5,7 +5,7 @@
 
 use guava_core::events::Event;
 use guava_core::membership::{MemberEvent, MemberInfo, Output};
-use guava_platform::{ObjectStore, VmList};
+use guava_objects::{ObjectStore, VmList};
 use tokio::sync::watch;
 
 use crate::gossip::Sender;
--- a/crates/node/src/vms.rs
+++ b/crates/node/src/vms.rs
@@ -13,7 +13,7 @@
 use guava_core::spread::{Entry, EntryKey, Version};
 use guava_core::termination::ListedVm;
 use guava_core::units::Millis;
-use guava_platform::{VmInfo, VmState};
+use guava_objects::{VmInfo, VmState};
 use rand::Rng;
 
 use crate::Spread;
--- a/crates/node/src/watchers.rs
+++ b/crates/node/src/watchers.rs
@@ -8,7 +8,7 @@
 use guava_core::ids::Term;
 use guava_core::rendezvous;
 use guava_core::spread::{Entry, EntryKey, Version};
-use guava_platform::{Change, PlatformError, StoredObject};
+use guava_objects::{Change, PlatformError, StoredObject};
 use rand::Rng;
 
 use crate::Spread;
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use guava_core::ids::{OperationId, Role, VmName, Zone};
 use guava_node::runtime::Runtime;
 use guava_node::settings::CommonArgs;
-use guava_platform::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList, VmState};
+use guava_objects::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList, VmState};
 use jsonrpsee::RpcModule;
 use parking_lot::Mutex;
 use serde_json::Value;
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -10,7 +10,7 @@
 use guava_core::spread::{Entry, EntryKey, Version};
 use guava_node::runtime::{NodeError, Runtime};
 use guava_node::status::Status;
-use guava_platform::{Expect, ObjectStore};
+use guava_objects::{Expect, ObjectStore};
 use serde_json::json;
 
 fn entry(name: &str, sequence: u64, value: &[u8]) -> Entry {
--- a/crates/platform/tests/lists.rs
+++ b/crates/objects/tests/lists.rs
@@ -6,7 +6,7 @@
 
 use futures::future::join_all;
 use guava_core::ids::{VmName, Zone};
-use guava_platform::{
+use guava_objects::{
     CheckpointKind, HttpVmList, HttpWeightStore, MemoryWeightStore, PlatformError, StandInPlatform, VmInfo, VmList,
     VmState, WeightStore, WeightStoreSpeed, serve_platform,
 };
--- a/crates/platform/tests/objects.rs
+++ b/crates/objects/tests/objects.rs
@@ -6,7 +6,7 @@
 
 use guava_core::config::Kind;
 use guava_core::ids::OperationId;
-use guava_platform::{
+use guava_objects::{
     Change, Expect, Faults, HttpObjectStore, MemoryObjectStore, ObjectStore, PlatformError, PlatformFront, RateLimit,
     StandInPlatform, put_recovered, serve_platform,
 };
--- a/crates/router/src/idempotency.rs
+++ b/crates/router/src/idempotency.rs
@@ -17,7 +17,7 @@
 use guava_core::quota::RouterLife;
 use guava_core::units::Millis;
 use guava_node::Node;
-use guava_platform::{Expect, PlatformError, StoredObject};
+use guava_objects::{Expect, PlatformError, StoredObject};
 use parking_lot::Mutex;
 use rand::Rng;
 
--- a/crates/router/src/jobs.rs
+++ b/crates/router/src/jobs.rs
@@ -19,7 +19,7 @@
 use guava_core::quota::RouterLife;
 use guava_core::units::Millis;
 use guava_node::Node;
-use guava_platform::{Change, Expect, PlatformError, StoredObject};
+use guava_objects::{Change, Expect, PlatformError, StoredObject};
 use parking_lot::Mutex;
 use rand::Rng;
 use tokio::sync::Notify;
--- a/crates/router/src/quota/ownership.rs
+++ b/crates/router/src/quota/ownership.rs
@@ -11,7 +11,7 @@
 use guava_core::spread::{Entry, EntryKey, Version};
 use guava_core::units::Millis;
 use guava_node::MemberInfo;
-use guava_platform::{Expect, PlatformError, StoredObject};
+use guava_objects::{Expect, PlatformError, StoredObject};
 use rand::Rng;
 use tokio::sync::broadcast::Receiver;
 use tokio::sync::broadcast::error::RecvError;
--- a/crates/router/tests/fakes/mod.rs
+++ b/crates/router/tests/fakes/mod.rs
@@ -16,7 +16,7 @@
 use guava_core::spread::{Entry, EntryKey, Version};
 use guava_core::units::Millis;
 use guava_node::{Clock, Leases, MemberInfo, Members, Node, PeerError, Peers, Spread, Timeline};
-use guava_platform::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
+use guava_objects::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
 use jsonrpsee::RpcModule;
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use guava_core::spread::{Entry, EntryKey, Version};
 use guava_core::units::Millis;
 use guava_node::{Clock, Leases, MemberInfo, Members, Node, PeerError, Peers, Spread, Timeline};
-use guava_platform::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
+use guava_objects::{Change, Expect, ObjectList, ObjectStore, PlatformError, StoredObject, VmInfo, VmList};
 use guava_router::{
     Claim, ClaimRefusal, IdempotencyRecords, JobRequest, JobState, Jobs, Outcome, Quota, QuotaRefusal, RouterArgs,
     RouterHandle, RouterParts, StoredAnswer, serve,
--- a/crates/standin/src/cmd/engine.rs
+++ b/crates/standin/src/cmd/engine.rs
@@ -7,7 +7,7 @@
 use guava_engine::{
     Action, CachedCheckpoint, EngineSettings, Order, StandInEngine, Tier, serve_engine, serve_engine_control,
 };
-use guava_platform::{HttpWeightStore, WeightStore};
+use guava_objects::{HttpWeightStore, WeightStore};
 
 use crate::util::{ListenArgs, StandInError, print_addr, wait_for_stop};
 
--- a/crates/standin/src/cmd/platform.rs
+++ b/crates/standin/src/cmd/platform.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use guava_platform::{
+use guava_objects::{
     MemoryObjectStore, MemoryVmList, MemoryWeightStore, RateLimit, StandInPlatform, WeightStoreSpeed, serve_platform,
 };
 
--- a/crates/standin/tests/programs.rs
+++ b/crates/standin/tests/programs.rs
@@ -9,8 +9,8 @@
 use guava_core::config::Kind;
 use guava_core::ids::OperationId;
 use guava_engine::{Engine as _, EngineReplicaState, HttpEngine};
-use guava_platform::client::{CallError, HttpCaller};
-use guava_platform::{
+use guava_objects::client::{CallError, HttpCaller};
+use guava_objects::{
     Expect, HttpObjectStore, HttpVmList, HttpWeightStore, ObjectStore as _, PlatformError, VmList as _,
     WeightStore as _,
 };
