--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -70,6 +70,13 @@
     ServerEnded = 2010, Info, "A backend server has ended.";
     DemandReceived = 2011, Debug, "A router reported demand for a model.";
 
+    ServerListed = 2012, Info, "A backend server takes requests.";
+    ServerAvoided = 2013, Warn, "A backend server is avoided because its requests fail.";
+    OrderSent = 2014, Info, "An order was sent to a model engine.";
+    OrderFailed = 2015, Warn, "An order to a model engine was refused or not answered.";
+    EngineState = 2016, Info, "A model engine reported what it holds.";
+    CoordinatorChanged = 2017, Info, "Another process coordinates from now on.";
+
     // 3xxx: administration.
     ObjectWritten = 3001, Info, "An operator's change was accepted.";
     ObjectRefused = 3002, Info, "An operator's change was refused.";
@@ -90,6 +97,9 @@
     LogLevelChanged = 4013, Info, "The log level was changed.";
     PauseDetected = 4014, Warn, "The process was paused.";
     LeaseReleased = 4015, Info, "This process gave a lease back.";
+    SettingsReloaded = 4016, Info, "The settings file was read again.";
+    SettingsRefused = 4017, Error, "The settings file has faults; the settings in force stay.";
+    PeerMessageRefused = 4018, Warn, "A message of another process cannot be read.";
 
     // 5xxx: platform.
     PlatformUnavailable = 5001, Warn, "The platform's object service does not answer.";
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -1,7 +1,7 @@
 //! Decisions of a process that competes for a lease.
 //!
 //! The holder counts its time from the moment before it sent its last successful renewal, and stops acting
-//! [`MARGIN_MS`] before the end. A candidate takes over only after it has seen the same version of the lease object for
+//! [`Timing::margin_ms`] before the end. A candidate takes over only after it has seen the same version of the lease object for
 //! a full duration on its own clock, or when the holder is proved to have ended. No clocks are compared. States and
 //! transitions are read from `charts/lease.toml`.
 
@@ -13,18 +13,39 @@
 
 /// Duration of a lease.
 pub const DURATION_MS: u64 = 10_000;
-/// Time between renewals.
-pub const RENEW_MS: u64 = 3_000;
-/// Time before expiry at which the holder stops acting.
-pub const MARGIN_MS: u64 = 2_000;
-/// Time between the attempts of candidates of successive rank.
-pub const RANK_DELAY_MS: u64 = 2_000;
 /// Candidates that read the lease object; others would only use up the platform's call rate.
 pub const ACTIVE_CANDIDATES: usize = 3;
-/// Time between a candidate's reads; with three candidates a lease costs the platform 1.5 reads a second.
-pub const CANDIDATE_READ_MS: u64 = 2_000;
-/// Time until a failed call is repeated.
-pub const RETRY_MS: u64 = 1_000;
+
+/// Times of a lease, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// Duration of the lease.
+    pub duration_ms: u64,
+    /// Time between renewals.
+    pub renew_ms: u64,
+    /// Time before expiry at which the holder stops acting.
+    pub margin_ms: u64,
+    /// Time between the attempts of candidates of successive rank.
+    pub rank_delay_ms: u64,
+    /// Time between a candidate's reads.
+    pub candidate_read_ms: u64,
+    /// Time until a failed call is repeated.
+    pub retry_ms: u64,
+}
+
+impl Default for Timing {
+    /// With three candidates a lease costs the platform 1.5 reads a second.
+    fn default() -> Self {
+        Self {
+            duration_ms: DURATION_MS,
+            renew_ms: 3_000,
+            margin_ms: 2_000,
+            rank_delay_ms: 2_000,
+            candidate_read_ms: 2_000,
+            retry_ms: 1_000,
+        }
+    }
+}
 
 derive_value! {
     /// Value of a lease object.
@@ -122,6 +143,7 @@
 pub struct Lease {
     me: MemberId,
     incarnation: Incarnation,
+    timing: Timing,
     chart: Chart,
     state: String,
     seen: Option<Seen>,
@@ -140,16 +162,22 @@
 }
 
 impl Lease {
+    /// Starts as a candidate for a lease of the usual duration.
+    pub fn new(me: MemberId, incarnation: Incarnation) -> Self {
+        Self::with_timing(me, incarnation, Timing::default())
+    }
+
     /// Starts as a candidate.
     ///
     /// # Panics
     ///
     /// Panics when the embedded chart has a fault; [`chart::check_all`] finds it at start.
-    pub fn new(me: MemberId, incarnation: Incarnation) -> Self {
+    pub fn with_timing(me: MemberId, incarnation: Incarnation, timing: Timing) -> Self {
         let chart = Chart::parse(chart::LEASE).expect("charts are checked at start");
         Self {
             me,
             incarnation,
+            timing,
             state: chart.initial().to_owned(),
             chart,
             seen: None,
@@ -167,10 +195,16 @@
 
     /// Term under which this process may act at `now`.
     pub fn held(&self, now: Millis) -> Option<Term> {
-        let in_time = now < self.renewed + (DURATION_MS - MARGIN_MS);
+        let in_time = now < self.renewed + (self.timing.duration_ms - self.timing.margin_ms);
         (self.state == "held" && in_time).then_some(self.term)
     }
 
+    /// Time until which this process may act without a further renewal.
+    pub fn held_until(&self, now: Millis) -> Option<Millis> {
+        let end = self.renewed + (self.timing.duration_ms - self.timing.margin_ms);
+        self.held(now).map(|_| end)
+    }
+
     /// Lease object as last seen.
     pub fn seen(&self) -> Option<&LeaseSpec> {
         self.seen.as_ref().map(|it| &it.lease.spec)
@@ -220,7 +254,7 @@
         if self.unresolved {
             return Some(LeaseCall::Read);
         }
-        if !self.releasing && now < self.renewed + RENEW_MS {
+        if !self.releasing && now < self.renewed + self.timing.renew_ms {
             return None;
         }
         let expect = self.seen.as_ref().map(|it| it.lease.version);
@@ -233,7 +267,7 @@
         if !self.known || self.unresolved {
             return Some(LeaseCall::Read);
         }
-        let turn = rank as u64 * RANK_DELAY_MS;
+        let turn = rank as u64 * self.timing.rank_delay_ms;
         if self.open_since.is_none() && self.may_take(standing, now) {
             self.open_since = Some(now);
         }
@@ -241,7 +275,7 @@
             return Some(LeaseCall::Read);
         };
         if now < open + turn {
-            self.next_call = (open + turn).min(now + RETRY_MS);
+            self.next_call = (open + turn).min(now + self.timing.retry_ms);
             return None;
         }
         let (expect, last) = self
@@ -267,7 +301,7 @@
             holder: self.me.clone(),
             incarnation: self.incarnation,
             term,
-            duration_ms: DURATION_MS,
+            duration_ms: self.timing.duration_ms,
             released,
         }
     }
@@ -289,7 +323,11 @@
     pub fn on_read(&mut self, found: Option<StoredLease>, now: Millis) {
         self.known = true;
         self.unresolved = false;
-        let candidate_gap = if self.is_holder() { 0 } else { CANDIDATE_READ_MS };
+        let candidate_gap = if self.is_holder() {
+            0
+        } else {
+            self.timing.candidate_read_ms
+        };
         self.next_call = now + candidate_gap;
         let Some(lease) = found else {
             self.superseded();
@@ -321,7 +359,7 @@
 
     /// Notes that a read failed.
     pub fn on_read_failed(&mut self, now: Millis) {
-        self.next_call = now + RETRY_MS;
+        self.next_call = now + self.timing.retry_ms;
     }
 
     /// Notes the outcome of the last write.
@@ -348,11 +386,11 @@
             }
             WriteOutcome::NotRun => {
                 self.attempts.retain(|it| it.operation != *operation);
-                self.next_call = now + RETRY_MS;
+                self.next_call = now + self.timing.retry_ms;
             }
             WriteOutcome::Unknown => {
                 self.unresolved = true;
-                self.next_call = now + RETRY_MS / 4;
+                self.next_call = now + self.timing.retry_ms / 4;
             }
         }
     }
@@ -392,10 +430,10 @@
     }
 
     fn advance(&mut self, now: Millis) {
-        if self.state == "held" && now >= self.renewed + (DURATION_MS - MARGIN_MS) {
+        if self.state == "held" && now >= self.renewed + (self.timing.duration_ms - self.timing.margin_ms) {
             self.fire("margin_reached");
         }
-        if self.state == "expiring" && now >= self.renewed + DURATION_MS {
+        if self.state == "expiring" && now >= self.renewed + self.timing.duration_ms {
             self.fire("expired");
             self.lose();
         }
--- /dev/null
+++ b/crates/entry/src/client.rs
@@ -0,0 +1,79 @@
+//! HTTP client for calls with small answers: to the store, to engines' control and to other entry processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use guava_platform::{CallError, Http};
+use http::{Request, Response, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// Largest answer that is read; a page of the store's list has about 1 MB.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Time for a connection; the round trip within a deployment takes about 3 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Client with kept connections.
+#[derive(Debug)]
+pub struct PooledClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl PooledClient {
+    /// Client without connections.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(4)
+            .pool_timer(TokioTimer::new())
+            // A repeat on another connection could run a call twice.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+}
+
+#[async_trait]
+impl Http for PooledClient {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        req: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let (mut head, body) = req.into_parts();
+        let path = head.uri.path_and_query().map_or("/", |it| it.as_str());
+        head.uri = format!("http://{address}{path}")
+            .parse::<Uri>()
+            .map_err(|e| CallError::NotRun(e.to_string()))?;
+        let req = Request::from_parts(head, Full::new(body));
+        let exchange = async {
+            let answer = self.client.request(req).await.map_err(|e| {
+                if e.is_connect() {
+                    CallError::NotRun(e.to_string())
+                } else {
+                    CallError::Unanswered(e.to_string())
+                }
+            })?;
+            let (head, body) = answer.into_parts();
+            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+            let body = body.map_err(|e| CallError::Unanswered(e.to_string()))?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        };
+        tokio::time::timeout(timeout, exchange).await.unwrap_or_else(|_| {
+            Err(CallError::Unanswered(format!(
+                "no answer within {} ms",
+                timeout.as_millis()
+            )))
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/coordinator.rs
@@ -0,0 +1,436 @@
+//! The one process that orders loads and holds the central part of organisations' rates.
+//!
+//! It is found by a lease in the store. Before each order the lease is checked again on a clock that counts suspensions.
+//! A process that takes over from another VM waits before its first order until the last order that its predecessor
+//! could have sent is old enough.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use guava_core::derive_value;
+use guava_core::events::Event;
+use guava_core::ids::{Incarnation, MemberId, OperationId, Role, Term};
+use guava_core::lease::{Lease, LeaseCall, LeaseEvent, LeaseSpec, Standing, StoredLease, Timing, WriteOutcome};
+use guava_core::rendezvous;
+use guava_core::units::Millis;
+use guava_fleet::placement::{Order, OrderOutcome, Placement};
+use guava_fleet::quota::{Buckets, LOCAL_PART};
+use guava_platform::store::{Object, Written};
+use guava_platform::{CallError, engine};
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::log_event;
+use crate::peers::{PlacedAnswer, PlacedQuery, QuotaAnswer, QuotaTake, Report, ReportAnswer};
+use crate::state::{CoordinatorHint, Entry, now};
+
+/// Kind of the lease's object in the store.
+const LEASE_KIND: &str = "guava-leases";
+/// Name of the lease.
+const LEASE_NAME: &str = "coordinator";
+/// Times of the lease: short enough that cold starts resume within seconds of a VM's loss, long enough for a few
+/// renewals under a slow store.
+const TIMING: Timing = Timing {
+    duration_ms: 3_000,
+    renew_ms: 800,
+    margin_ms: 500,
+    rank_delay_ms: 150,
+    candidate_read_ms: 400,
+    retry_ms: 250,
+};
+/// Silence of the coordinator from which on the lease is read.
+const CONTACT_MS: u64 = 900;
+/// Time between two rounds of decisions.
+const ROUND: Duration = Duration::from_millis(20);
+/// Silence of a member from which on it does not rank among the candidates.
+const MEMBER_SILENT_MS: u64 = 4_000;
+
+derive_value! {
+    /// Value of the lease's object.
+    struct LeaseObject {
+        lease: LeaseSpec,
+        operation: OperationId,
+        address: std::net::SocketAddr,
+    }
+}
+
+#[derive(Debug, Default)]
+struct Tenure {
+    /// Term; zero while the process does not coordinate.
+    term: u64,
+    /// End of the time in which it may act.
+    until: Millis,
+    /// First time at which it may send orders.
+    orders_from: Millis,
+    /// Start of the term.
+    began: Millis,
+}
+
+/// Coordinator's part of the process; idle while another process coordinates.
+#[derive(Debug)]
+pub struct Coordinator {
+    entry: Arc<Entry>,
+    placement: Mutex<Placement>,
+    quota: Mutex<Buckets>,
+    tenure: Mutex<Tenure>,
+    contact: AtomicU64,
+    version: watch::Sender<(u64, u64)>,
+}
+
+impl Coordinator {
+    /// Starts without a lease.
+    pub fn new(entry: Arc<Entry>) -> Self {
+        Self {
+            entry,
+            placement: Mutex::default(),
+            quota: Mutex::default(),
+            tenure: Mutex::default(),
+            contact: AtomicU64::new(0),
+            version: watch::Sender::new((0, 0)),
+        }
+    }
+
+    /// Whether this process coordinates now.
+    pub fn coordinates(&self) -> bool {
+        self.term().is_some()
+    }
+
+    fn term(&self) -> Option<u64> {
+        let tenure = self.tenure.lock();
+        (tenure.term > 0 && now() < tenure.until).then_some(tenure.term)
+    }
+
+    /// Term under which an order may be sent now.
+    fn order_term(&self) -> Option<u64> {
+        let tenure = self.tenure.lock();
+        let at = now();
+        (tenure.term > 0 && at < tenure.until && at >= tenure.orders_from).then_some(tenure.term)
+    }
+
+    /// Notes whether the coordinator answered a report.
+    pub fn note_contact(&self, answered: bool) {
+        if answered {
+            self.contact.store(now().0, Ordering::Relaxed);
+        }
+    }
+
+    /// Takes a VM's report.
+    pub fn take_report(&self, report: Report) -> ReportAnswer {
+        let coordinates = self.coordinates();
+        let at = now();
+        let mut placement = self.placement.lock();
+        placement.note_report(&report.vm, report.demand, report.running, at);
+        let loads = placement.running_by_server(at);
+        ReportAnswer {
+            coordinates,
+            loads: loads
+                .into_iter()
+                .map(|(server, count)| (server.to_owned(), count))
+                .collect(),
+        }
+    }
+
+    /// What engines hold, as soon as it differs from what the caller knows.
+    pub async fn placed(&self, known: PlacedQuery, wait: Duration) -> PlacedAnswer {
+        let mut versions = self.version.subscribe();
+        let known = (known.term, known.version);
+        // The time-out stands for an unchanged placement.
+        let _ = timeout(wait, versions.wait_for(|it| *it != known)).await;
+        let Some(term) = self.term() else {
+            return PlacedAnswer {
+                term: 0,
+                version: 0,
+                placed: None,
+            };
+        };
+        let placement = self.placement.lock();
+        let version = placement.version();
+        PlacedAnswer {
+            term,
+            version,
+            placed: ((term, version) != known).then(|| placement.placed(now())),
+        }
+    }
+
+    /// Takes tokens from the central part of an organisation's rate.
+    pub fn take_quota(&self, take: &QuotaTake) -> QuotaAnswer {
+        let refused = QuotaAnswer {
+            coordinates: false,
+            wait_ms: Some(0),
+        };
+        let config = self.entry.config();
+        let config = config.filter(|_| self.coordinates());
+        let Some(config) = config else {
+            return refused;
+        };
+        let organisations = &config.config.organisations;
+        let Some(organisation) = organisations.iter().find(|it| it.name == take.organisation) else {
+            return refused;
+        };
+        let at = now();
+        let part = 1.0 - LOCAL_PART;
+        let (rate, burst) = (organisation.rate * part, organisation.burst * part);
+        let mut quota = self.quota.lock();
+        // A coordinator does not know what its predecessor granted, so its buckets start empty; the first has none.
+        let (term, began) = {
+            let tenure = self.tenure.lock();
+            (tenure.term, tenure.began)
+        };
+        let part = if term == 1 { 1.0 } else { 0.0 };
+        let bucket = quota.bucket(began, &organisation.name, rate, burst, part);
+        QuotaAnswer {
+            coordinates: true,
+            wait_ms: bucket.take(at, take.tokens).err(),
+        }
+    }
+
+    /// Competes for the lease for as long as the process runs.
+    pub async fn keep_lease(self: Arc<Self>) {
+        let me = MemberId::new(&self.entry.settings.vm, Role::Controller);
+        let mut lease = Lease::with_timing(me, Incarnation(self.entry.incarnation), TIMING);
+        let mut is_released = false;
+        loop {
+            let at = now();
+            if self.entry.is_stopping() && !is_released {
+                lease.release();
+                is_released = true;
+            }
+            let has_contact = at.since(Millis(self.contact.load(Ordering::Relaxed))) < CONTACT_MS && at.0 > CONTACT_MS;
+            if lease.is_holder() || !has_contact {
+                let standing = self.standing(&lease);
+                let call = lease.step(standing, at, &mut rand::rng());
+                if let Some(call) = call {
+                    self.carry_out(&mut lease, call).await;
+                }
+            } else {
+                lease.look_again();
+            }
+            self.note_tenure(&mut lease);
+            sleep(ROUND).await;
+        }
+    }
+
+    fn standing(&self, lease: &Lease) -> Standing {
+        let at = now();
+        let me = self.entry.settings.vm.as_str();
+        let members = self.entry.members();
+        let live = members.iter().filter(|it| {
+            let is_heard = it.heard.is_some_and(|heard| at.since(heard) < MEMBER_SILENT_MS);
+            is_heard && it.failed.is_none()
+        });
+        let candidates = live.map(|it| it.member.vm.as_str()).chain([me]);
+        // The same VM with an earlier process: that process has ended.
+        let holder_ended = lease
+            .seen()
+            .is_some_and(|it| it.holder.vm.as_str() == me && it.incarnation.0 < self.entry.incarnation);
+        Standing {
+            rank: rendezvous::position(LEASE_NAME, candidates, me),
+            holder_ended,
+        }
+    }
+
+    async fn carry_out(&self, lease: &mut Lease, call: LeaseCall) {
+        let store = &self.entry.store;
+        match &call {
+            LeaseCall::Read => match store.get(LEASE_KIND, LEASE_NAME).await {
+                Ok(found) => {
+                    self.entry.note_store_contact(now());
+                    let found = found.as_ref().and_then(|it| self.decode(it));
+                    lease.on_read(found, now());
+                }
+                Err(_) => lease.on_read_failed(now()),
+            },
+            LeaseCall::Write {
+                spec,
+                expect,
+                operation,
+            } => {
+                let object = LeaseObject {
+                    lease: spec.clone(),
+                    operation: operation.clone(),
+                    address: self.entry.settings.peers,
+                };
+                let value = json!(object);
+                let written = match expect {
+                    None => store.create(LEASE_KIND, LEASE_NAME, &value).await,
+                    Some(revision) => store.replace(LEASE_KIND, LEASE_NAME, &value, Some(*revision)).await,
+                };
+                let outcome = match written {
+                    Ok(Written::Done(object)) => WriteOutcome::Done {
+                        version: object.revision,
+                    },
+                    Ok(Written::Conflict(_)) => WriteOutcome::Conflict,
+                    Err(CallError::NotRun(_)) => WriteOutcome::NotRun,
+                    Err(_) => WriteOutcome::Unknown,
+                };
+                lease.on_write(&call, outcome, now());
+            }
+        }
+    }
+
+    fn decode(&self, object: &Object) -> Option<StoredLease> {
+        let value: LeaseObject = serde_json::from_value(object.spec.clone()).ok()?;
+        if !value.lease.released {
+            self.entry.note_coordinator(CoordinatorHint {
+                vm: value.lease.holder.vm.as_str().to_owned(),
+                address: value.address,
+                term: value.lease.term.0,
+            });
+        }
+        Some(StoredLease {
+            version: object.revision,
+            operation: value.operation,
+            spec: value.lease,
+        })
+    }
+
+    /// Follows the lease: a new tenure begins with empty buckets and unknown engines.
+    fn note_tenure(&self, lease: &mut Lease) {
+        let before = lease.seen().cloned();
+        for event in lease.take_events() {
+            match event {
+                LeaseEvent::Acquired(term) => self.begin(term, before.as_ref()),
+                LeaseEvent::Released(term) => {
+                    self.tenure.lock().term = 0;
+                    log_event!(Event::LeaseReleased, "-", "term={}", term.0);
+                }
+                LeaseEvent::Lost(term) => {
+                    self.tenure.lock().term = 0;
+                    log_event!(Event::LeaseLost, "-", "term={}", term.0);
+                }
+            }
+        }
+        let held = lease.held_until(now());
+        let mut tenure = self.tenure.lock();
+        tenure.until = held.unwrap_or_default();
+    }
+
+    fn begin(&self, term: Term, _before: Option<&LeaseSpec>) {
+        let at = now();
+        let last_holder = self.entry.coordinator().filter(|it| it.term < term.0);
+        let is_other = last_holder.as_ref().is_some_and(|it| it.vm != self.entry.settings.vm);
+        let wait = if is_other { self.entry.settings.order_gap_ms } else { 0 };
+        {
+            let mut tenure = self.tenure.lock();
+            tenure.term = term.0;
+            tenure.orders_from = at + wait;
+            tenure.began = at;
+        }
+        self.quota.lock().clear();
+        self.placement.lock().start_term(at);
+        self.entry.note_coordinator(CoordinatorHint {
+            vm: self.entry.settings.vm.clone(),
+            address: self.entry.settings.peers,
+            term: term.0,
+        });
+        log_event!(Event::LeaseAcquired, "-", "term={} orders_after_ms={wait}", term.0);
+    }
+
+    /// Decides and sends orders while this process coordinates.
+    pub async fn place(self: Arc<Self>) {
+        loop {
+            if let Some(term) = self.term() {
+                self.round(term);
+            }
+            sleep(ROUND).await;
+        }
+    }
+
+    fn round(self: &Arc<Self>, term: u64) {
+        let at = now();
+        let (polls, orders, version) = {
+            let mut placement = self.placement.lock();
+            if let Some(config) = self.entry.config() {
+                let engines = config.config.services.iter();
+                let specs = engines.filter_map(|(name, it)| Some((name.clone(), it.engine.clone()?)));
+                placement.set_specs(specs.collect::<HashMap<_, _>>());
+            }
+            let servers = self.entry.servers();
+            placement.set_servers(servers.iter().map(AsRef::as_ref), at);
+            let orders = if self.order_term().is_some() {
+                placement.next_orders(at)
+            } else {
+                Vec::new()
+            };
+            (placement.polls(at), orders, placement.version())
+        };
+        for order in orders {
+            tokio::spawn(Arc::clone(self).send(order));
+        }
+        for server in polls {
+            tokio::spawn(Arc::clone(self).poll(server));
+        }
+        self.tell(term, version);
+    }
+
+    fn tell(&self, term: u64, version: u64) {
+        self.version.send_if_modified(|it| {
+            let is_new = *it != (term, version);
+            *it = (term, version);
+            is_new
+        });
+    }
+
+    async fn send(self: Arc<Self>, order: Order) {
+        let Some(term) = self.order_term() else {
+            let mut placement = self.placement.lock();
+            placement.note_outcome(&order, OrderOutcome::Conflict, now());
+            return;
+        };
+        let at = now();
+        let holder = &self.entry.settings.vm;
+        let outcome = engine::send_order(&*self.entry.http, &order, holder, term).await;
+        let event = match outcome {
+            OrderOutcome::Accepted | OrderOutcome::Done => Event::OrderSent,
+            _ => Event::OrderFailed,
+        };
+        log_event!(
+            event,
+            "-",
+            "server={} kind={:?} model={} follows={} term={term} outcome={outcome:?} took_ms={}",
+            order.server,
+            order.kind,
+            order.model,
+            order.follows,
+            now().since(at)
+        );
+        self.placement.lock().note_outcome(&order, outcome, now());
+        self.publish();
+    }
+
+    async fn poll(self: Arc<Self>, server: guava_fleet::model::BackendServer) {
+        let asked = now();
+        match engine::report(&*self.entry.http, &server).await {
+            Ok(report) => {
+                let changed = self.placement.lock().note_state(&server.id, &report, asked, now());
+                if changed {
+                    let held: Vec<&str> = report.held.iter().map(|it| it.name.as_str()).collect();
+                    log_event!(
+                        Event::EngineState,
+                        "-",
+                        "server={} orders={} held={}",
+                        server.id,
+                        report.orders,
+                        held.join(",")
+                    );
+                }
+            }
+            Err(e) => {
+                log::debug!("report of {}: {e}", server.id);
+                self.placement.lock().note_poll_failed(&server.id, now());
+            }
+        }
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let version = self.placement.lock().version();
+        if let Some(term) = self.term() {
+            self.tell(term, version);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,17 @@
+//! Entry process of guavaarch on the users' platform.
+//!
+//! One process on each VM takes callers' requests and does its share of control: it follows the store, exchanges what it
+//! knows with the other entry processes, and one of them at a time, found by a lease, orders loads.
+
+pub mod attempt;
+pub mod callers;
+pub mod client;
+pub mod coordinator;
+pub mod logging;
+pub mod peers;
+pub mod program;
+pub mod relay;
+pub mod reply;
+pub mod request;
+pub mod state;
+pub mod watch;
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,53 @@
+//! Entry process of guavaarch on the users' platform.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use guava_entry::{logging, program};
+use guava_platform::settings::{PATH_VARIABLE, Settings};
+use log::LevelFilter;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Serves callers on one VM of the users' platform and does its share of control.
+#[derive(Debug, Parser)]
+#[command(name = "guava-entry", version)]
+struct Args {
+    /// Only check the settings file.
+    #[arg(long)]
+    check: bool,
+    /// Least level of the lines that are logged: error, warn, info, debug or trace.
+    #[arg(long, env = "GUAVA_LOG_LEVEL", default_value = "info")]
+    log_level: LevelFilter,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let settings = match Settings::load() {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("guava-entry: {e} (the file is named by ${PATH_VARIABLE})");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        println!("settings of {} are valid", settings.vm);
+        return ExitCode::SUCCESS;
+    }
+    logging::init(&settings.vm, args.log_level);
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("guava-entry: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(program::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("guava-entry: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,320 @@
+//! Messages between entry processes.
+//!
+//! `exchange` spreads members, configuration, servers and the coordinator by gossip, so that a VM that the store refuses
+//! still learns them. `report` tells the coordinator what waits and runs; `placed` waits for a change of what engines
+//! hold; `quota` takes tokens from the coordinator's part of an organisation's rate. All are repeated safely: the first
+//! three replace what was known, and a lost answer of `quota` only loses tokens. Bodies are postcard.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use guava_core::derive_value;
+use guava_core::events::Event;
+use guava_fleet::model::{BackendServer, Configuration};
+use guava_fleet::placement::{Demand, Placed, Running};
+use guava_platform::CallError;
+use http::Request;
+use rand::seq::IteratorRandom;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::sleep;
+
+use crate::coordinator::Coordinator;
+use crate::log_event;
+use crate::state::{CoordinatorHint, Entry, Member, now};
+
+/// Time between two exchanges while the store answers.
+const EXCHANGE_MS: u64 = 1_000;
+/// Time between two exchanges while it does not, which bounds how late a VM learns what others know.
+const EXCHANGE_ALONE_MS: u64 = 300;
+/// Age of the last answer of the store from which on the servers of others are asked for.
+const STORE_AWAY_MS: u64 = 3_500;
+/// Members told in one exchange.
+const TOLD_MEMBERS: usize = 32;
+/// Time for a message between entry processes.
+const TIMEOUT: Duration = Duration::from_millis(400);
+/// Time between two reports to the coordinator.
+const REPORT: Duration = Duration::from_millis(250);
+/// Time for which a question for the placement waits for a change.
+pub const PLACED_WAIT: Duration = Duration::from_millis(1_000);
+
+derive_value! {
+    /// What one process tells another.
+    pub struct Exchange {
+        /// Sender.
+        pub from: Member,
+        /// Some members.
+        pub members: Vec<Member>,
+        /// Version of its configuration; zero for none.
+        pub config_version: u64,
+        /// Revision at which its servers last changed; zero for none.
+        pub servers_revision: u64,
+        /// Who coordinates.
+        pub coordinator: Option<CoordinatorHint>,
+        /// Configuration, when the other's is older.
+        pub config: Option<Configuration>,
+        /// Servers, when the other has asked for them and its own are older.
+        pub servers: Option<Vec<BackendServer>>,
+        /// Whether the sender lacks the store and asks for servers.
+        pub wants_servers: bool,
+    }
+
+    /// Report to the coordinator.
+    pub struct Report {
+        /// VM that reports.
+        pub vm: String,
+        /// Requests that wait or arrived.
+        pub demand: Vec<Demand>,
+        /// Requests that run.
+        pub running: Vec<Running>,
+    }
+
+    /// Answer to a report.
+    pub struct ReportAnswer {
+        /// Whether the process coordinates.
+        pub coordinates: bool,
+        /// Requests from all VMs by server.
+        pub loads: Vec<(String, u32)>,
+    }
+
+    /// Question for what engines hold.
+    pub struct PlacedQuery {
+        /// Term of the coordinator that answered last.
+        pub term: u64,
+        /// Version that is known.
+        pub version: u64,
+    }
+
+    /// What engines hold.
+    pub struct PlacedAnswer {
+        /// Term of the coordinator; zero when the process does not coordinate.
+        pub term: u64,
+        /// Version.
+        pub version: u64,
+        /// Placement, when it has changed.
+        pub placed: Option<Vec<Placed>>,
+    }
+
+    /// Tokens asked from the coordinator.
+    pub struct QuotaTake {
+        /// Organisation.
+        pub organisation: String,
+        /// Tokens.
+        pub tokens: f64,
+    }
+
+    /// Answer to a request for tokens.
+    pub struct QuotaAnswer {
+        /// Whether the process coordinates.
+        pub coordinates: bool,
+        /// Milliseconds until the tokens will be there; `None` when they were granted.
+        pub wait_ms: Option<u64>,
+    }
+}
+
+/// Sends a message to another entry process.
+///
+/// # Errors
+///
+/// Fails when there is no answer in time or it cannot be read.
+pub async fn call<M: Serialize + Sync, A: DeserializeOwned>(
+    entry: &Entry,
+    address: SocketAddr,
+    name: &str,
+    message: &M,
+    timeout: Duration,
+) -> Result<A, CallError> {
+    let body = postcard::to_stdvec(message).map_err(|e| CallError::NotRun(e.to_string()))?;
+    let req = Request::post(format!("/{name}"))
+        .body(Bytes::from(body))
+        .map_err(|e| CallError::NotRun(e.to_string()))?;
+    let answer = entry.http.call(address, req, timeout).await?;
+    if !answer.status().is_success() {
+        return Err(CallError::NotRun(format!("status {}", answer.status())));
+    }
+    postcard::from_bytes(answer.body()).map_err(|e| CallError::Malformed(e.to_string()))
+}
+
+/// Answers a message; `None` when it cannot be read or its name is not known.
+pub async fn answer(entry: &Arc<Entry>, coordinator: &Arc<Coordinator>, name: &str, body: &[u8]) -> Option<Vec<u8>> {
+    match name {
+        "exchange" => {
+            let heard: Exchange = read(body)?;
+            let own = take_exchange(entry, heard);
+            postcard::to_stdvec(&own).ok()
+        }
+        "report" => {
+            let report: Report = read(body)?;
+            postcard::to_stdvec(&coordinator.take_report(report)).ok()
+        }
+        "placed" => {
+            let query: PlacedQuery = read(body)?;
+            postcard::to_stdvec(&coordinator.placed(query, PLACED_WAIT).await).ok()
+        }
+        "quota" => {
+            let take: QuotaTake = read(body)?;
+            postcard::to_stdvec(&coordinator.take_quota(&take)).ok()
+        }
+        _ => None,
+    }
+}
+
+fn read<M: DeserializeOwned>(body: &[u8]) -> Option<M> {
+    let read = postcard::from_bytes(body);
+    if let Err(e) = &read {
+        log_event!(Event::PeerMessageRefused, "-", "bytes={} why={e}", body.len());
+    }
+    read.ok()
+}
+
+fn own_exchange(entry: &Entry) -> Exchange {
+    let members = entry.members().into_iter().map(|it| it.member);
+    Exchange {
+        from: entry.me(),
+        members: members.choose_multiple(&mut rand::rng(), TOLD_MEMBERS),
+        config_version: entry.config().map_or(0, |it| it.config.version),
+        servers_revision: entry.servers_revision(),
+        coordinator: entry.coordinator(),
+        config: None,
+        servers: None,
+        wants_servers: entry.store_age_ms(now()) > STORE_AWAY_MS,
+    }
+}
+
+/// Takes what another process told and returns what it lacks.
+fn take_exchange(entry: &Entry, heard: Exchange) -> Exchange {
+    let at = now();
+    let mut own = own_exchange(entry);
+    if heard.config_version < own.config_version {
+        own.config = entry.config().map(|it| (*it.config).clone());
+    }
+    if heard.wants_servers && heard.servers_revision < own.servers_revision {
+        own.servers = Some(entry.servers().iter().map(|it| (**it).clone()).collect());
+    }
+    entry.note_member(heard.from.clone(), Some(at));
+    for member in heard.members {
+        entry.note_member(member, None);
+    }
+    if let Some(hint) = heard.coordinator {
+        entry.note_coordinator(hint);
+    }
+    if let Some(config) = heard.config {
+        entry.apply_config(config, "peer");
+    }
+    let is_newer = heard.servers_revision > own.servers_revision;
+    if let Some(servers) = heard.servers.filter(|_| is_newer && own.wants_servers) {
+        entry.apply_server_list(servers, heard.servers_revision, at);
+    }
+    own
+}
+
+/// Exchanges with one process, and once more when it lacks what this one knows.
+async fn exchange_with(entry: &Entry, address: SocketAddr) -> Result<(), CallError> {
+    let own = own_exchange(entry);
+    let theirs: Exchange = call(entry, address, "exchange", &own, TIMEOUT).await?;
+    let lacks_config = theirs.config_version < own.config_version;
+    let lacks_servers = theirs.wants_servers && theirs.servers_revision < own.servers_revision;
+    let missing = take_exchange(entry, theirs);
+    if lacks_config || lacks_servers {
+        call::<_, Exchange>(entry, address, "exchange", &missing, TIMEOUT).await?;
+    }
+    Ok(())
+}
+
+/// Exchanges with processes chosen at random, for as long as the process runs.
+pub async fn gossip(entry: Arc<Entry>) {
+    loop {
+        let lacks_store = entry.store_age_ms(now()) > STORE_AWAY_MS;
+        let address = {
+            let mut addresses: Vec<SocketAddr> = entry.members().iter().map(|it| it.member.address).collect();
+            addresses.extend(entry.settings.seeds.iter().filter(|it| **it != entry.settings.peers));
+            addresses.into_iter().choose(&mut rand::rng())
+        };
+        if let Some(address) = address
+            && let Err(e) = exchange_with(&entry, address).await
+        {
+            log::debug!("exchange with {address}: {e}");
+            entry.note_member_failed(address, now());
+        }
+        let pause = if lacks_store { EXCHANGE_ALONE_MS } else { EXCHANGE_MS };
+        let jitter = rand::random_range(0..pause / 4);
+        sleep(Duration::from_millis(pause - jitter)).await;
+    }
+}
+
+/// Reports to the coordinator, at once when a request begins to wait.
+pub async fn report(entry: Arc<Entry>, coordinator: Arc<Coordinator>) {
+    loop {
+        let (demand, running) = entry.take_report();
+        let report = Report {
+            vm: entry.settings.vm.clone(),
+            demand,
+            running,
+        };
+        let answer = if coordinator.coordinates() {
+            Some(coordinator.take_report(report))
+        } else if let Some(hint) = entry.coordinator().filter(|it| it.vm != entry.settings.vm) {
+            let answer = call::<_, ReportAnswer>(&entry, hint.address, "report", &report, TIMEOUT).await;
+            coordinator.note_contact(answer.as_ref().is_ok_and(|it| it.coordinates));
+            answer.ok()
+        } else {
+            None
+        };
+        if let Some(answer) = answer.filter(|it| it.coordinates) {
+            entry.apply_loads(answer.loads);
+        }
+        let _ = tokio::time::timeout(REPORT, entry.demand_changed.notified()).await;
+    }
+}
+
+/// Follows what engines hold, as the coordinator knows it.
+pub async fn follow_placement(entry: Arc<Entry>, coordinator: Arc<Coordinator>) {
+    let mut known = PlacedQuery { term: 0, version: 0 };
+    loop {
+        let answer = if coordinator.coordinates() {
+            Some(coordinator.placed(known.clone(), PLACED_WAIT).await)
+        } else if let Some(hint) = entry.coordinator().filter(|it| it.vm != entry.settings.vm) {
+            let timeout = PLACED_WAIT + TIMEOUT;
+            call::<_, PlacedAnswer>(&entry, hint.address, "placed", &known, timeout)
+                .await
+                .ok()
+        } else {
+            None
+        };
+        let Some(answer) = answer.filter(|it| it.term > 0) else {
+            sleep(REPORT).await;
+            continue;
+        };
+        known = PlacedQuery {
+            term: answer.term,
+            version: answer.version,
+        };
+        if let Some(placed) = answer.placed {
+            entry.apply_placement(placed, now());
+        } else {
+            entry.confirm_placement(now());
+        }
+    }
+}
+
+/// Takes tokens from the coordinator's part; `None` when they were granted, else the milliseconds to wait.
+///
+/// # Errors
+///
+/// Fails when no coordinator answers.
+pub async fn take_quota(entry: &Entry, organisation: &str, tokens: f64) -> Result<Option<u64>, CallError> {
+    let Some(hint) = entry.coordinator() else {
+        return Err(CallError::NotRun("no coordinator is known".to_owned()));
+    };
+    let take = QuotaTake {
+        organisation: organisation.to_owned(),
+        tokens,
+    };
+    let answer: QuotaAnswer = call(entry, hint.address, "quota", &take, TIMEOUT).await?;
+    if !answer.coordinates {
+        return Err(CallError::NotRun("the process does not coordinate any more".to_owned()));
+    }
+    Ok(answer.wait_ms)
+}
--- /dev/null
+++ b/crates/entry/src/request.rs
@@ -0,0 +1,551 @@
+//! Way of a request: checks, admission, choice of a backend server, attempts, answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use guava_core::codes::Code;
+use guava_core::events::Event;
+use guava_core::units::Millis;
+use guava_fleet::choice::{self, Candidate};
+use guava_fleet::model::{BackendServer, Organisation, Route, RouteKind};
+use guava_fleet::quota::{LOCAL_PART, START_LEVEL};
+use guava_fleet::routes::{InForce, draw_service};
+use guava_platform::headers::{self, CallerHeaders, ServerHeaders};
+use http::request::Parts;
+use http::{HeaderMap, Method, Request, Response, Uri, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::attempt::{self, Arriving, AttemptError, Outgoing};
+use crate::log_event;
+use crate::peers;
+use crate::relay;
+use crate::reply::{Body, Failure, full};
+use crate::state::{Entry, RunningGuard, now, until};
+
+/// Longest wait of a request without a deadline of its own.
+const DEFAULT_DEADLINE_MS: u64 = 30_000;
+/// Sends that servers may refuse without running the request before it is refused here.
+const MAX_REFUSALS: u32 = 6;
+/// Answers up to this size are read whole before they are passed on, so that one that is cut can be repeated.
+const WHOLE_ANSWER_BYTES: usize = 1 << 20;
+/// Pause before a refused request is offered again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(40);
+/// Time that is kept from the caller's deadline for the way back of an answer.
+const WAY_BACK_MS: u64 = 20;
+/// When a caller should come back where nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(500);
+/// Wait for the head of the answer of a request that may be repeated, relative to its objective.
+const HEAD_WAIT_OBJECTIVES: u64 = 2;
+/// Least wait for the head of such an answer.
+const HEAD_WAIT_MIN_MS: u64 = 250;
+
+/// Request with what its caller said.
+#[derive(Debug)]
+pub struct Inbound {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers as sent.
+    pub headers: HeaderMap,
+    /// What they say.
+    pub caller: CallerHeaders,
+    /// Body.
+    pub body: Bytes,
+    /// Arrival of its head.
+    pub arrived: Millis,
+}
+
+/// What the configuration in force says of a request.
+#[derive(Debug, Clone)]
+pub struct Resolved {
+    /// Configuration.
+    pub in_force: Arc<InForce>,
+    /// Route.
+    pub route: Route,
+    /// Organisation of its key.
+    pub organisation: Option<Organisation>,
+}
+
+/// Server chosen for an attempt.
+#[derive(Debug)]
+pub struct Chosen {
+    /// Server.
+    pub server: Arc<BackendServer>,
+    /// Counts the request as running there.
+    pub guard: RunningGuard,
+}
+
+/// Serves one request.
+pub async fn serve(entry: Arc<Entry>, req: Request<Incoming>) -> Response<Body> {
+    let arrived = now();
+    let (head, body) = req.into_parts();
+    let caller = headers::read_caller(&head.headers);
+    let id = caller.attempt_id.clone();
+    let answer = match read_body(&entry, body).await {
+        Ok(body) => {
+            let inbound = inbound(head, caller, body, arrived);
+            handle(&entry, Arc::new(inbound)).await
+        }
+        Err(failure) => Err(failure),
+    };
+    match answer {
+        Ok(answer) => answer,
+        Err(failure) => {
+            let took = now().since(arrived);
+            let retry = failure.retry_after.map_or(0, |it| it.as_millis());
+            log_event!(
+                Event::RequestRefused,
+                &id,
+                "code={} status={} run={:?} after_ms={took} retry_after_ms={retry}",
+                failure.code,
+                failure.status().as_u16(),
+                failure.run
+            );
+            failure.response()
+        }
+    }
+}
+
+fn inbound(head: Parts, caller: CallerHeaders, body: Bytes, arrived: Millis) -> Inbound {
+    Inbound {
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        caller,
+        body,
+        arrived,
+    }
+}
+
+async fn read_body(entry: &Entry, body: Incoming) -> Result<Bytes, Failure> {
+    let config = entry.config();
+    let limits = config.as_ref().map(|it| it.config.limits.clone());
+    let max = limits.as_ref().map_or(1 << 20, |it| it.body_bytes);
+    let timeout = limits.map_or(3_000, |it| it.idle_timeout_ms);
+    let reading = Limited::new(body, max).collect();
+    match tokio::time::timeout(Duration::from_millis(timeout), reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Failure::not_run(Code::BodyTooLarge)),
+        Ok(Err(_)) => Err(Failure::not_run(Code::TruncatedBody)),
+        Err(_) => Err(Failure::not_run(Code::BodyTimeout)),
+    }
+}
+
+async fn handle(entry: &Arc<Entry>, inbound: Arc<Inbound>) -> Result<Response<Body>, Failure> {
+    let resolved = resolve(entry, &inbound)?;
+    let service = draw_service(&resolved.route, &mut rand::rng()).to_owned();
+    let spent = admit(entry, &inbound, &resolved).await?;
+    entry.note_request(&service, now());
+    let mut path = Path::new(Arc::clone(entry), Arc::clone(&inbound), resolved);
+    let answer = path.run().await;
+    if let Err(failure) = &answer
+        && failure.run == guava_core::codes::Run::NotRun
+    {
+        spent.give_back(entry);
+    }
+    answer
+}
+
+/// Finds the route and the organisation in the configuration in force.
+fn resolve(entry: &Entry, inbound: &Inbound) -> Result<Resolved, Failure> {
+    let Some(in_force) = entry.config() else {
+        return Err(Failure::not_run(Code::Starting).retry_after(COME_BACK));
+    };
+    let host = inbound.headers.get(header::HOST).and_then(|it| it.to_str().ok());
+    let host = host.or_else(|| inbound.uri.host()).unwrap_or_default();
+    let route = in_force.route(host, inbound.uri.path()).cloned();
+    let route = route.ok_or(Failure::not_run(Code::UnknownRoute))?;
+    let organisation = if route.open || !in_force.needs_keys() {
+        None
+    } else {
+        let key = inbound.caller.key.as_deref();
+        let key = key.ok_or(Failure::not_run(Code::MissingKey))?;
+        let organisation = in_force.organisation(key).cloned();
+        Some(organisation.ok_or(Failure::not_run(Code::UnknownKey))?)
+    };
+    Ok(Resolved {
+        in_force,
+        route,
+        organisation,
+    })
+}
+
+/// Tokens taken from an organisation's rate.
+#[derive(Debug, Default)]
+struct Spent {
+    organisation: Option<String>,
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+}
+
+impl Spent {
+    fn give_back(&self, entry: &Entry) {
+        let Some(organisation) = &self.organisation else {
+            return;
+        };
+        let now = now();
+        let mut quota = entry.quota.lock();
+        let bucket = quota.bucket(now, organisation, self.rate, self.burst, START_LEVEL);
+        bucket.give_back(now, self.tokens);
+    }
+}
+
+/// Takes the request's tokens from the organisation's rate: from the local part, else from the coordinator's.
+async fn admit(entry: &Arc<Entry>, inbound: &Inbound, resolved: &Resolved) -> Result<Spent, Failure> {
+    let limited = resolved.organisation.as_ref().filter(|it| it.rate > 0.0);
+    let Some(organisation) = limited else {
+        return Ok(Spent::default());
+    };
+    let tokens = match inbound.caller.tokens {
+        _ if !organisation.counts_tokens => 1.0,
+        Some((prompt, output)) => (prompt + output) as f64,
+        None => organisation.plain_tokens as f64,
+    };
+    let part = LOCAL_PART / entry.vms() as f64;
+    let spent = Spent {
+        organisation: Some(organisation.name.clone()),
+        rate: organisation.rate * part,
+        burst: organisation.burst * part,
+        tokens,
+    };
+    let at = now();
+    let local = {
+        let mut quota = entry.quota.lock();
+        let bucket = quota.bucket(at, &organisation.name, spent.rate, spent.burst, START_LEVEL);
+        bucket.take(at, tokens)
+    };
+    let Err(wait_local) = local else {
+        return Ok(spent);
+    };
+    let wait = match peers::take_quota(entry, &organisation.name, tokens).await {
+        Ok(None) => return Ok(spent),
+        Ok(Some(wait)) => wait.min(wait_local),
+        Err(_) => wait_local,
+    };
+    let retry_after = Duration::from_millis(wait.clamp(50, 10_000));
+    Err(Failure::not_run(Code::RateExceeded).retry_after(retry_after))
+}
+
+/// Attempts of one request.
+#[derive(Debug)]
+pub struct Path {
+    entry: Arc<Entry>,
+    inbound: Arc<Inbound>,
+    resolved: Resolved,
+    service: String,
+    /// Servers that may have run the request.
+    ran: Vec<String>,
+    refusals: u32,
+    /// End of the time that the caller or the route allows.
+    deadline: Millis,
+}
+
+impl Path {
+    fn new(entry: Arc<Entry>, inbound: Arc<Inbound>, resolved: Resolved) -> Self {
+        let allowed = inbound.caller.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+        let allowed = allowed.min(resolved.route.timeout_ms);
+        Self {
+            service: draw_service(&resolved.route, &mut rand::rng()).to_owned(),
+            deadline: inbound.arrived + allowed,
+            entry,
+            inbound,
+            resolved,
+            ran: Vec::new(),
+            refusals: 0,
+        }
+    }
+
+    /// Identifier of the caller's attempt.
+    pub fn id(&self) -> &str {
+        &self.inbound.caller.attempt_id
+    }
+
+    /// Route.
+    pub fn route(&self) -> &Route {
+        &self.resolved.route
+    }
+
+    /// End of the time that the caller or the route allows.
+    pub fn deadline(&self) -> Millis {
+        self.deadline
+    }
+
+    /// Shared state.
+    pub fn entry(&self) -> &Arc<Entry> {
+        &self.entry
+    }
+
+    /// Whether another server may get the request after one that may have run it.
+    pub fn may_repeat(&self) -> bool {
+        self.resolved.route.may_repeat() && (self.ran.len() as u32) < self.resolved.route.max_attempts
+    }
+
+    async fn run(&mut self) -> Result<Response<Body>, Failure> {
+        if let Some(model) = &self.inbound.caller.model {
+            let adapter = self.inbound.caller.adapter.as_deref();
+            self.entry.note_arrival(&self.service, model, adapter);
+        }
+        loop {
+            let (chosen, arriving) = self.offer(None).await?;
+            if self.resolved.route.kind == RouteKind::Streaming && arriving.status.is_success() {
+                let id = self.id().to_owned();
+                let path = Self {
+                    entry: Arc::clone(&self.entry),
+                    inbound: Arc::clone(&self.inbound),
+                    resolved: self.resolved.clone(),
+                    service: self.service.clone(),
+                    ran: self.ran.clone(),
+                    refusals: self.refusals,
+                    deadline: self.deadline,
+                };
+                log_event!(Event::RequestFinished, &id, "stream begins server={}", chosen.server.id);
+                return Ok(relay::stream(path, chosen, arriving));
+            }
+            match self.read_whole(chosen, arriving).await? {
+                Some(answer) => return Ok(answer),
+                None => continue,
+            }
+        }
+    }
+
+    /// Reads a whole answer; `None` when the request should be offered to another server.
+    async fn read_whole(&mut self, chosen: Chosen, arriving: Arriving) -> Result<Option<Response<Body>>, Failure> {
+        let server = chosen.server.id.clone();
+        let is_failure = arriving.status.is_server_error();
+        if is_failure && self.may_repeat() && self.entry.try_repeat(&self.service, now()) {
+            log_event!(
+                Event::RequestRetried,
+                self.id(),
+                "server={server} status={}",
+                arriving.status.as_u16()
+            );
+            return Ok(None);
+        }
+        let reading = Limited::new(arriving.body, WHOLE_ANSWER_BYTES).collect();
+        let body = match tokio::time::timeout(until(self.deadline), reading).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) => return self.lost(&server, &e.to_string()).map(|()| None),
+            Err(_) => return Err(Failure::unknown(Code::TimedOut)),
+        };
+        self.entry.health.lock().note_success(&server);
+        let mut answer = Response::new(full(body));
+        *answer.status_mut() = arriving.status;
+        *answer.headers_mut() = headers::for_caller(&arriving.headers);
+        answer.headers_mut().remove(header::CONTENT_LENGTH);
+        let took = now().since(self.inbound.arrived);
+        log_event!(
+            Event::RequestFinished,
+            self.id(),
+            "server={server} status={} after_ms={took}",
+            arriving.status.as_u16()
+        );
+        Ok(Some(answer))
+    }
+
+    /// Notes that a server may have run the request and gave no usable answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the request must not be offered again.
+    pub fn lost(&mut self, server: &str, why: &str) -> Result<(), Failure> {
+        let at = now();
+        if self.entry.health.lock().note_failure(at, server) {
+            log_event!(Event::ServerAvoided, self.id(), "server={server} why={why}");
+        }
+        let has_time = at + WAY_BACK_MS < self.deadline;
+        if has_time && self.may_repeat() && self.entry.try_repeat(&self.service, at) {
+            log_event!(Event::RequestRetried, self.id(), "server={server} why={why}");
+            return Ok(());
+        }
+        log_event!(Event::RequestFailed, self.id(), "server={server} why={why}");
+        Err(Failure::unknown(Code::OutcomeUnknown))
+    }
+
+    /// Offers the request to servers until one answers; `after` is the last event of a stream that goes on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no server can take it in time, or when it may have run and must not be repeated.
+    pub async fn offer(&mut self, after: Option<&str>) -> Result<(Chosen, Arriving), Failure> {
+        loop {
+            let chosen = self.choose().await?;
+            let server = chosen.server.id.clone();
+            let out = self.outgoing(&chosen.server, after);
+            let at = now();
+            log_event!(
+                Event::RequestSent,
+                self.id(),
+                "server={server} route={} left_ms={} waited_ms={}",
+                self.resolved.route.name,
+                self.deadline.since(at),
+                at.since(self.inbound.arrived)
+            );
+            self.ran.push(server.clone());
+            let sending = attempt::send(chosen.server.address, out, &self.inbound.caller.attempt_id);
+            let outcome = tokio::time::timeout(self.head_wait(), sending).await;
+            let error = match outcome {
+                Ok(Ok(arriving)) => return Ok((chosen, arriving)),
+                Ok(Err(e)) => e,
+                Err(_) if now() >= self.deadline => {
+                    log_event!(
+                        Event::RequestFailed,
+                        self.id(),
+                        "server={server} why=no answer before the deadline"
+                    );
+                    return Err(Failure::unknown(Code::TimedOut));
+                }
+                Err(_) => AttemptError::Unknown("no answer in time".to_owned()),
+            };
+            drop(chosen);
+            self.react(&server, error).await?;
+        }
+    }
+
+    async fn react(&mut self, server: &str, error: AttemptError) -> Result<(), Failure> {
+        let at = now();
+        let why = error.to_string();
+        match error {
+            AttemptError::Unknown(why) => return self.lost(server, &why),
+            AttemptError::NotSent(_) => {
+                self.ran.pop();
+                if self.entry.health.lock().note_failure(at, server) {
+                    log_event!(Event::ServerAvoided, self.id(), "server={server} why={why}");
+                }
+            }
+            AttemptError::NotRun | AttemptError::Misdirected => {
+                self.ran.pop();
+                self.refusals += 1;
+                if let Some(model) = &self.inbound.caller.model {
+                    self.entry.note_missing(server, model, at);
+                }
+                let has_budget = self.entry.try_repeat(&self.service, at);
+                if self.refusals > MAX_REFUSALS || !has_budget {
+                    return Err(Failure::not_run(Code::NoCapacity).retry_after(COME_BACK));
+                }
+            }
+        }
+        log_event!(Event::RequestRetried, self.id(), "server={server} why={why}");
+        tokio::time::sleep(REFUSED_PAUSE).await;
+        Ok(())
+    }
+
+    /// Time for the head of an answer; shorter where the request may go to another server.
+    fn head_wait(&self) -> Duration {
+        let left = until(self.deadline);
+        if !self.may_repeat() {
+            return left;
+        }
+        let objective = self.resolved.route.objective_ms * HEAD_WAIT_OBJECTIVES;
+        left.min(Duration::from_millis(objective.max(HEAD_WAIT_MIN_MS)))
+    }
+
+    /// Waits for a server that can take the request.
+    async fn choose(&mut self) -> Result<Chosen, Failure> {
+        let mut changes = self.entry.subscribe();
+        let mut waiting = None;
+        loop {
+            // A withdrawn key or a removed route holds for requests that wait.
+            self.resolved = resolve(&self.entry, &self.inbound)?;
+            if !self.resolved.route.targets.iter().any(|(it, _)| *it == self.service) {
+                draw_service(&self.resolved.route, &mut rand::rng()).clone_into(&mut self.service);
+            }
+            if let Some(chosen) = self.pick() {
+                return Ok(chosen);
+            }
+            let at = now();
+            if at + WAY_BACK_MS >= self.deadline {
+                return Err(self.refuse_late());
+            }
+            if let Some(model) = &self.inbound.caller.model
+                && waiting.is_none()
+            {
+                let adapter = self.inbound.caller.adapter.as_deref();
+                waiting = Some(self.entry.wait_for_model(&self.service, model, adapter));
+                log_event!(
+                    Event::RequestQueued,
+                    self.id(),
+                    "model={model} adapter={} left_ms={}",
+                    adapter.unwrap_or("-"),
+                    self.deadline.since(at)
+                );
+            }
+            let left = until(self.deadline - WAY_BACK_MS);
+            // What a server lacked is asked for again after a moment without any change.
+            let pause = left.min(Duration::from_millis(250));
+            let changed = tokio::time::timeout(pause, changes.changed()).await;
+            if let Ok(Err(_)) = changed {
+                return Err(Failure::not_run(Code::Stopping));
+            }
+        }
+    }
+
+    fn refuse_late(&self) -> Failure {
+        if self.ran.is_empty() {
+            return Failure::not_run(Code::DeadlineUnreachable).retry_after(COME_BACK);
+        }
+        Failure::unknown(Code::TimedOut)
+    }
+
+    fn pick(&self) -> Option<Chosen> {
+        let at = now();
+        let caller = &self.inbound.caller;
+        let engine = self
+            .resolved
+            .in_force
+            .config
+            .services
+            .get(&self.service)?
+            .engine
+            .as_ref();
+        let model = caller.model.as_deref().filter(|_| engine.is_some());
+        let wanted = model.map(|it| (it, caller.adapter.as_deref()));
+        let able = self.entry.candidates(&self.service, wanted, at);
+        let health = self.entry.health.lock();
+        let zone = &self.entry.settings.zone;
+        let fresh = able.iter().filter(|(it, _)| !self.ran.contains(&it.id));
+        let candidates = fresh.map(|(it, in_flight)| Candidate {
+            id: &it.id,
+            same_zone: it.zone == *zone,
+            in_flight: *in_flight,
+            slots: it.slots,
+            avoided: health.is_avoided(at, &it.id),
+            failing: health.failing(&it.id),
+        });
+        let best = choice::choose(candidates, caller.first_part.as_deref(), &mut rand::rng())?;
+        let server = able
+            .iter()
+            .find(|(it, _)| it.id == best.id)
+            .map(|(it, _)| Arc::clone(it))?;
+        let guard = self.entry.run_at(&server.id, model);
+        Some(Chosen { server, guard })
+    }
+
+    fn outgoing(&self, server: &BackendServer, after: Option<&str>) -> Outgoing {
+        let organisation = self.resolved.organisation.as_ref();
+        let priority = organisation.and_then(|it| it.priority);
+        let is_engine = self
+            .resolved
+            .in_force
+            .config
+            .services
+            .get(&self.service)
+            .is_some_and(|it| it.engine.is_some());
+        let set = ServerHeaders {
+            server: &server.id,
+            left: until(self.deadline),
+            organisation: organisation.map(|it| it.name.as_str()),
+            urgency: is_engine.then_some(priority.unwrap_or(self.resolved.route.priority)),
+            last_event_id: after,
+        };
+        Outgoing {
+            method: self.inbound.method.clone(),
+            uri: self.inbound.uri.clone(),
+            headers: headers::for_server(&self.inbound.headers, set),
+            body: self.inbound.body.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,623 @@
+//! What this process believes, and the requests that it has in hand.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use guava_core::derive_value;
+use guava_core::events::Event;
+use guava_core::units::Millis;
+use guava_fleet::budget::{BudgetLimits, RetryBudget};
+use guava_fleet::health::Health;
+use guava_fleet::model::{BackendServer, Configuration, ServerState};
+use guava_fleet::placement::{Demand, Placed, Running};
+use guava_fleet::quota::Buckets;
+use guava_fleet::routes::InForce;
+use guava_platform::Http;
+use guava_platform::settings::Settings;
+use guava_platform::store::Store;
+use parking_lot::Mutex;
+use rustix::time::{ClockId, clock_gettime};
+use tokio::sync::{Notify, watch};
+
+use crate::log_event;
+
+/// Time after which what the coordinator told no longer goes before the servers' own entries.
+const PLACED_VALID_MS: u64 = 3_000;
+/// Time for which a server that lacked a model is not asked for it again; its entry or the coordinator's view is late.
+const MISSING_MS: u64 = 300;
+/// Time after the store's return in which the entries of live servers come back.
+const LAPSE_GRACE_MS: u64 = 2_200;
+/// Silence of the store after which missing entries may have lapsed with it.
+const LAPSE_GAP_MS: u64 = 2_600;
+
+derive_value! {
+    /// Another entry process.
+    pub struct Member {
+        /// VM that it runs on.
+        pub vm: String,
+        /// Address for other entry processes.
+        pub address: SocketAddr,
+        /// Start time of the process in milliseconds since the epoch.
+        pub incarnation: u64,
+    }
+
+    /// Who coordinates, as far as is known.
+    pub struct CoordinatorHint {
+        /// VM.
+        pub vm: String,
+        /// Address for other entry processes.
+        pub address: SocketAddr,
+        /// Term of its lease.
+        pub term: u64,
+    }
+}
+
+/// Member and when it was last heard.
+#[derive(Debug, Clone)]
+pub struct KnownMember {
+    /// Member.
+    pub member: Member,
+    /// When it last answered or sent something.
+    pub heard: Option<Millis>,
+    /// When a call to it last failed.
+    pub failed: Option<Millis>,
+}
+
+/// Entry of a server and whether it is about to be dropped.
+#[derive(Debug, Clone)]
+struct KnownServer {
+    server: Arc<BackendServer>,
+    /// When the entry went missing right after the store had been away.
+    lapsed: Option<Millis>,
+}
+
+#[derive(Debug, Default)]
+struct Believed {
+    config: Option<Arc<InForce>>,
+    servers: HashMap<String, KnownServer>,
+    /// Whether the servers have been listed at least once.
+    has_servers: bool,
+    /// Revision of the store at which the servers last changed.
+    servers_revision: u64,
+    placed: HashMap<String, Placed>,
+    placed_at: Option<Millis>,
+    loads: HashMap<String, u32>,
+    /// Own requests by server when the loads were reported.
+    own_then: HashMap<String, u32>,
+    missing: HashMap<(String, String), Millis>,
+    members: HashMap<String, KnownMember>,
+    coordinator: Option<CoordinatorHint>,
+    store_contact: Option<Millis>,
+    store_returned: Option<Millis>,
+}
+
+/// Requests in hand.
+#[derive(Debug, Default)]
+struct InHand {
+    running: HashMap<(String, String), u32>,
+    waiting: HashMap<(String, String, Option<String>), u32>,
+    arrived: HashMap<(String, String, Option<String>), u32>,
+}
+
+/// Shared state of the process.
+#[derive(Debug)]
+pub struct Entry {
+    /// Settings.
+    pub settings: Settings,
+    /// Start of the process in milliseconds since the epoch.
+    pub incarnation: u64,
+    /// Client for calls with small answers.
+    pub http: Arc<dyn Http>,
+    /// Platform's store.
+    pub store: Store,
+    /// Local part of the organisations' rates.
+    pub quota: Mutex<Buckets>,
+    /// Health of backend servers.
+    pub health: Mutex<Health>,
+    /// Wakes the task that reports demand.
+    pub demand_changed: Notify,
+    budgets: Mutex<HashMap<String, RetryBudget>>,
+    believed: Mutex<Believed>,
+    in_hand: Mutex<InHand>,
+    changes: watch::Sender<u64>,
+    stopping: AtomicBool,
+}
+
+impl Entry {
+    /// State at the start of the process.
+    pub fn new(settings: Settings, http: Arc<dyn Http>) -> Self {
+        let store = Store::new(Arc::clone(&http), settings.store);
+        Self {
+            incarnation: wall_ms(),
+            store,
+            http,
+            quota: Mutex::default(),
+            health: Mutex::default(),
+            demand_changed: Notify::new(),
+            budgets: Mutex::default(),
+            believed: Mutex::default(),
+            in_hand: Mutex::default(),
+            changes: watch::Sender::new(0),
+            stopping: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    /// This process as a member.
+    pub fn me(&self) -> Member {
+        Member {
+            vm: self.settings.vm.clone(),
+            address: self.settings.peers,
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Whether the process is shutting down.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a graceful shutdown.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.wake();
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        let believed = self.believed.lock();
+        believed.config.is_some() && believed.has_servers && !self.is_stopping()
+    }
+
+    /// Signals each change of configuration, servers or placement.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    fn wake(&self) {
+        self.changes.send_modify(|it| *it += 1);
+    }
+
+    /// Configuration in force.
+    pub fn config(&self) -> Option<Arc<InForce>> {
+        self.believed.lock().config.clone()
+    }
+
+    /// Puts a configuration in force unless the one in force is as new; true when it was newer.
+    pub fn apply_config(&self, config: Configuration, source: &str) -> bool {
+        let version = config.version;
+        let in_force = InForce::new(Arc::new(config));
+        {
+            let mut believed = self.believed.lock();
+            let current = believed.config.as_ref().map_or(0, |it| it.config.version);
+            if version <= current {
+                return false;
+            }
+            believed.config = Some(Arc::new(in_force));
+        }
+        log_event!(Event::ConfigApplied, "-", "version={version} source={source}");
+        self.wake();
+        true
+    }
+
+    /// Notes an answer of the store.
+    pub fn note_store_contact(&self, now: Millis) {
+        let was_away = {
+            let mut believed = self.believed.lock();
+            let gap = believed.store_contact.map(|it| now.since(it));
+            believed.store_contact = Some(now);
+            let was_away = gap.is_some_and(|it| it > LAPSE_GAP_MS);
+            if was_away {
+                believed.store_returned = Some(now);
+            }
+            was_away
+        };
+        if was_away {
+            log_event!(
+                Event::PlatformAvailable,
+                "-",
+                "entries that lapsed are kept for {LAPSE_GRACE_MS} ms"
+            );
+        }
+    }
+
+    /// Time since the store last answered.
+    pub fn store_age_ms(&self, now: Millis) -> u64 {
+        let contact = self.believed.lock().store_contact;
+        contact.map_or(u64::MAX, |it| now.since(it))
+    }
+
+    /// Replaces all servers by a list of the store at `revision`.
+    pub fn apply_server_list(&self, list: Vec<BackendServer>, revision: u64, now: Millis) {
+        {
+            let mut believed = self.believed.lock();
+            let listed: HashMap<String, BackendServer> = list.into_iter().map(|it| (it.id.clone(), it)).collect();
+            let gone: Vec<String> = believed
+                .servers
+                .keys()
+                .filter(|it| !listed.contains_key(*it))
+                .cloned()
+                .collect();
+            for id in gone {
+                believed.drop_server(&id, now);
+            }
+            for (_, server) in listed {
+                believed.put_server(server);
+            }
+            believed.has_servers = true;
+            believed.servers_revision = believed.servers_revision.max(revision);
+        }
+        self.wake();
+    }
+
+    /// Applies one changed entry; `None` when it was removed or names no usable server.
+    pub fn apply_server(&self, id: &str, server: Option<BackendServer>, revision: u64, now: Millis) {
+        let state = server.as_ref().map(|it| it.state);
+        let changed = {
+            let mut believed = self.believed.lock();
+            let before = believed.servers.get(id).map(|it| it.server.state);
+            match server {
+                Some(server) => believed.put_server(server),
+                None => believed.drop_server(id, now),
+            }
+            believed.servers_revision = believed.servers_revision.max(revision);
+            before != state
+        };
+        if changed {
+            match state {
+                Some(ServerState::Ready) => log_event!(Event::ServerListed, "-", "server={id} revision={revision}"),
+                Some(ServerState::Draining) => log_event!(Event::ServerLeaving, "-", "server={id} revision={revision}"),
+                None => log_event!(Event::ServerEnded, "-", "server={id} revision={revision}"),
+            }
+        }
+        self.wake();
+    }
+
+    /// Drops servers whose entries did not come back after the store's return.
+    pub fn drop_lapsed(&self, now: Millis) {
+        let mut believed = self.believed.lock();
+        let before = believed.servers.len();
+        believed
+            .servers
+            .retain(|_, it| it.lapsed.is_none_or(|since| now.since(since) < LAPSE_GRACE_MS));
+        let dropped = before - believed.servers.len();
+        drop(believed);
+        if dropped > 0 {
+            log_event!(
+                Event::ServerEnded,
+                "-",
+                "servers={dropped} reason=entry did not come back"
+            );
+            self.wake();
+        }
+    }
+
+    /// Known servers.
+    pub fn servers(&self) -> Vec<Arc<BackendServer>> {
+        let believed = self.believed.lock();
+        believed.servers.values().map(|it| Arc::clone(&it.server)).collect()
+    }
+
+    /// Server of this id.
+    pub fn server(&self, id: &str) -> Option<Arc<BackendServer>> {
+        let believed = self.believed.lock();
+        believed.servers.get(id).map(|it| Arc::clone(&it.server))
+    }
+
+    /// Revision at which the servers last changed.
+    pub fn servers_revision(&self) -> u64 {
+        let believed = self.believed.lock();
+        if believed.has_servers {
+            believed.servers_revision
+        } else {
+            0
+        }
+    }
+
+    /// Takes the loads of all servers from the coordinator.
+    pub fn apply_loads(&self, loads: Vec<(String, u32)>) {
+        let own = self.running_by_server();
+        let mut believed = self.believed.lock();
+        believed.loads = loads.into_iter().collect();
+        believed.own_then = own;
+    }
+
+    /// Takes what engines hold from the coordinator.
+    pub fn apply_placement(&self, placed: Vec<Placed>, now: Millis) {
+        {
+            let mut believed = self.believed.lock();
+            believed.placed = placed.into_iter().map(|it| (it.server.clone(), it)).collect();
+            believed.placed_at = Some(now);
+            believed.missing.clear();
+        }
+        self.wake();
+    }
+
+    /// Notes that the coordinator's placement has not changed.
+    pub fn confirm_placement(&self, now: Millis) {
+        self.believed.lock().placed_at = Some(now);
+    }
+
+    /// Notes that a server turned out not to hold a model.
+    pub fn note_missing(&self, server: &str, model: &str, now: Millis) {
+        let key = (server.to_owned(), model.to_owned());
+        self.believed.lock().missing.insert(key, now);
+    }
+
+    /// Servers of a service that can take a request for the model, with their load.
+    pub fn candidates(
+        &self,
+        service: &str,
+        model: Option<(&str, Option<&str>)>,
+        now: Millis,
+    ) -> Vec<(Arc<BackendServer>, u32)> {
+        let own = self.running_by_server();
+        let believed = self.believed.lock();
+        let ready = believed
+            .servers
+            .values()
+            .filter(|it| it.server.service == service && it.server.state == ServerState::Ready);
+        let able =
+            ready.filter(|it| model.is_none_or(|(name, adapter)| believed.holds(&it.server, name, adapter, now)));
+        let loaded = able.map(|it| {
+            let id = &it.server.id;
+            let own_now = own.get(id).copied().unwrap_or(0);
+            let own_then = believed.own_then.get(id).copied().unwrap_or(0);
+            let others = believed.loads.get(id).copied().unwrap_or(0).saturating_sub(own_then);
+            (Arc::clone(&it.server), own_now + others)
+        });
+        loaded.collect()
+    }
+
+    /// Takes one repeated send to a service from the budget.
+    pub fn try_repeat(&self, service: &str, now: Millis) -> bool {
+        let limits = BudgetLimits {
+            ratio: self.settings.retry_ratio,
+            slack: self.settings.retry_slack,
+            window_ms: self.settings.retry_window_ms,
+            vms: self.believed.lock().members.len() + 1,
+        };
+        let mut budgets = self.budgets.lock();
+        budgets.entry(service.to_owned()).or_default().try_repeat(now, limits)
+    }
+
+    /// Counts a request of a caller towards the retry budget of a service.
+    pub fn note_request(&self, service: &str, now: Millis) {
+        let mut budgets = self.budgets.lock();
+        budgets.entry(service.to_owned()).or_default().note_request(now);
+    }
+
+    /// VMs that may take callers' requests, this one included.
+    pub fn vms(&self) -> usize {
+        self.believed.lock().members.len() + 1
+    }
+
+    /// Notes a member; a later incarnation replaces an earlier one.
+    pub fn note_member(&self, member: Member, heard: Option<Millis>) {
+        if member.vm == self.settings.vm {
+            return;
+        }
+        let mut believed = self.believed.lock();
+        let known = believed
+            .members
+            .entry(member.vm.clone())
+            .or_insert_with(|| KnownMember {
+                member: member.clone(),
+                heard: None,
+                failed: None,
+            });
+        if member.incarnation > known.member.incarnation {
+            known.member = member;
+            known.failed = None;
+        }
+        if heard.is_some() {
+            known.heard = heard;
+            known.failed = None;
+        }
+    }
+
+    /// Notes that a call to a member failed.
+    pub fn note_member_failed(&self, address: SocketAddr, now: Millis) {
+        let mut believed = self.believed.lock();
+        for known in believed.members.values_mut().filter(|it| it.member.address == address) {
+            known.failed = Some(now);
+        }
+    }
+
+    /// Removes members that `keep` refuses.
+    pub fn retain_members(&self, keep: impl Fn(&KnownMember) -> bool) -> Vec<String> {
+        let mut believed = self.believed.lock();
+        let gone: Vec<String> = believed
+            .members
+            .values()
+            .filter(|it| !keep(it))
+            .map(|it| it.member.vm.clone())
+            .collect();
+        for vm in &gone {
+            believed.members.remove(vm);
+        }
+        gone
+    }
+
+    /// Other members.
+    pub fn members(&self) -> Vec<KnownMember> {
+        self.believed.lock().members.values().cloned().collect()
+    }
+
+    /// Who coordinates.
+    pub fn coordinator(&self) -> Option<CoordinatorHint> {
+        self.believed.lock().coordinator.clone()
+    }
+
+    /// Notes who coordinates; an earlier term never replaces a later one.
+    pub fn note_coordinator(&self, hint: CoordinatorHint) {
+        let mut believed = self.believed.lock();
+        let known = believed.coordinator.as_ref().map_or(0, |it| it.term);
+        if hint.term < known || believed.coordinator.as_ref() == Some(&hint) {
+            return;
+        }
+        log_event!(Event::CoordinatorChanged, "-", "vm={} term={}", hint.vm, hint.term);
+        believed.coordinator = Some(hint);
+        drop(believed);
+        self.demand_changed.notify_one();
+    }
+
+    /// Demand and running requests for the coordinator; resets the count of arrivals.
+    pub fn take_report(&self) -> (Vec<Demand>, Vec<Running>) {
+        let mut in_hand = self.in_hand.lock();
+        let mut arrived = std::mem::take(&mut in_hand.arrived);
+        let mut demand: Vec<Demand> = Vec::new();
+        for (key, waiting) in &in_hand.waiting {
+            let arrived = arrived.remove(key).unwrap_or(0);
+            demand.push(demand_of(key.clone(), *waiting, arrived));
+        }
+        demand.extend(arrived.into_iter().map(|(key, count)| demand_of(key, 0, count)));
+        let running = in_hand.running.iter().map(|((server, model), count)| Running {
+            server: server.clone(),
+            model: model.clone(),
+            count: *count,
+        });
+        (demand, running.collect())
+    }
+
+    fn running_by_server(&self) -> HashMap<String, u32> {
+        let in_hand = self.in_hand.lock();
+        let mut counts = HashMap::new();
+        for ((server, _), count) in &in_hand.running {
+            *counts.entry(server.clone()).or_default() += count;
+        }
+        counts
+    }
+
+    /// Counts an arrival for a model.
+    pub fn note_arrival(&self, service: &str, model: &str, adapter: Option<&str>) {
+        let key = (service.to_owned(), model.to_owned(), adapter.map(str::to_owned));
+        *self.in_hand.lock().arrived.entry(key).or_default() += 1;
+    }
+
+    /// Counts a request as waiting for a model until the guard is dropped.
+    pub fn wait_for_model(self: &Arc<Self>, service: &str, model: &str, adapter: Option<&str>) -> WaitingGuard {
+        let key = (service.to_owned(), model.to_owned(), adapter.map(str::to_owned));
+        *self.in_hand.lock().waiting.entry(key.clone()).or_default() += 1;
+        self.demand_changed.notify_one();
+        WaitingGuard {
+            entry: Arc::clone(self),
+            key,
+        }
+    }
+
+    /// Counts a request as running at a server until the guard is dropped.
+    pub fn run_at(self: &Arc<Self>, server: &str, model: Option<&str>) -> RunningGuard {
+        let key = (server.to_owned(), model.unwrap_or_default().to_owned());
+        *self.in_hand.lock().running.entry(key.clone()).or_default() += 1;
+        RunningGuard {
+            entry: Arc::clone(self),
+            key,
+        }
+    }
+}
+
+fn demand_of(key: (String, String, Option<String>), waiting: u32, arrived: u32) -> Demand {
+    let (service, model, adapter) = key;
+    Demand {
+        service,
+        model,
+        adapter,
+        waiting,
+        arrived,
+    }
+}
+
+impl Believed {
+    fn put_server(&mut self, server: BackendServer) {
+        let id = server.id.clone();
+        let known = KnownServer {
+            server: Arc::new(server),
+            lapsed: None,
+        };
+        self.servers.insert(id, known);
+    }
+
+    fn drop_server(&mut self, id: &str, now: Millis) {
+        let has_just_returned = self.store_returned.is_some_and(|it| now.since(it) < LAPSE_GRACE_MS);
+        match self.servers.get_mut(id) {
+            Some(known) if has_just_returned && known.server.state == ServerState::Ready => {
+                known.lapsed.get_or_insert(now);
+            }
+            _ => {
+                self.servers.remove(id);
+            }
+        }
+    }
+
+    fn holds(&self, server: &BackendServer, model: &str, adapter: Option<&str>, now: Millis) -> bool {
+        let key = (server.id.clone(), model.to_owned());
+        if self.missing.get(&key).is_some_and(|it| now.since(*it) < MISSING_MS) {
+            return false;
+        }
+        let is_fresh = self.placed_at.is_some_and(|it| now.since(it) < PLACED_VALID_MS);
+        let placed = self.placed.get(&server.id).filter(|it| it.born_ms == server.born_ms);
+        match placed {
+            Some(placed) if is_fresh => placed
+                .held
+                .iter()
+                .any(|it| it.name == model && adapter.is_none_or(|name| it.adapters.iter().any(|held| held == name))),
+            _ => server.holds(model, adapter),
+        }
+    }
+}
+
+/// Counts a waiting request; see [`Entry::wait_for_model`].
+#[derive(Debug)]
+pub struct WaitingGuard {
+    entry: Arc<Entry>,
+    key: (String, String, Option<String>),
+}
+
+impl Drop for WaitingGuard {
+    fn drop(&mut self) {
+        decrement(&mut self.entry.in_hand.lock().waiting, &self.key);
+    }
+}
+
+/// Counts a running request; see [`Entry::run_at`].
+#[derive(Debug)]
+pub struct RunningGuard {
+    entry: Arc<Entry>,
+    key: (String, String),
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        decrement(&mut self.entry.in_hand.lock().running, &self.key);
+    }
+}
+
+fn decrement<K: std::hash::Hash + Eq>(counts: &mut HashMap<K, u32>, key: &K) {
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
+        }
+    }
+}
+
+/// Time on the clock that also counts suspensions, so that a lease runs out during one.
+pub fn now() -> Millis {
+    let time = clock_gettime(ClockId::Boottime);
+    Millis(time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000)
+}
+
+/// Milliseconds since the epoch.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |it| it.as_millis() as u64)
+}
+
+/// Time from now until `at`.
+pub fn until(at: Millis) -> Duration {
+    Duration::from_millis(at.since(now()))
+}
--- /dev/null
+++ b/crates/entry/src/watch.rs
@@ -0,0 +1,153 @@
+//! Follows the store: configuration, backend servers and other entry processes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use guava_core::events::Event;
+use guava_platform::store::{Changes, Object};
+use guava_platform::{CallError, config, servers};
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::log_event;
+use crate::state::{Entry, Member, now};
+
+/// Kind of the objects under which entry processes register.
+const MEMBER_KIND: &str = "guava-members";
+/// Longest wait of a watch; a connection that went silent is noticed this late.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after a failed call.
+const RETRY_MS: u64 = 200;
+/// Silence of a member from which on its registration is removed.
+const MEMBER_GONE_MS: u64 = 30_000;
+/// Time between checks of members.
+const MEMBER_CHECK: Duration = Duration::from_secs(5);
+
+async fn pause_after(what: &str, error: &CallError) {
+    log::debug!("{what}: {error}");
+    let jitter = rand::random_range(0..RETRY_MS);
+    sleep(Duration::from_millis(RETRY_MS + jitter)).await;
+}
+
+/// Follows the operators' configuration.
+pub async fn follow_config(entry: Arc<Entry>) {
+    loop {
+        let listing = match entry.store.list(config::KIND).await {
+            Ok(listing) => listing,
+            Err(e) => {
+                pause_after("list of configurations", &e).await;
+                continue;
+            }
+        };
+        entry.note_store_contact(now());
+        for object in &listing.objects {
+            take_config(&entry, object);
+        }
+        let mut revision = listing.revision;
+        loop {
+            match entry.store.watch(config::KIND, revision, WATCH_WAIT).await {
+                Ok(Changes::Since { events, revision: next }) => {
+                    entry.note_store_contact(now());
+                    for (_, object) in events {
+                        if let Some(object) = object {
+                            take_config(&entry, &object);
+                        }
+                    }
+                    revision = next;
+                }
+                Ok(Changes::HistoryGone) => break,
+                Err(e) => pause_after("watch of configurations", &e).await,
+            }
+        }
+    }
+}
+
+fn take_config(entry: &Entry, object: &Object) {
+    if object.name != config::NAME {
+        return;
+    }
+    match config::decode(&object.spec) {
+        Ok(config) => {
+            entry.apply_config(config, "store");
+        }
+        Err(e) => log_event!(Event::PlatformUnavailable, "-", "revision={} why={e}", object.revision),
+    }
+}
+
+/// Follows the entries of backend servers.
+pub async fn follow_servers(entry: Arc<Entry>) {
+    loop {
+        let listing = match entry.store.list(servers::KIND).await {
+            Ok(listing) => listing,
+            Err(e) => {
+                pause_after("list of servers", &e).await;
+                continue;
+            }
+        };
+        entry.note_store_contact(now());
+        let list = listing.objects.iter().filter_map(servers::decode).collect();
+        entry.apply_server_list(list, listing.revision, now());
+        let mut revision = listing.revision;
+        loop {
+            match entry.store.watch(servers::KIND, revision, WATCH_WAIT).await {
+                Ok(Changes::Since { events, revision: next }) => {
+                    entry.note_store_contact(now());
+                    for (id, object) in events {
+                        let server = object.as_ref().and_then(servers::decode);
+                        entry.apply_server(&id, server, next, now());
+                    }
+                    entry.drop_lapsed(now());
+                    revision = next;
+                }
+                Ok(Changes::HistoryGone) => break,
+                Err(e) => pause_after("watch of servers", &e).await,
+            }
+        }
+    }
+}
+
+/// Registers this process, learns the others once, and removes registrations of VMs that are gone.
+pub async fn register(entry: Arc<Entry>) {
+    let me = entry.me();
+    loop {
+        let value = json!(me);
+        let written = match entry.store.create(MEMBER_KIND, &me.vm, &value).await {
+            Ok(guava_platform::store::Written::Conflict(_)) => {
+                entry.store.replace(MEMBER_KIND, &me.vm, &value, None).await
+            }
+            other => other,
+        };
+        match written {
+            Ok(_) => break,
+            Err(e) => pause_after("registration", &e).await,
+        }
+    }
+    loop {
+        match entry.store.list(MEMBER_KIND).await {
+            Ok(listing) => {
+                let members = listing.objects.into_iter();
+                let members = members.filter_map(|it| serde_json::from_value::<Member>(it.spec).ok());
+                for member in members {
+                    entry.note_member(member, None);
+                }
+                break;
+            }
+            Err(e) => pause_after("list of members", &e).await,
+        }
+    }
+    let started = now();
+    loop {
+        sleep(MEMBER_CHECK).await;
+        let at = now();
+        let gone = entry.retain_members(|it| {
+            let silent_since = it.heard.unwrap_or(started);
+            it.failed.is_none() || at.since(silent_since) < MEMBER_GONE_MS
+        });
+        for vm in gone {
+            log_event!(Event::MemberDown, "-", "vm={vm} silent_ms={MEMBER_GONE_MS}");
+            if let Err(e) = entry.store.remove(MEMBER_KIND, &vm).await {
+                log::debug!("removal of {vm}: {e}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/placement.rs
@@ -0,0 +1,337 @@
+//! Which model engine holds which model and adapter.
+//!
+//! One process at a time, the coordinator, decides and sends the orders. Waiting requests come first, then copies for
+//! models whose replicas are full, then models that no engine has on its disk yet: a load from the weight store takes
+//! seconds and is rationed, one from an engine's own disk does not count, so each model is brought in once ahead of
+//! its first request. Engines take one order at a time and number them; every order names the number that it follows, so
+//! an order that is carried out late is void once a later one was accepted, and what an engine holds is always known.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use guava_core::demand::Decaying;
+use guava_core::derive_value;
+use guava_core::units::Millis;
+
+use crate::model::{BackendServer, EngineSpec, HeldModel, ServerState};
+
+mod orders;
+mod rank;
+
+pub use orders::{Order, OrderKind, OrderOutcome};
+
+/// Loads from the weight store that run at full speed together; more only share its bandwidth.
+pub const STORE_LOADS_AT_ONCE: usize = 4;
+/// Loads ahead of demand at the same time; one place stays free for a request that waits.
+const AHEAD_AT_ONCE: usize = 3;
+/// Window in which the weight store counts loads.
+const STORE_WINDOW_MS: u64 = 5_000;
+/// Time after which a VM's report no longer counts.
+const REPORT_VALID_MS: u64 = 1_500;
+/// Half-life of the average of arrivals.
+const RATE_HALF_LIFE_MS: f64 = 6_000.0;
+/// Part of an engine's slots beyond which its models get another replica.
+const FULL_PART: f64 = 0.4;
+/// Time for which a model stays after its load, so that the requests that waited for it can start.
+const DWELL_MS: u64 = 1_000;
+
+derive_value! {
+    /// Requests of one VM that wait for a model.
+    pub struct Demand {
+        /// Service.
+        pub service: String,
+        /// Model.
+        pub model: String,
+        /// Adapter of the model.
+        pub adapter: Option<String>,
+        /// Requests that wait.
+        pub waiting: u32,
+        /// Requests that arrived since the last report.
+        pub arrived: u32,
+    }
+
+    /// Requests of one VM that run at an engine.
+    pub struct Running {
+        /// Backend server.
+        pub server: String,
+        /// Model; empty for a plain service.
+        pub model: String,
+        /// Requests.
+        pub count: u32,
+    }
+
+    /// What an engine holds, as the coordinator tells the VMs.
+    pub struct Placed {
+        /// Backend server.
+        pub server: String,
+        /// Start of its present life.
+        pub born_ms: u64,
+        /// Models that take requests.
+        pub held: Vec<HeldModel>,
+        /// Requests from all VMs that run there.
+        pub in_flight: u32,
+    }
+
+    /// State that an engine reports.
+    pub struct EngineReport {
+        /// Orders accepted since its start.
+        pub orders: u64,
+        /// Whether an order is under way.
+        pub is_busy: bool,
+        /// Models that it holds.
+        pub held: Vec<HeldModel>,
+        /// Models in host memory.
+        pub in_memory: Vec<String>,
+        /// Models on disk.
+        pub on_disk: Vec<String>,
+    }
+}
+
+/// What must be known of a VM's report to weigh it.
+#[derive(Debug, Default)]
+struct VmReport {
+    at: Millis,
+    demand: Vec<Demand>,
+    running: Vec<Running>,
+}
+
+/// Model at an engine.
+#[derive(Debug, Clone)]
+struct Held {
+    is_ready: bool,
+    since: Millis,
+    adapters: BTreeMap<String, Millis>,
+}
+
+/// Load and the models that make way for it.
+#[derive(Debug, Clone)]
+struct LoadPlan {
+    model: String,
+    victims: Vec<String>,
+    from_store: bool,
+}
+
+/// Order that was sent and is not finished.
+#[derive(Debug, Clone)]
+struct Pending {
+    order: Order,
+    from_store: bool,
+    accepted: bool,
+    sent: bool,
+    /// When the engine should be asked for its state.
+    poll_at: Millis,
+}
+
+/// Engine and what it holds.
+#[derive(Debug)]
+struct Engine {
+    server: BackendServer,
+    orders: u64,
+    held: BTreeMap<String, Held>,
+    in_memory: BTreeSet<String>,
+    on_disk: BTreeSet<String>,
+    plan: Option<LoadPlan>,
+    pending: Option<Pending>,
+    /// Whether its state was confirmed by a report since this process became coordinator.
+    is_known: bool,
+    next_poll: Millis,
+    failures: u32,
+}
+
+/// Decisions of the coordinator.
+#[derive(Debug, Default)]
+pub struct Placement {
+    engines: BTreeMap<String, Engine>,
+    specs: HashMap<String, EngineSpec>,
+    vms: HashMap<String, VmReport>,
+    rates: HashMap<(String, String), Decaying>,
+    adapter_use: HashMap<(String, String, String), Millis>,
+    store_loads: Vec<Millis>,
+    version: u64,
+}
+
+impl Placement {
+    /// Takes the engines' capacities from the configuration.
+    pub fn set_specs(&mut self, specs: HashMap<String, EngineSpec>) {
+        self.specs = specs;
+    }
+
+    /// Takes the list of backend servers.
+    pub fn set_servers<'a>(&mut self, servers: impl IntoIterator<Item = &'a BackendServer>, now: Millis) {
+        let mut listed = BTreeSet::new();
+        for server in servers {
+            if !self.specs.contains_key(&server.service) {
+                continue;
+            }
+            listed.insert(server.id.clone());
+            self.set_server(server, now);
+        }
+        let before = self.engines.len();
+        self.engines.retain(|id, _| listed.contains(id));
+        if self.engines.len() != before {
+            self.version += 1;
+        }
+    }
+
+    fn set_server(&mut self, server: &BackendServer, now: Millis) {
+        let same_life = self
+            .engines
+            .get(&server.id)
+            .is_some_and(|it| it.server.born_ms == server.born_ms);
+        if !same_life {
+            self.engines.insert(server.id.clone(), Engine::new(server.clone(), now));
+            self.version += 1;
+            return;
+        }
+        let Some(engine) = self.engines.get_mut(&server.id) else {
+            return;
+        };
+        if engine.server.state != server.state {
+            self.version += 1;
+        }
+        let has_changed = engine.server.held != server.held;
+        engine.server = server.clone();
+        if engine.pending.is_none() && has_changed {
+            engine.is_known = false;
+            engine.next_poll = now;
+        }
+        engine.in_memory.extend(server.in_memory.iter().cloned());
+        engine.on_disk.extend(server.on_disk.iter().cloned());
+    }
+
+    /// Takes a VM's report.
+    pub fn note_report(&mut self, vm: &str, demand: Vec<Demand>, running: Vec<Running>, now: Millis) {
+        for it in demand.iter().filter(|it| it.arrived > 0) {
+            let key = (it.service.clone(), it.model.clone());
+            let rate = self.rates.entry(key).or_default();
+            rate.add(f64::from(it.arrived), RATE_HALF_LIFE_MS, now);
+        }
+        for it in &demand {
+            if let Some(adapter) = &it.adapter {
+                let key = (it.service.clone(), it.model.clone(), adapter.clone());
+                self.adapter_use.insert(key, now);
+            }
+        }
+        let report = VmReport {
+            at: now,
+            demand,
+            running,
+        };
+        self.vms.insert(vm.to_owned(), report);
+    }
+
+    /// Forgets the order under way and asks each engine for its state, after this process became coordinator.
+    pub fn start_term(&mut self, now: Millis) {
+        for engine in self.engines.values_mut() {
+            engine.plan = None;
+            engine.pending = None;
+            engine.is_known = false;
+            engine.next_poll = now;
+        }
+    }
+
+    /// Version of what [`Self::placed`] tells.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What each engine holds for requests.
+    pub fn placed(&self, now: Millis) -> Vec<Placed> {
+        let running = self.running_by_server(now);
+        let placed = self.engines.values().map(|engine| Placed {
+            server: engine.server.id.clone(),
+            born_ms: engine.server.born_ms,
+            held: engine.ready_models(),
+            in_flight: running.get(engine.server.id.as_str()).copied().unwrap_or(0),
+        });
+        placed.collect()
+    }
+
+    /// Requests that run at each backend server, from the reports of all VMs.
+    pub fn running_by_server(&self, now: Millis) -> HashMap<&str, u32> {
+        let mut counts = HashMap::new();
+        for running in self.live_reports(now).flat_map(|it| &it.running) {
+            *counts.entry(running.server.as_str()).or_default() += running.count;
+        }
+        counts
+    }
+
+    /// Engines whose state should be asked for now.
+    pub fn polls(&mut self, now: Millis) -> Vec<BackendServer> {
+        let mut due = Vec::new();
+        for engine in self.engines.values_mut() {
+            let at = engine.pending.as_ref().map_or(engine.next_poll, |it| it.poll_at);
+            let is_wanted = !engine.is_known || engine.pending.as_ref().is_some_and(|it| !it.sent || it.accepted);
+            if is_wanted && now >= at {
+                engine.delay_poll(now, orders::POLL_MS);
+                due.push(engine.server.clone());
+            }
+        }
+        due
+    }
+
+    fn live_reports(&self, now: Millis) -> impl Iterator<Item = &VmReport> {
+        self.vms.values().filter(move |it| now.since(it.at) < REPORT_VALID_MS)
+    }
+}
+
+impl Engine {
+    fn new(server: BackendServer, now: Millis) -> Self {
+        let mut engine = Self {
+            orders: 0,
+            held: BTreeMap::new(),
+            in_memory: server.in_memory.iter().cloned().collect(),
+            on_disk: server.on_disk.iter().cloned().collect(),
+            plan: None,
+            pending: None,
+            is_known: false,
+            next_poll: now,
+            failures: 0,
+            server,
+        };
+        let held = std::mem::take(&mut engine.server.held);
+        engine.adopt(0, &held, now);
+        engine.server.held = held;
+        engine
+    }
+
+    /// Replaces what the engine is believed to hold.
+    fn adopt(&mut self, orders: u64, held: &[HeldModel], now: Millis) {
+        self.orders = orders;
+        let before = std::mem::take(&mut self.held);
+        for model in held {
+            let old = before.get(&model.name);
+            let adapter_since = |name: &String| old.and_then(|it| it.adapters.get(name)).copied().unwrap_or(now);
+            let entry = Held {
+                is_ready: true,
+                since: old.filter(|it| it.is_ready).map_or(now, |it| it.since),
+                adapters: model
+                    .adapters
+                    .iter()
+                    .map(|it| (it.clone(), adapter_since(it)))
+                    .collect(),
+            };
+            self.held.insert(model.name.clone(), entry);
+            self.on_disk.insert(model.name.clone());
+        }
+    }
+
+    fn ready_models(&self) -> Vec<HeldModel> {
+        let ready = self.held.iter().filter(|(_, it)| it.is_ready);
+        let models = ready.map(|(name, it)| HeldModel {
+            name: name.clone(),
+            adapters: it.adapters.keys().cloned().collect(),
+        });
+        models.collect()
+    }
+
+    fn delay_poll(&mut self, now: Millis, ms: u64) {
+        self.next_poll = now + ms;
+        if let Some(pending) = &mut self.pending {
+            pending.poll_at = now + ms;
+        }
+    }
+
+    fn takes_orders(&self) -> bool {
+        self.is_known && self.server.state == ServerState::Ready && self.failures < orders::FAILURES_TO_AVOID
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/placement/rank.rs
@@ -0,0 +1,447 @@
+//! Which order comes next.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use guava_core::units::Millis;
+
+use super::{
+    AHEAD_AT_ONCE, DWELL_MS, Engine, FULL_PART, Held, LoadPlan, Order, OrderKind, Placement, RATE_HALF_LIFE_MS,
+    STORE_LOADS_AT_ONCE, STORE_WINDOW_MS,
+};
+use crate::model::{EngineSpec, ServerState};
+
+/// Value of a model's presence per request that runs there, in requests per reload second; keeps models in use.
+const RUNNING_VALUE: f64 = 50.0;
+
+/// Demand for one model over all VMs.
+#[derive(Debug, Default, Clone)]
+struct Wanted {
+    waiting: u32,
+    running: u32,
+    rate: f64,
+    adapters: Vec<String>,
+}
+
+/// Where a load costs least.
+struct Choice {
+    engine: String,
+    victims: Vec<String>,
+    from_store: bool,
+    cost: f64,
+}
+
+impl Placement {
+    /// Orders to send now; each is marked as sent.
+    pub fn next_orders(&mut self, now: Millis) -> Vec<Order> {
+        self.store_loads.retain(|it| now.since(*it) < STORE_WINDOW_MS);
+        let mut orders = Vec::new();
+        let services: Vec<String> = self.specs.keys().cloned().collect();
+        for service in services {
+            let wanted = self.wanted(&service, now);
+            self.plan_adapters(&service, &wanted, now, &mut orders);
+            self.plan_waiting(&service, &wanted, now);
+            self.plan_full(&service, &wanted, now);
+            self.plan_ahead(&service, &wanted, now);
+        }
+        self.send_plans(now, &mut orders);
+        orders
+    }
+
+    fn wanted(&self, service: &str, now: Millis) -> BTreeMap<String, Wanted> {
+        let mut wanted: BTreeMap<String, Wanted> = BTreeMap::new();
+        for report in self.live_reports(now) {
+            for it in report.demand.iter().filter(|it| it.service == service) {
+                let entry = wanted.entry(it.model.clone()).or_default();
+                entry.waiting += it.waiting;
+                if it.waiting > 0 {
+                    entry.adapters.extend(it.adapter.clone());
+                }
+            }
+            for it in &report.running {
+                let is_here = self
+                    .engines
+                    .get(&it.server)
+                    .is_some_and(|e| e.server.service == service);
+                if is_here {
+                    wanted.entry(it.model.clone()).or_default().running += it.count;
+                }
+            }
+        }
+        for ((of, model), rate) in &self.rates {
+            if of == service {
+                let rate = rate.get(RATE_HALF_LIFE_MS, now) / (RATE_HALF_LIFE_MS / 1_000.0) * std::f64::consts::LN_2;
+                wanted.entry(model.clone()).or_default().rate = rate;
+            }
+        }
+        wanted
+    }
+
+    /// Loads adapters that requests wait for at an engine that holds their model.
+    fn plan_adapters(
+        &mut self,
+        service: &str,
+        wanted: &BTreeMap<String, Wanted>,
+        now: Millis,
+        orders: &mut Vec<Order>,
+    ) {
+        let Some(slots) = self.specs.get(service).map(|it| it.adapter_slots as usize) else {
+            return;
+        };
+        let asked = wanted
+            .iter()
+            .flat_map(|(model, it)| it.adapters.iter().map(move |adapter| (model, adapter)));
+        let asked: HashSet<(&String, &String)> = asked.collect();
+        for (model, adapter) in asked {
+            let holders = self.engines.values().filter(|it| {
+                it.server.service == service && it.takes_orders() && it.held.get(model).is_some_and(|h| h.is_ready)
+            });
+            let holders: Vec<&Engine> = holders.collect();
+            if holders.iter().any(|it| it.held[model].adapters.contains_key(adapter)) {
+                continue;
+            }
+            let free = holders
+                .into_iter()
+                .filter(|it| it.pending.is_none() && it.plan.is_none());
+            let Some(engine) = free.min_by_key(|it| adapter_count(it)) else {
+                continue;
+            };
+            let order = if adapter_count(engine) < slots {
+                engine.order(OrderKind::LoadAdapter(adapter.clone()), model)
+            } else {
+                let Some((owner, name)) = self.oldest_adapter(service, engine) else {
+                    continue;
+                };
+                engine.order(OrderKind::UnloadAdapter(name), &owner)
+            };
+            self.start_order(&order, false, now);
+            orders.push(order);
+        }
+    }
+
+    fn oldest_adapter(&self, service: &str, engine: &Engine) -> Option<(String, String)> {
+        let all = engine.held.iter().flat_map(|(model, held)| {
+            let names = held.adapters.iter();
+            names.map(move |(name, since)| (model.clone(), name.clone(), *since))
+        });
+        let used = |model: &String, name: &String, since: Millis| {
+            let key = (service.to_owned(), model.clone(), name.clone());
+            self.adapter_use.get(&key).copied().unwrap_or(since).max(since)
+        };
+        all.min_by_key(|(model, name, since)| used(model, name, *since))
+            .map(|(model, name, _)| (model, name))
+    }
+
+    /// Plans loads for models that requests wait for and that no engine holds.
+    fn plan_waiting(&mut self, service: &str, wanted: &BTreeMap<String, Wanted>, now: Millis) {
+        let mut missing: Vec<(&String, &Wanted)> = wanted
+            .iter()
+            .filter(|(model, it)| it.waiting > 0 && !self.is_placed(service, model))
+            .collect();
+        missing.sort_by(|a, b| {
+            (b.1.waiting, b.1.rate)
+                .partial_cmp(&(a.1.waiting, a.1.rate))
+                .expect("finite")
+        });
+        for (model, _) in missing {
+            self.plan_load(service, model, wanted, now, STORE_LOADS_AT_ONCE, true);
+        }
+    }
+
+    /// Plans another replica for models whose engines are full.
+    fn plan_full(&mut self, service: &str, wanted: &BTreeMap<String, Wanted>, now: Millis) {
+        let Some(slots) = self.specs.get(service).map(|it| f64::from(it.slots)) else {
+            return;
+        };
+        let full: Vec<String> = wanted
+            .iter()
+            .filter(|(model, it)| {
+                let replicas = self.replicas(service, model);
+                replicas > 0 && f64::from(it.running) > FULL_PART * slots * replicas as f64
+            })
+            .map(|(model, _)| model.clone())
+            .collect();
+        for model in full {
+            if !self.is_loading(service, &model) {
+                self.plan_load(service, &model, wanted, now, STORE_LOADS_AT_ONCE, false);
+            }
+        }
+    }
+
+    /// Plans loads of models that no engine has at hand.
+    fn plan_ahead(&mut self, service: &str, wanted: &BTreeMap<String, Wanted>, now: Millis) {
+        let Some(spec) = self.specs.get(service) else {
+            return;
+        };
+        let absent = spec.models.keys().filter(|model| {
+            !self
+                .engines
+                .values()
+                .any(|it| it.server.service == service && it.has_at_hand(model))
+        });
+        let mut absent: Vec<String> = absent.cloned().collect();
+        let rate = |model: &String| wanted.get(model).map_or(0.0, |it| it.rate);
+        absent.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
+        for model in absent {
+            if self.store_loads_running() >= AHEAD_AT_ONCE {
+                return;
+            }
+            self.plan_load(service, &model, wanted, now, AHEAD_AT_ONCE, false);
+        }
+    }
+
+    fn plan_load(
+        &mut self,
+        service: &str,
+        model: &str,
+        wanted: &BTreeMap<String, Wanted>,
+        now: Millis,
+        at_once: usize,
+        is_urgent: bool,
+    ) {
+        let Some(spec) = self.specs.get(service) else {
+            return;
+        };
+        if !spec.models.contains_key(model) {
+            return;
+        }
+        let may_use_store = self.store_loads_running() < at_once && self.is_within_ceiling(spec);
+        let replicas = self.replica_counts(service);
+        let choices = self.engines.values().filter(|it| {
+            it.server.service == service
+                && it.takes_orders()
+                && it.pending.is_none()
+                && it.plan.is_none()
+                && !it.held.contains_key(model)
+        });
+        let choices = choices.filter_map(|it| self.weigh(it, spec, model, wanted, &replicas, now, is_urgent));
+        let allowed = choices.filter(|it| may_use_store || !it.from_store);
+        let Some(best) = allowed.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
+            return;
+        };
+        if let Some(engine) = self.engines.get_mut(&best.engine) {
+            engine.plan = Some(LoadPlan {
+                model: model.to_owned(),
+                victims: best.victims,
+                from_store: best.from_store,
+            });
+        }
+    }
+
+    /// Cost of loading `model` at an engine: the load time and what the models that make way are worth there.
+    #[expect(clippy::too_many_arguments, reason = "the inputs of one decision, all borrowed")]
+    fn weigh(
+        &self,
+        engine: &Engine,
+        spec: &EngineSpec,
+        model: &str,
+        wanted: &BTreeMap<String, Wanted>,
+        replicas: &HashMap<String, usize>,
+        now: Millis,
+        is_urgent: bool,
+    ) -> Option<Choice> {
+        let need = spec.models.get(model)?.mb;
+        let mut free = spec.memory_mb - engine.used_mb(spec);
+        let load_s = load_ms(engine, spec, model) as f64 / 1_000.0;
+        let mut cost = load_s;
+        let mut candidates: Vec<(f64, &String)> = engine
+            .held
+            .iter()
+            .filter(|(name, held)| held.is_ready && !self.is_in_use(engine, name, held, wanted, now, is_urgent))
+            .map(|(name, _)| (self.worth(engine, spec, name, wanted, replicas), name))
+            .collect();
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut victims = Vec::new();
+        for (worth, name) in candidates {
+            if free >= need {
+                break;
+            }
+            free += spec.models.get(name).map_or(0.0, |it| it.mb);
+            cost += worth;
+            victims.push(name.clone());
+        }
+        // Spreads copies over the engines' disks.
+        cost += engine.on_disk.len() as f64 * 0.01;
+        (free >= need).then(|| Choice {
+            engine: engine.server.id.clone(),
+            victims,
+            from_store: !engine.has_at_hand(model),
+            cost,
+        })
+    }
+
+    fn is_in_use(
+        &self,
+        engine: &Engine,
+        model: &str,
+        held: &Held,
+        wanted: &BTreeMap<String, Wanted>,
+        now: Millis,
+        is_urgent: bool,
+    ) -> bool {
+        let running = self.running_at(&engine.server.id, model, now);
+        let waiting = wanted.get(model).map_or(0, |it| it.waiting);
+        let is_fresh = now.since(held.since) < DWELL_MS && is_urgent;
+        running > 0 || waiting > 0 || is_fresh
+    }
+
+    /// What the presence of a model at an engine is worth, in seconds of load time that it saves.
+    fn worth(
+        &self,
+        engine: &Engine,
+        spec: &EngineSpec,
+        model: &str,
+        wanted: &BTreeMap<String, Wanted>,
+        replicas: &HashMap<String, usize>,
+    ) -> f64 {
+        let demand = wanted.get(model).cloned().unwrap_or_default();
+        let copies = replicas.get(model).copied().unwrap_or(1).max(1) as f64;
+        let reload_s = load_ms(engine, spec, model) as f64 / 1_000.0;
+        let use_per_copy = (demand.rate + f64::from(demand.running) / RUNNING_VALUE) / copies;
+        // A model with one replica sends its next request into a load; with more, the others carry on.
+        let part = if copies > 1.0 { 0.5 } else { 1.0 };
+        use_per_copy * reload_s * part * 4.0
+    }
+
+    fn send_plans(&mut self, now: Millis, orders: &mut Vec<Order>) {
+        let mut next = Vec::new();
+        for engine in self.engines.values_mut() {
+            if engine.pending.is_some() || !engine.takes_orders() {
+                continue;
+            }
+            let Some(plan) = &mut engine.plan else {
+                continue;
+            };
+            plan.victims.retain(|it| engine.held.contains_key(it));
+            if let Some(victim) = plan.victims.pop() {
+                next.push((engine.order(OrderKind::Unload, &victim), false));
+                continue;
+            }
+            let plan = engine.plan.take().expect("present above");
+            let Some(spec) = self.specs.get(&engine.server.service) else {
+                continue;
+            };
+            let need = spec.models.get(&plan.model).map_or(f64::MAX, |it| it.mb);
+            if engine.used_mb(spec) + need <= spec.memory_mb {
+                next.push((engine.order(OrderKind::Load, &plan.model), plan.from_store));
+            }
+        }
+        for (order, from_store) in next {
+            self.start_order(&order, from_store, now);
+            orders.push(order);
+        }
+    }
+
+    pub(super) fn load_ms(&self, server: &str, model: &str) -> u64 {
+        let engine = self.engines.get(server);
+        let spec = engine.and_then(|it| self.specs.get(&it.server.service));
+        engine
+            .zip(spec)
+            .map_or(0, |(engine, spec)| load_ms(engine, spec, model))
+    }
+
+    fn running_at(&self, server: &str, model: &str, now: Millis) -> u32 {
+        let running = self.live_reports(now).flat_map(|it| &it.running);
+        running
+            .filter(|it| it.server == server && it.model == model)
+            .map(|it| it.count)
+            .sum()
+    }
+
+    fn store_loads_running(&self) -> usize {
+        let running = self.engines.values().filter(|it| {
+            it.pending.as_ref().is_some_and(|p| p.from_store) || it.plan.as_ref().is_some_and(|p| p.from_store)
+        });
+        running.count()
+    }
+
+    fn is_within_ceiling(&self, spec: &EngineSpec) -> bool {
+        let planned = self
+            .engines
+            .values()
+            .filter(|it| it.plan.as_ref().is_some_and(|p| p.from_store));
+        let allowed = spec.loads_per_s * STORE_WINDOW_MS as f64 / 1_000.0;
+        ((self.store_loads.len() + planned.count() + 1) as f64) <= allowed
+    }
+
+    /// Whether an engine that takes requests holds the model or is about to.
+    fn is_placed(&self, service: &str, model: &str) -> bool {
+        self.engines.values().any(|it| {
+            let is_held = it
+                .held
+                .get(model)
+                .is_some_and(|held| held.is_ready || it.is_loading(model));
+            let is_planned = it.plan.as_ref().is_some_and(|plan| plan.model == model);
+            it.server.service == service && it.server.state == ServerState::Ready && (is_held || is_planned)
+        })
+    }
+
+    fn is_loading(&self, service: &str, model: &str) -> bool {
+        self.engines.values().any(|it| {
+            let is_planned = it.plan.as_ref().is_some_and(|plan| plan.model == model);
+            it.server.service == service && (it.is_loading(model) || is_planned)
+        })
+    }
+
+    fn replicas(&self, service: &str, model: &str) -> usize {
+        let holders = self.engines.values().filter(|it| {
+            let is_held = it.held.get(model).is_some_and(|held| held.is_ready);
+            it.server.service == service && it.server.state == ServerState::Ready && is_held
+        });
+        holders.count()
+    }
+
+    fn replica_counts(&self, service: &str) -> HashMap<String, usize> {
+        let mut counts = HashMap::new();
+        let engines = self.engines.values().filter(|it| it.server.service == service);
+        for (model, _) in engines.flat_map(|it| it.held.iter().filter(|(_, held)| held.is_ready)) {
+            *counts.entry(model.clone()).or_default() += 1;
+        }
+        counts
+    }
+}
+
+impl Engine {
+    fn order(&self, kind: OrderKind, model: &str) -> Order {
+        Order {
+            server: self.server.id.clone(),
+            address: self.server.address,
+            kind,
+            model: model.to_owned(),
+            follows: self.orders,
+        }
+    }
+
+    /// Memory in use, with room for every adapter that may be loaded.
+    fn used_mb(&self, spec: &EngineSpec) -> f64 {
+        let models = self.held.keys().filter_map(|it| spec.models.get(it));
+        let weights: f64 = models.map(|it| it.mb).sum();
+        let largest = spec.models.values().map(|it| it.adapter_mb).fold(0.0, f64::max);
+        weights + largest * f64::from(spec.adapter_slots)
+    }
+
+    fn has_at_hand(&self, model: &str) -> bool {
+        self.held.contains_key(model) || self.in_memory.contains(model) || self.on_disk.contains(model)
+    }
+
+    fn is_loading(&self, model: &str) -> bool {
+        let is_load = |it: &super::Pending| it.order.kind == OrderKind::Load && it.order.model == model;
+        self.pending.as_ref().is_some_and(is_load)
+    }
+}
+
+fn adapter_count(engine: &Engine) -> usize {
+    engine.held.values().map(|it| it.adapters.len()).sum()
+}
+
+fn load_ms(engine: &Engine, spec: &EngineSpec, model: &str) -> u64 {
+    let Some(size) = spec.models.get(model) else {
+        return 0;
+    };
+    if engine.in_memory.contains(model) {
+        return size.host_ms;
+    }
+    if engine.on_disk.contains(model) {
+        return size.disk_ms;
+    }
+    size.store_ms
+}
--- /dev/null
+++ b/crates/fleet/src/routes.rs
@@ -0,0 +1,84 @@
+//! Look-up of routes and keys in the configuration in force.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use rand::{Rng, RngCore};
+
+use crate::model::{Configuration, Organisation, Route};
+
+/// Configuration with its indexes.
+#[derive(Debug)]
+pub struct InForce {
+    /// Configuration.
+    pub config: Arc<Configuration>,
+    by_host: HashMap<String, Vec<usize>>,
+    by_key: HashMap<String, usize>,
+}
+
+impl InForce {
+    /// Indexes a configuration.
+    pub fn new(config: Arc<Configuration>) -> Self {
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in config.routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(index);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|it| std::cmp::Reverse(config.routes[*it].path_prefix.len()));
+        }
+        let mut by_key = HashMap::new();
+        for (index, organisation) in config.organisations.iter().enumerate() {
+            by_key.extend(organisation.keys.iter().map(|key| (key.clone(), index)));
+        }
+        Self {
+            config,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// Route with the longest prefix of `path` at `host`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host_name(host);
+        let routes = self.by_host.get(host.as_str())?;
+        let found = routes
+            .iter()
+            .find(|it| path.starts_with(&self.config.routes[**it].path_prefix));
+        found.map(|it| &self.config.routes[*it])
+    }
+
+    /// Whether callers must show a key.
+    pub fn needs_keys(&self) -> bool {
+        !self.config.organisations.is_empty()
+    }
+
+    /// Organisation that holds `key`.
+    pub fn organisation(&self, key: &str) -> Option<&Organisation> {
+        self.by_key.get(key).map(|it| &self.config.organisations[*it])
+    }
+}
+
+/// Host without its port, in lower case.
+pub fn host_name(host: &str) -> String {
+    let name = host.rsplit_once(':').map_or(host, |(name, port)| {
+        if port.bytes().all(|it| it.is_ascii_digit()) {
+            name
+        } else {
+            host
+        }
+    });
+    name.to_ascii_lowercase()
+}
+
+/// Service of a route, drawn by weight.
+pub fn draw_service<'a>(route: &'a Route, rng: &mut dyn RngCore) -> &'a str {
+    let total: u32 = route.targets.iter().map(|(_, weight)| *weight).sum();
+    let mut at = if total == 0 { 0 } else { rng.random_range(0..total) };
+    for (service, weight) in &route.targets {
+        if at < *weight {
+            return service;
+        }
+        at -= weight;
+    }
+    route.targets.first().map_or("", |(service, _)| service)
+}
