Count adapters that are on their way or in use, and adopt the report after an order that was not carried out

Two causes, both seen in the log of one engine: an unload of an adapter in use is answered 202 and frees its slot only later, and an unload that was not answered was counted although the engine had not carried it out. Ruled out: wrong sizes in the configuration, two coordinators.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -77,7 +77,7 @@
         pub orders: u64,
         /// Whether an order is under way.
         pub is_busy: bool,
-        /// Models that it holds.
+        /// Models that it holds, with the adapters that are there or on their way.
         pub held: Vec<HeldModel>,
         /// Models in host memory.
         pub in_memory: Vec<String>,
@@ -86,6 +86,13 @@
     }
 }
 
+impl EngineReport {
+    fn holds_adapter(&self, model: &str, adapter: &str) -> bool {
+        let model = self.held.iter().find(|it| it.name == model);
+        model.is_some_and(|it| it.adapters.iter().any(|held| held == adapter))
+    }
+}
+
 /// What must be known of a VM's report to weigh it.
 #[derive(Debug, Default)]
 struct VmReport {
--- a/crates/fleet/src/placement/orders.rs
+++ b/crates/fleet/src/placement/orders.rs
@@ -92,10 +92,16 @@
                 pending.poll_at = now + ADAPTER_MS;
                 engine.orders = order.follows + 1;
             }
-            (OrderOutcome::Accepted | OrderOutcome::Done, OrderKind::UnloadAdapter(_)) => {
+            (OrderOutcome::Done, OrderKind::UnloadAdapter(_)) => {
                 engine.pending = None;
                 engine.orders = order.follows + 1;
             }
+            // The adapter is in use; its slot is free when a report no longer lists it.
+            (OrderOutcome::Accepted, OrderKind::UnloadAdapter(_)) => {
+                pending.accepted = true;
+                pending.poll_at = now + POLL_MS;
+                engine.orders = order.follows + 1;
+            }
             (OrderOutcome::Done, _) => {
                 engine.pending = None;
                 // Whether an order that held already counts is not stated, so the engine is asked.
@@ -150,24 +156,25 @@
             }
             let is_unanswered = !pending.accepted;
             if is_unanswered && report.orders <= pending.order.follows {
-                // Sending it again with the same number is safe: the engine accepts one of the two.
-                pending.sent = false;
-                pending.poll_at = now + POLL_MS;
-                engine.orders = report.orders;
-                let order = pending.order.clone();
+                // The engine stands where it stood. Any further order carries the same number, so that at most one of
+                // the two is accepted, whenever the first arrives.
                 engine.pending = None;
-                if order.kind == OrderKind::Load {
-                    engine.held.remove(&order.model);
-                }
                 engine.is_known = true;
-                return false;
+                engine.adopt(report.orders, &report.held, now);
+                self.version += 1;
+                return true;
             }
             let is_held = report.held.iter().any(|it| it.name == pending.order.model);
             let is_unfinished = match pending.order.kind {
                 OrderKind::Load => !is_held,
                 OrderKind::Unload => is_held,
-                OrderKind::LoadAdapter(_) | OrderKind::UnloadAdapter(_) => false,
+                OrderKind::LoadAdapter(_) => false,
+                OrderKind::UnloadAdapter(ref adapter) => report.holds_adapter(&pending.order.model, adapter),
             };
+            // Without a change of the count, the engine waits for the adapter's requests to end.
+            if pending.accepted && is_unfinished && matches!(pending.order.kind, OrderKind::UnloadAdapter(_)) {
+                return false;
+            }
             // Reports lag, so one from right after the acceptance may not show the order yet.
             if pending.accepted && is_unfinished && report.orders <= pending.order.follows {
                 return false;
--- a/crates/fleet/src/placement/rank.rs
+++ b/crates/fleet/src/placement/rank.rs
@@ -13,6 +13,9 @@
 /// Value of a model's presence per request that runs there, in requests per reload second; keeps models in use.
 const RUNNING_VALUE: f64 = 50.0;
 
+/// Time after its last request from which on an adapter may make way; most streams end within it.
+const ADAPTER_IDLE_MS: u64 = 1_500;
+
 /// Demand for one model over all VMs.
 #[derive(Debug, Default, Clone)]
 struct Wanted {
@@ -108,7 +111,7 @@
             let order = if adapter_count(engine) < slots {
                 engine.order(OrderKind::LoadAdapter(adapter.clone()), model)
             } else {
-                let Some((owner, name)) = self.oldest_adapter(service, engine) else {
+                let Some((owner, name)) = self.oldest_adapter(service, engine, now) else {
                     continue;
                 };
                 engine.order(OrderKind::UnloadAdapter(name), &owner)
@@ -118,7 +121,8 @@
         }
     }
 
-    fn oldest_adapter(&self, service: &str, engine: &Engine) -> Option<(String, String)> {
+    /// Adapter that was used longest ago, unless that is so recent that a request may still use it.
+    fn oldest_adapter(&self, service: &str, engine: &Engine, now: Millis) -> Option<(String, String)> {
         let all = engine.held.iter().flat_map(|(model, held)| {
             let names = held.adapters.iter();
             names.map(move |(name, since)| (model.clone(), name.clone(), *since))
@@ -127,8 +131,9 @@
             let key = (service.to_owned(), model.clone(), name.clone());
             self.adapter_use.get(&key).copied().unwrap_or(since).max(since)
         };
-        all.min_by_key(|(model, name, since)| used(model, name, *since))
-            .map(|(model, name, _)| (model, name))
+        let ranked = all.map(|(model, name, since)| (used(&model, &name, since), model, name));
+        let oldest = ranked.min().filter(|(used, ..)| now.since(*used) >= ADAPTER_IDLE_MS);
+        oldest.map(|(_, model, name)| (model, name))
     }
 
     /// Plans loads for models that requests wait for and that no engine holds.
