Hand the coordinator's tenure over when it is cut off, and add replicas by rate

A holder whose store contact is 1.3 s old while other VMs reach the store now stops, announces the age of its last order to each engine, and a peer takes the lease at once and holds back only from engines with recent orders. A coordinator that no VM reports to gives the lease back in the same way.

A model gets another replica when its arrivals exceed 2.5 per second and replica, not only when batches are 40 % full; demand had moved to models with one replica.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -50,6 +50,7 @@
     QuotaShareTaken = 1010, Info, "This router now holds a quota share.";
     QuotaShareReleased = 1011, Info, "This router handed over a quota share.";
     QuotaGranted = 1012, Debug, "Tokens were granted to another router.";
+    QuotaRefused = 1013, Debug, "An organisation's rate and burst are used up.";
     IdempotencyClaimed = 1020, Debug, "An idempotency record was claimed.";
     IdempotencyReplayed = 1021, Info, "A stored answer was given to a repeated request.";
     JobAccepted = 1030, Info, "A job was stored and accepted.";
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -158,6 +158,10 @@
     unresolved: bool,
     next_call: Millis,
     releasing: bool,
+    /// Whether the process competes again after it has given the lease back.
+    rejoins: bool,
+    /// Until when this process lets others take the lease.
+    rests_until: Millis,
     events: Vec<LeaseEvent>,
 }
 
@@ -189,6 +193,8 @@
             unresolved: false,
             next_call: Millis(0),
             releasing: false,
+            rejoins: false,
+            rests_until: Millis(0),
             events: Vec::new(),
         }
     }
@@ -226,6 +232,19 @@
         self.next_call = Millis(0);
     }
 
+    /// Gives the lease back at the next step and competes again after `rest_ms`.
+    pub fn step_down(&mut self, now: Millis, rest_ms: u64) {
+        self.release();
+        self.rejoins = true;
+        self.rests_until = now + rest_ms;
+    }
+
+    /// Stops acting at once without a write, for a holder that cannot reach the platform; competes again after `rest_ms`.
+    pub fn abandon(&mut self, now: Millis, rest_ms: u64) {
+        self.superseded();
+        self.rests_until = now + rest_ms;
+    }
+
     /// Makes a candidate read the object at the next step, because its holder has changed or given it back.
     pub fn look_again(&mut self) {
         if !self.is_holder() {
@@ -243,7 +262,7 @@
         if self.is_holder() {
             return self.step_holder(now, rng);
         }
-        if self.releasing {
+        if self.releasing || now < self.rests_until {
             return None;
         }
         self.step_candidate(standing, now, rng)
@@ -410,6 +429,8 @@
         if released {
             self.fire("released");
             self.events.push(LeaseEvent::Released(term));
+            self.releasing = !self.rejoins;
+            self.rejoins = false;
             return;
         }
         self.renewed = sent;
@@ -441,6 +462,8 @@
 
     fn lose(&mut self) {
         self.events.push(LeaseEvent::Lost(self.term));
+        self.releasing &= !self.rejoins;
+        self.rejoins = false;
         self.fire("reset");
         self.known = false;
     }
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -25,7 +25,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::log_event;
-use crate::peers::{PlacedAnswer, PlacedQuery, QuotaAnswer, QuotaTake, Report, ReportAnswer};
+use crate::peers::{self, PlacedAnswer, PlacedQuery, QuotaAnswer, QuotaTake, Report, ReportAnswer, Resign};
 use crate::state::{CoordinatorHint, Entry, now};
 
 /// Kind of the lease's object in the store.
@@ -46,6 +46,22 @@
 const CONTACT_MS: u64 = 900;
 /// Time between two rounds of decisions.
 const ROUND: Duration = Duration::from_millis(20);
+/// Age of the store's last answer from which on the coordinator gives up its tenure if another VM reaches the store.
+const STORE_LOST_MS: u64 = 1_300;
+/// Age of the store's last answer up to which another VM counts as reaching it; its watches wait for 2 s.
+const STORE_FRESH_MS: u64 = 2_300;
+/// Age up to which a VM's report tells of its contact with the store.
+const REPORT_FRESH_MS: u64 = 700;
+/// Time for which a coordinator that gave up its tenure lets others take it.
+const REST_MS: u64 = 2_000;
+/// Silence of all other VMs from which on the coordinator counts as cut off; they report four times a second.
+const ALONE_MS: u64 = 1_500;
+/// Silence after which the other VMs count as stopped rather than cut off, and the coordinator keeps its tenure.
+const ALONE_FORGET_MS: u64 = 4_000;
+/// Time for the announcement of a resignation.
+const RESIGN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time that an order may still have been on its way when its sender told the order's age.
+const ORDER_TRAVEL_MS: u64 = 100;
 /// Silence of a member from which on it does not rank among the candidates.
 const MEMBER_SILENT_MS: u64 = 4_000;
 
@@ -55,6 +71,8 @@
         lease: LeaseSpec,
         operation: OperationId,
         address: std::net::SocketAddr,
+        /// Milliseconds since the holder's last order, by engine, in an object that gives the lease back.
+        order_ages: Vec<(String, u64)>,
     }
 }
 
@@ -64,12 +82,25 @@
     term: u64,
     /// End of the time in which it may act.
     until: Millis,
-    /// First time at which it may send orders.
-    orders_from: Millis,
     /// Start of the term.
     began: Millis,
 }
 
+/// What a VM's last report told of its contact with the store.
+#[derive(Debug, Clone)]
+struct VmContact {
+    at: Millis,
+    store_age_ms: u64,
+}
+
+/// End of a tenure that its holder announced.
+#[derive(Debug, Clone)]
+struct Farewell {
+    term: u64,
+    at: Millis,
+    order_ages: Vec<(String, u64)>,
+}
+
 /// Coordinator's part of the process; idle while another process coordinates.
 #[derive(Debug)]
 pub struct Coordinator {
@@ -78,6 +109,8 @@
     quota: Mutex<Buckets>,
     tenure: Mutex<Tenure>,
     contact: AtomicU64,
+    vms: Mutex<HashMap<String, VmContact>>,
+    farewell: Mutex<Option<Farewell>>,
     version: watch::Sender<(u64, u64)>,
 }
 
@@ -90,6 +123,8 @@
             quota: Mutex::default(),
             tenure: Mutex::default(),
             contact: AtomicU64::new(0),
+            vms: Mutex::default(),
+            farewell: Mutex::default(),
             version: watch::Sender::new((0, 0)),
         }
     }
@@ -104,13 +139,6 @@
         (tenure.term > 0 && now() < tenure.until).then_some(tenure.term)
     }
 
-    /// Term under which an order may be sent now.
-    fn order_term(&self) -> Option<u64> {
-        let tenure = self.tenure.lock();
-        let at = now();
-        (tenure.term > 0 && at < tenure.until && at >= tenure.orders_from).then_some(tenure.term)
-    }
-
     /// Notes whether the coordinator answered a report.
     pub fn note_contact(&self, answered: bool) {
         if answered {
@@ -122,6 +150,11 @@
     pub fn take_report(&self, report: Report) -> ReportAnswer {
         let coordinates = self.coordinates();
         let at = now();
+        let contact = VmContact {
+            at,
+            store_age_ms: report.store_age_ms,
+        };
+        self.vms.lock().insert(report.vm.clone(), contact);
         let mut placement = self.placement.lock();
         placement.note_report(&report.vm, report.demand, report.running, at);
         let loads = placement.running_by_server(at);
@@ -199,7 +232,11 @@
                 lease.release();
                 is_released = true;
             }
+            self.hand_over_if_cut(&mut lease, at).await;
             let has_contact = at.since(Millis(self.contact.load(Ordering::Relaxed))) < CONTACT_MS && at.0 > CONTACT_MS;
+            let current = self.entry.coordinator().map_or(0, |it| it.term);
+            let has_resigned = self.farewell.lock().as_ref().is_some_and(|it| it.term >= current);
+            let has_contact = has_contact && !has_resigned;
             if lease.is_holder() || !has_contact {
                 let standing = self.standing(&lease);
                 let call = lease.step(standing, at, &mut rand::rng());
@@ -224,9 +261,11 @@
         });
         let candidates = live.map(|it| it.member.vm.as_str()).chain([me]);
         // The same VM with an earlier process: that process has ended.
-        let holder_ended = lease
-            .seen()
-            .is_some_and(|it| it.holder.vm.as_str() == me && it.incarnation.0 < self.entry.incarnation);
+        let farewell = self.farewell.lock();
+        let holder_ended = lease.seen().is_some_and(|it| {
+            let is_earlier_life = it.holder.vm.as_str() == me && it.incarnation.0 < self.entry.incarnation;
+            is_earlier_life || farewell.as_ref().is_some_and(|farewell| farewell.term == it.term.0)
+        });
         Standing {
             rank: rendezvous::position(LEASE_NAME, candidates, me),
             holder_ended,
@@ -253,12 +292,20 @@
                     lease: spec.clone(),
                     operation: operation.clone(),
                     address: self.entry.settings.peers,
+                    order_ages: if spec.released {
+                        self.placement.lock().order_ages(now())
+                    } else {
+                        Vec::new()
+                    },
                 };
                 let value = json!(object);
                 let written = match expect {
                     None => store.create(LEASE_KIND, LEASE_NAME, &value).await,
                     Some(revision) => store.replace(LEASE_KIND, LEASE_NAME, &value, Some(*revision)).await,
                 };
+                if written.is_ok() {
+                    self.entry.note_store_contact(now());
+                }
                 let outcome = match written {
                     Ok(Written::Done(object)) => WriteOutcome::Done {
                         version: object.revision,
@@ -272,9 +319,79 @@
         }
     }
 
+    /// Gives the tenure to another process when this one is cut off from the store or from all other VMs.
+    async fn hand_over_if_cut(&self, lease: &mut Lease, at: Millis) {
+        let Some(term) = self.term() else {
+            return;
+        };
+        let store_age = self.entry.store_age_ms(at);
+        let others = self.vms.lock().clone();
+        let others = others.into_iter().filter(|(vm, _)| *vm != self.entry.settings.vm);
+        let others: Vec<(String, VmContact)> = others.collect();
+        if store_age > STORE_LOST_MS {
+            let fresh = others.iter().filter(|(_, it)| at.since(it.at) < REPORT_FRESH_MS);
+            let able = fresh.filter(|(_, it)| it.store_age_ms < STORE_FRESH_MS).count();
+            if able == 0 {
+                return;
+            }
+            lease.abandon(at, REST_MS);
+            self.note_tenure(lease);
+            let resign = Resign {
+                term,
+                order_ages: self.placement.lock().order_ages(now()),
+            };
+            log_event!(
+                Event::LeaseReleased,
+                "-",
+                "term={term} reason=store age {store_age} ms able_vms={able}"
+            );
+            for member in self.entry.members() {
+                let entry = Arc::clone(&self.entry);
+                let resign = resign.clone();
+                tokio::spawn(async move {
+                    let address = member.member.address;
+                    let told = peers::call::<_, bool>(&entry, address, "resign", &resign, RESIGN_TIMEOUT).await;
+                    if let Err(e) = told {
+                        log::debug!("resignation to {address}: {e}");
+                    }
+                });
+            }
+            return;
+        }
+        let last_heard = others.iter().map(|(_, it)| it.at).max();
+        if last_heard.is_some_and(|it| at.since(it) > ALONE_MS && at.since(it) < ALONE_FORGET_MS) {
+            self.vms.lock().clear();
+            log_event!(
+                Event::LeaseReleased,
+                "-",
+                "term={term} reason=no report of another VM for {ALONE_MS} ms"
+            );
+            self.tenure.lock().term = 0;
+            lease.step_down(at, REST_MS);
+        }
+    }
+
+    /// Takes the announcement of the coordinator that it has stopped.
+    pub fn take_resignation(&self, resign: Resign) -> bool {
+        let farewell = Farewell {
+            term: resign.term,
+            at: now(),
+            order_ages: resign.order_ages,
+        };
+        *self.farewell.lock() = Some(farewell);
+        true
+    }
+
     fn decode(&self, object: &Object) -> Option<StoredLease> {
         let value: LeaseObject = serde_json::from_value(object.spec.clone()).ok()?;
-        if !value.lease.released {
+        if value.lease.released {
+            let farewell = Farewell {
+                term: value.lease.term.0,
+                at: now(),
+                order_ages: value.order_ages.clone(),
+            };
+            self.farewell.lock().get_or_insert(farewell);
+        } else {
             self.entry.note_coordinator(CoordinatorHint {
                 vm: value.lease.holder.vm.as_str().to_owned(),
                 address: value.address,
@@ -290,10 +407,9 @@
 
     /// Follows the lease: a new tenure begins with empty buckets and unknown engines.
     fn note_tenure(&self, lease: &mut Lease) {
-        let before = lease.seen().cloned();
         for event in lease.take_events() {
             match event {
-                LeaseEvent::Acquired(term) => self.begin(term, before.as_ref()),
+                LeaseEvent::Acquired(term) => self.begin(term),
                 LeaseEvent::Released(term) => {
                     self.tenure.lock().term = 0;
                     log_event!(Event::LeaseReleased, "-", "term={}", term.0);
@@ -309,25 +425,39 @@
         tenure.until = held.unwrap_or_default();
     }
 
-    fn begin(&self, term: Term, _before: Option<&LeaseSpec>) {
+    fn begin(&self, term: Term) {
         let at = now();
+        let gap = self.entry.settings.order_gap_ms;
         let last_holder = self.entry.coordinator().filter(|it| it.term < term.0);
         let is_other = last_holder.as_ref().is_some_and(|it| it.vm != self.entry.settings.vm);
-        let wait = if is_other { self.entry.settings.order_gap_ms } else { 0 };
+        let farewell = self.farewell.lock().take().filter(|it| it.term + 1 == term.0);
         {
             let mut tenure = self.tenure.lock();
             tenure.term = term.0;
-            tenure.orders_from = at + wait;
             tenure.began = at;
         }
         self.quota.lock().clear();
-        self.placement.lock().start_term(at);
+        self.vms.lock().clear();
+        let quiet_until = |engine: &str| match &farewell {
+            _ if !is_other => at,
+            None => at + gap,
+            Some(farewell) => {
+                let age = farewell.order_ages.iter().find(|(id, _)| id == engine);
+                age.map_or(at, |(_, age)| (farewell.at + gap + ORDER_TRAVEL_MS) - *age)
+            }
+        };
+        self.placement.lock().start_term(at, quiet_until);
         self.entry.note_coordinator(CoordinatorHint {
             vm: self.entry.settings.vm.clone(),
             address: self.entry.settings.peers,
             term: term.0,
         });
-        log_event!(Event::LeaseAcquired, "-", "term={} orders_after_ms={wait}", term.0);
+        let predecessor = match (&farewell, is_other) {
+            (_, false) => "none",
+            (Some(_), true) => "resigned",
+            (None, true) => "silent",
+        };
+        log_event!(Event::LeaseAcquired, "-", "term={} predecessor={predecessor}", term.0);
     }
 
     /// Decides and sends orders while this process coordinates.
@@ -351,11 +481,7 @@
             }
             let servers = self.entry.servers();
             placement.set_servers(servers.iter().map(AsRef::as_ref), at);
-            let orders = if self.order_term().is_some() {
-                placement.next_orders(at)
-            } else {
-                Vec::new()
-            };
+            let orders = placement.next_orders(at);
             (placement.polls(at), orders, placement.version())
         };
         for order in orders {
@@ -376,7 +502,7 @@
     }
 
     async fn send(self: Arc<Self>, order: Order) {
-        let Some(term) = self.order_term() else {
+        let Some(term) = self.term() else {
             let mut placement = self.placement.lock();
             placement.note_outcome(&order, OrderOutcome::Conflict, now());
             return;
--- a/crates/entry/src/logging.rs
+++ b/crates/entry/src/logging.rs
@@ -11,7 +11,7 @@
 use log::{LevelFilter, Record};
 use log4rs::Config;
 use log4rs::append::Append;
-use log4rs::config::{Appender, Root};
+use log4rs::config::{Appender, Logger, Root};
 use log4rs::encode::pattern::PatternEncoder;
 use log4rs::encode::{Encode, writer::simple::SimpleWriter};
 
@@ -62,7 +62,8 @@
     };
     let built = Config::builder()
         .appender(Appender::builder().build("stdout", Box::new(appender)))
-        .build(Root::builder().appender("stdout").build(level));
+        .logger(Logger::builder().build("guava_entry", level))
+        .build(Root::builder().appender("stdout").build(level.min(LevelFilter::Warn)));
     if let Ok(config) = built {
         // Fails only when a logger is installed already, which then keeps the lines.
         let _ = log4rs::init_config(config);
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -17,8 +17,9 @@
     /// Only check the settings file.
     #[arg(long)]
     check: bool,
-    /// Least level of the lines that are logged: error, warn, info, debug or trace.
-    #[arg(long, env = "GUAVA_LOG_LEVEL", default_value = "info")]
+    /// Least level of the lines that are logged: error, warn, info, debug or trace. Decisions on single requests are
+    /// logged at debug.
+    #[arg(long, env = "GUAVA_LOG_LEVEL", default_value = "debug")]
     log_level: LevelFilter,
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -69,6 +69,16 @@
         pub demand: Vec<Demand>,
         /// Requests that run.
         pub running: Vec<Running>,
+        /// Time since the store last answered this VM.
+        pub store_age_ms: u64,
+    }
+
+    /// Announcement of a coordinator that it has stopped.
+    pub struct Resign {
+        /// Term that has ended.
+        pub term: u64,
+        /// Milliseconds since its last order, by engine.
+        pub order_ages: Vec<(String, u64)>,
     }
 
     /// Answer to a report.
@@ -153,6 +163,10 @@
             let query: PlacedQuery = read(body)?;
             postcard::to_stdvec(&coordinator.placed(query, PLACED_WAIT).await).ok()
         }
+        "resign" => {
+            let resign: Resign = read(body)?;
+            postcard::to_stdvec(&coordinator.take_resignation(resign)).ok()
+        }
         "quota" => {
             let take: QuotaTake = read(body)?;
             postcard::to_stdvec(&coordinator.take_quota(&take)).ok()
@@ -252,6 +266,7 @@
             vm: entry.settings.vm.clone(),
             demand,
             running,
+            store_age_ms: entry.store_age_ms(now()),
         };
         let answer = if coordinator.coordinates() {
             Some(coordinator.take_report(report))
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -111,6 +111,7 @@
     log_event!(Event::ShutdownStarted, "-", "connections={}", connections.open());
     entry.stop();
     sleep(NOTICE).await;
+    entry.close();
     closing.send_replace(true);
     let left = grace_ms.saturating_sub(now().since(started) + LAST_MS);
     let drained = timeout(Duration::from_millis(left), async {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -221,12 +221,19 @@
     let Err(wait_local) = local else {
         return Ok(spent);
     };
-    let wait = match peers::take_quota(entry, &organisation.name, tokens).await {
+    let (wait, central) = match peers::take_quota(entry, &organisation.name, tokens).await {
         Ok(None) => return Ok(spent),
-        Ok(Some(wait)) => wait.min(wait_local),
-        Err(_) => wait_local,
+        Ok(Some(wait)) => (wait.min(wait_local), format!("short for {wait} ms")),
+        Err(e) => (wait_local, e.to_string()),
     };
     let retry_after = Duration::from_millis(wait.clamp(50, 10_000));
+    log_event!(
+        Event::QuotaRefused,
+        &inbound.caller.attempt_id,
+        "organisation={} tokens={tokens} rate={} local_wait_ms={wait_local} central={central}",
+        organisation.name,
+        organisation.rate
+    );
     Err(Failure::not_run(Code::RateExceeded).retry_after(retry_after))
 }
 
@@ -460,6 +467,10 @@
             if at + WAY_BACK_MS >= self.deadline {
                 return Err(self.refuse_late());
             }
+            // Another VM has more time for what waits here.
+            if self.entry.is_closing() {
+                return Err(Failure::not_run(Code::Stopping).retry_after(Duration::ZERO));
+            }
             if let Some(model) = &self.inbound.caller.model
                 && waiting.is_none()
             {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -124,6 +124,7 @@
     in_hand: Mutex<InHand>,
     changes: watch::Sender<u64>,
     stopping: AtomicBool,
+    closing: AtomicBool,
 }
 
 impl Entry {
@@ -142,6 +143,7 @@
             in_hand: Mutex::default(),
             changes: watch::Sender::new(0),
             stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             settings,
         }
     }
@@ -166,6 +168,17 @@
         self.wake();
     }
 
+    /// Whether the balancer's notice has passed and requests that wait should go elsewhere.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    /// Sends waiting requests elsewhere.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+        self.wake();
+    }
+
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
         let believed = self.believed.lock();
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -142,6 +142,10 @@
     is_known: bool,
     next_poll: Millis,
     failures: u32,
+    /// First time at which this process may send it an order.
+    orders_from: Millis,
+    /// When this process last sent it an order.
+    last_order: Option<Millis>,
 }
 
 /// Decisions of the coordinator.
@@ -227,15 +231,28 @@
     }
 
     /// Forgets the order under way and asks each engine for its state, after this process became coordinator.
-    pub fn start_term(&mut self, now: Millis) {
-        for engine in self.engines.values_mut() {
+    ///
+    /// `quiet_until` tells for each engine when the last order of another process is old enough.
+    pub fn start_term(&mut self, now: Millis, quiet_until: impl Fn(&str) -> Millis) {
+        for (id, engine) in &mut self.engines {
             engine.plan = None;
             engine.pending = None;
             engine.is_known = false;
             engine.next_poll = now;
+            engine.orders_from = quiet_until(id);
+            engine.last_order = None;
         }
     }
 
+    /// Time since the last order of this process, by engine.
+    pub fn order_ages(&self, now: Millis) -> Vec<(String, u64)> {
+        let ages = self
+            .engines
+            .iter()
+            .filter_map(|(id, it)| Some((id.clone(), now.since(it.last_order?))));
+        ages.collect()
+    }
+
     /// Version of what [`Self::placed`] tells.
     pub fn version(&self) -> u64 {
         self.version
@@ -293,6 +310,8 @@
             is_known: false,
             next_poll: now,
             failures: 0,
+            orders_from: now,
+            last_order: None,
             server,
         };
         let held = std::mem::take(&mut engine.server.held);
@@ -338,7 +357,10 @@
         }
     }
 
-    fn takes_orders(&self) -> bool {
-        self.is_known && self.server.state == ServerState::Ready && self.failures < orders::FAILURES_TO_AVOID
+    fn takes_orders(&self, now: Millis) -> bool {
+        now >= self.orders_from
+            && self.is_known
+            && self.server.state == ServerState::Ready
+            && self.failures < orders::FAILURES_TO_AVOID
     }
 }
--- a/crates/fleet/src/placement/orders.rs
+++ b/crates/fleet/src/placement/orders.rs
@@ -221,6 +221,7 @@
             }
             OrderKind::LoadAdapter(_) => {}
         }
+        engine.last_order = Some(now);
         engine.pending = Some(Pending {
             order: order.clone(),
             from_store,
--- a/crates/fleet/src/placement/rank.rs
+++ b/crates/fleet/src/placement/rank.rs
@@ -13,6 +13,9 @@
 /// Value of a model's presence per request that runs there, in requests per reload second; keeps models in use.
 const RUNNING_VALUE: f64 = 50.0;
 
+/// Requests per second that one replica answers in time beside the other models of its engine: a prompt of 1,460 tokens
+/// takes an engine some 60 ms to read, and the objective leaves time for a handful that arrive together.
+const RATE_PER_REPLICA: f64 = 2.5;
 /// Time after its last request from which on an adapter may make way; most streams end within it.
 const ADAPTER_IDLE_MS: u64 = 1_500;
 
@@ -96,7 +99,7 @@
         let asked: HashSet<(&String, &String)> = asked.collect();
         for (model, adapter) in asked {
             let holders = self.engines.values().filter(|it| {
-                it.server.service == service && it.takes_orders() && it.held.get(model).is_some_and(|h| h.is_ready)
+                it.server.service == service && it.takes_orders(now) && it.held.get(model).is_some_and(|h| h.is_ready)
             });
             let holders: Vec<&Engine> = holders.collect();
             if holders.iter().any(|it| it.held[model].adapters.contains_key(adapter)) {
@@ -152,20 +155,23 @@
         }
     }
 
-    /// Plans another replica for models whose engines are full.
+    /// Plans another replica for models that get more requests than their replicas answer in time.
     fn plan_full(&mut self, service: &str, wanted: &BTreeMap<String, Wanted>, now: Millis) {
         let Some(slots) = self.specs.get(service).map(|it| f64::from(it.slots)) else {
             return;
         };
-        let full: Vec<String> = wanted
-            .iter()
-            .filter(|(model, it)| {
-                let replicas = self.replicas(service, model);
-                replicas > 0 && f64::from(it.running) > FULL_PART * slots * replicas as f64
-            })
-            .map(|(model, _)| model.clone())
-            .collect();
-        for model in full {
+        let mut full: Vec<(f64, String)> = Vec::new();
+        for (model, it) in wanted {
+            let replicas = self.replicas(service, model) as f64;
+            let by_rate = it.rate / RATE_PER_REPLICA;
+            let by_running = f64::from(it.running) / (FULL_PART * slots);
+            let excess = by_rate.max(by_running) / replicas;
+            if replicas > 0.0 && excess > 1.0 {
+                full.push((excess, model.clone()));
+            }
+        }
+        full.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, model) in full {
             if !self.is_loading(service, &model) {
                 self.plan_load(service, &model, wanted, now, STORE_LOADS_AT_ONCE, false);
             }
@@ -213,7 +219,7 @@
         let replicas = self.replica_counts(service);
         let choices = self.engines.values().filter(|it| {
             it.server.service == service
-                && it.takes_orders()
+                && it.takes_orders(now)
                 && it.pending.is_none()
                 && it.plan.is_none()
                 && !it.held.contains_key(model)
@@ -310,7 +316,7 @@
     fn send_plans(&mut self, now: Millis, orders: &mut Vec<Order>) {
         let mut next = Vec::new();
         for engine in self.engines.values_mut() {
-            if engine.pending.is_some() || !engine.takes_orders() {
+            if engine.pending.is_some() || !engine.takes_orders(now) {
                 continue;
             }
             let Some(plan) = &mut engine.plan else {
