Wait briefly for an organisation's tokens instead of refusing at once

A request now reserves tokens that will be there within a third of its objective and is sent then; the bucket goes into debt, so the rate holds. The end of each stream logs the time to its first event and its longest pause.

--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -193,7 +193,8 @@
     pub fn take_quota(&self, take: &QuotaTake) -> QuotaAnswer {
         let refused = QuotaAnswer {
             coordinates: false,
-            wait_ms: Some(0),
+            granted: false,
+            wait_ms: 0,
         };
         let config = self.entry.config();
         let config = config.filter(|_| self.coordinates());
@@ -215,9 +216,11 @@
         };
         let part = if term == 1 { 1.0 } else { 0.0 };
         let bucket = quota.bucket(began, &organisation.name, rate, burst, part);
+        let reserved = bucket.reserve(at, take.tokens, take.max_wait_ms);
         QuotaAnswer {
             coordinates: true,
-            wait_ms: bucket.take(at, take.tokens).err(),
+            granted: reserved.is_ok(),
+            wait_ms: reserved.unwrap_or_else(|wait| wait),
         }
     }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -35,6 +35,8 @@
 const TOLD_MEMBERS: usize = 32;
 /// Time for a message between entry processes.
 const TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for tokens from the coordinator; a request that waits longer would miss its objective.
+const QUOTA_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time between two reports to the coordinator.
 const REPORT: Duration = Duration::from_millis(250);
 /// Time for which a question for the placement waits for a change.
@@ -113,14 +115,18 @@
         pub organisation: String,
         /// Tokens.
         pub tokens: f64,
+        /// Longest time that the request can wait for them.
+        pub max_wait_ms: u64,
     }
 
     /// Answer to a request for tokens.
     pub struct QuotaAnswer {
         /// Whether the process coordinates.
         pub coordinates: bool,
-        /// Milliseconds until the tokens will be there; `None` when they were granted.
-        pub wait_ms: Option<u64>,
+        /// Whether the tokens were taken.
+        pub granted: bool,
+        /// Milliseconds until they may be used, or until there would be enough.
+        pub wait_ms: u64,
     }
 }
 
@@ -314,22 +320,33 @@
     }
 }
 
-/// Takes tokens from the coordinator's part; `None` when they were granted, else the milliseconds to wait.
+/// Takes tokens from the coordinator's part if they will be there within `max_wait_ms`, and tells after how many
+/// milliseconds; the inner error is the wait that was too long.
 ///
 /// # Errors
 ///
 /// Fails when no coordinator answers.
-pub async fn take_quota(entry: &Entry, organisation: &str, tokens: f64) -> Result<Option<u64>, CallError> {
+pub async fn take_quota(
+    entry: &Entry,
+    organisation: &str,
+    tokens: f64,
+    max_wait_ms: u64,
+) -> Result<Result<u64, u64>, CallError> {
     let Some(hint) = entry.coordinator() else {
         return Err(CallError::NotRun("no coordinator is known".to_owned()));
     };
     let take = QuotaTake {
         organisation: organisation.to_owned(),
         tokens,
+        max_wait_ms,
     };
-    let answer: QuotaAnswer = call(entry, hint.address, "quota", &take, TIMEOUT).await?;
+    let answer: QuotaAnswer = call(entry, hint.address, "quota", &take, QUOTA_TIMEOUT).await?;
     if !answer.coordinates {
         return Err(CallError::NotRun("the process does not coordinate any more".to_owned()));
     }
-    Ok(answer.wait_ms)
+    Ok(if answer.granted {
+        Ok(answer.wait_ms)
+    } else {
+        Err(answer.wait_ms)
+    })
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use guava_core::events::Event;
+use guava_core::units::Millis;
 use guava_fleet::events::Splitter;
 use guava_platform::headers;
 use http::{Response, header};
@@ -29,6 +30,24 @@
 
 type Out = Sender<Result<Frame<Bytes>, BodyError>>;
 
+/// What a caller saw of a stream.
+#[derive(Debug, Default)]
+struct Progress {
+    first: Option<Millis>,
+    last: Option<Millis>,
+    longest_gap_ms: u64,
+    parts: u32,
+}
+
+impl Progress {
+    fn note_sent(&mut self, at: Millis) {
+        self.first.get_or_insert(at);
+        if let Some(last) = self.last.replace(at) {
+            self.longest_gap_ms = self.longest_gap_ms.max(at.since(last));
+        }
+    }
+}
+
 /// How one server's part of a stream ended.
 enum PartEnd {
     Complete,
@@ -51,14 +70,26 @@
 
 async fn pass_on(mut path: Path, mut chosen: Chosen, mut arriving: Arriving, tx: Out) {
     let mut splitter = Splitter::default();
+    let mut progress = Progress::default();
     loop {
+        progress.parts += 1;
         let server = chosen.server.id.clone();
-        let end = pass_part(&path, arriving, &mut splitter, &tx).await;
+        let end = pass_part(&path, arriving, &mut splitter, &mut progress, &tx).await;
         drop(chosen);
         match end {
             PartEnd::Complete => {
                 path.entry().health.lock().note_success(&server);
-                log_event!(Event::RequestFinished, path.id(), "stream complete server={server}");
+                log_event!(
+                    Event::RequestFinished,
+                    path.id(),
+                    "stream complete server={server} route={} model={} first_ms={} longest_gap_ms={} parts={} after_ms={}",
+                    path.route().name,
+                    path.model(),
+                    progress.first.map_or(0, |it| it.since(path.arrived())),
+                    progress.longest_gap_ms,
+                    progress.parts,
+                    now().since(path.arrived())
+                );
                 return;
             }
             PartEnd::CallerLeft => {
@@ -92,7 +123,13 @@
     }
 }
 
-async fn pass_part(path: &Path, arriving: Arriving, splitter: &mut Splitter, tx: &Out) -> PartEnd {
+async fn pass_part(
+    path: &Path,
+    arriving: Arriving,
+    splitter: &mut Splitter,
+    progress: &mut Progress,
+    tx: &Out,
+) -> PartEnd {
     let Arriving {
         mut body, connection, ..
     } = arriving;
@@ -121,7 +158,11 @@
             Ok(whole) => whole,
             Err(size) => return PartEnd::Cut(format!("an event of over {size} bytes")),
         };
-        if !whole.is_empty() && tx.send(Ok(Frame::data(Bytes::from(whole)))).await.is_err() {
+        if whole.is_empty() {
+            continue;
+        }
+        progress.note_sent(now());
+        if tx.send(Ok(Frame::data(Bytes::from(whole)))).await.is_err() {
             return PartEnd::CallerLeft;
         }
     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -34,6 +34,8 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(40);
 /// Time that is kept from the caller's deadline for the way back of an answer.
 const WAY_BACK_MS: u64 = 20;
+/// Part of its objective that a request may wait for tokens of its organisation.
+const QUOTA_WAIT_DIVISOR: u64 = 3;
 /// When a caller should come back where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// Wait for the head of the answer of a request that may be repeated, relative to its objective.
@@ -212,20 +214,29 @@
         burst: organisation.burst * part,
         tokens,
     };
+    // A short wait for tokens serves the caller sooner than a refusal and a repeat.
+    let max_wait = resolved.route.objective_ms / QUOTA_WAIT_DIVISOR;
     let at = now();
-    let local = {
-        let mut quota = entry.quota.lock();
-        let bucket = quota.bucket(at, &organisation.name, spent.rate, spent.burst, START_LEVEL);
-        bucket.take(at, tokens)
-    };
-    let Err(wait_local) = local else {
+    let local = reserve_local(entry, &spent, at, 0);
+    if local.is_ok() {
         return Ok(spent);
+    }
+    let (wait, central) = match peers::take_quota(entry, &organisation.name, tokens, max_wait).await {
+        Ok(Ok(wait)) => {
+            tokio::time::sleep(Duration::from_millis(wait)).await;
+            return Ok(spent);
+        }
+        Ok(Err(wait)) => (wait, format!("short for {wait} ms")),
+        Err(e) => (u64::MAX, e.to_string()),
     };
-    let (wait, central) = match peers::take_quota(entry, &organisation.name, tokens).await {
-        Ok(None) => return Ok(spent),
-        Ok(Some(wait)) => (wait.min(wait_local), format!("short for {wait} ms")),
-        Err(e) => (wait_local, e.to_string()),
+    let wait_local = match reserve_local(entry, &spent, now(), max_wait) {
+        Ok(wait) => {
+            tokio::time::sleep(Duration::from_millis(wait)).await;
+            return Ok(spent);
+        }
+        Err(wait) => wait,
     };
+    let wait = wait.min(wait_local);
     let retry_after = Duration::from_millis(wait.clamp(50, 10_000));
     log_event!(
         Event::QuotaRefused,
@@ -237,6 +248,15 @@
     Err(Failure::not_run(Code::RateExceeded).retry_after(retry_after))
 }
 
+fn reserve_local(entry: &Entry, spent: &Spent, at: Millis, max_wait_ms: u64) -> Result<u64, u64> {
+    let Some(organisation) = &spent.organisation else {
+        return Ok(0);
+    };
+    let mut quota = entry.quota.lock();
+    let bucket = quota.bucket(at, organisation, spent.rate, spent.burst, START_LEVEL);
+    bucket.reserve(at, spent.tokens, max_wait_ms)
+}
+
 /// Attempts of one request.
 #[derive(Debug)]
 pub struct Path {
@@ -281,6 +301,21 @@
         self.deadline
     }
 
+    /// Model and adapter that the caller asks for.
+    pub fn model(&self) -> String {
+        let caller = &self.inbound.caller;
+        let model = caller.model.as_deref().unwrap_or("-");
+        caller
+            .adapter
+            .as_ref()
+            .map_or_else(|| model.to_owned(), |adapter| format!("{model}/{adapter}"))
+    }
+
+    /// Arrival of the request.
+    pub fn arrived(&self) -> Millis {
+        self.inbound.arrived
+    }
+
     /// Shared state.
     pub fn entry(&self) -> &Arc<Entry> {
         &self.entry
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -8,10 +8,9 @@
 
 use guava_core::units::Millis;
 
-/// Part of the rate that the VMs admit without asking; the coordinator holds the rest. Equal parts of half the rate
-/// carry an ordinary hour's demand (a half of the rate) while there is no coordinator, and leave enough to shift to a VM
-/// that gets most of an organisation's requests.
-pub const LOCAL_PART: f64 = 0.5;
+/// Part of the rate that the VMs admit without asking; the coordinator holds the rest. A large part carries more requests
+/// while there is no coordinator; a small one leaves more for a VM that gets most of an organisation's requests.
+pub const LOCAL_PART: f64 = 0.35;
 
 /// Level of a new bucket as part of its burst. A process may start while the tokens spent by its predecessor still
 /// count.
@@ -45,24 +44,35 @@
         self.level = self.level.min(burst);
     }
 
-    /// Takes `tokens`, or tells after how many milliseconds they will be there.
+    /// Milliseconds until the bucket will have `tokens`.
     ///
     /// A request larger than the burst passes when the bucket is full and leaves a debt.
-    ///
-    /// # Errors
-    ///
-    /// Returns the milliseconds until the bucket will have enough.
-    pub fn take(&mut self, now: Millis, tokens: f64) -> Result<(), u64> {
+    pub fn wait_ms(&mut self, now: Millis, tokens: f64) -> u64 {
         self.refill(now);
-        let needed = tokens.min(self.burst);
-        if self.level >= needed {
-            self.level -= tokens;
-            return Ok(());
+        let missing = tokens.min(self.burst) - self.level;
+        if missing <= 0.0 {
+            return 0;
         }
         if self.rate <= 0.0 {
-            return Err(u64::MAX);
+            return u64::MAX;
+        }
+        (missing / self.rate * 1_000.0).ceil() as u64
+    }
+
+    /// Takes `tokens` if they will be there within `max_wait_ms`, and tells after how many milliseconds.
+    ///
+    /// Whoever takes them must not use them earlier.
+    ///
+    /// # Errors
+    ///
+    /// Returns the milliseconds until the bucket will have enough; nothing is taken.
+    pub fn reserve(&mut self, now: Millis, tokens: f64, max_wait_ms: u64) -> Result<u64, u64> {
+        let wait = self.wait_ms(now, tokens);
+        if wait > max_wait_ms {
+            return Err(wait);
         }
-        Err(((needed - self.level) / self.rate * 1_000.0).ceil() as u64)
+        self.level -= tokens;
+        Ok(wait)
     }
 
     /// Returns tokens of a request that has not run.
