Pace prompts at engines and let replicas follow a rise of demand

One VM per engine, by rendezvous hash, now spaces the prompts of all VMs by a token bucket. What an engine cannot read in time waits here and takes what later requests leave, so that under overload some are on time rather than none.

The busiest model of the last third had one replica for 10 s: the average of arrivals rose too slowly and loads ahead of demand held the weight store. Rises are seen with a half-life of 1.5 s, full replicas go first, and a load avoids engines that are busy already.

--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -62,9 +62,6 @@
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that an order may still have been on its way when its sender told the order's age.
 const ORDER_TRAVEL_MS: u64 = 100;
-/// Silence of a member from which on it does not rank among the candidates.
-const MEMBER_SILENT_MS: u64 = 4_000;
-
 derive_value! {
     /// Value of the lease's object.
     struct LeaseObject {
@@ -258,10 +255,7 @@
         let at = now();
         let me = self.entry.settings.vm.as_str();
         let members = self.entry.members();
-        let live = members.iter().filter(|it| {
-            let is_heard = it.heard.is_some_and(|heard| at.since(heard) < MEMBER_SILENT_MS);
-            is_heard && it.failed.is_none()
-        });
+        let live = members.iter().filter(|it| it.is_live(at));
         let candidates = live.map(|it| it.member.vm.as_str()).chain([me]);
         // The same VM with an earlier process: that process has ended.
         let farewell = self.farewell.lock();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -37,6 +37,8 @@
 const TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for tokens from the coordinator; a request that waits longer would miss its objective.
 const QUOTA_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for the answer of the VM that paces an engine; without one the prompt is sent at once.
+const PACE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time between two reports to the coordinator.
 const REPORT: Duration = Duration::from_millis(250);
 /// Time for which a question for the placement waits for a change.
@@ -109,6 +111,26 @@
         pub placed: Option<Vec<Placed>>,
     }
 
+    /// Prompt to be sent to an engine.
+    pub struct PaceTake {
+        /// Engine.
+        pub engine: String,
+        /// Prompt tokens.
+        pub tokens: u64,
+        /// Longest pause between events that the route allows.
+        pub gap_ms: u64,
+        /// Longest time that the request can wait.
+        pub max_wait_ms: u64,
+    }
+
+    /// When a prompt may be sent.
+    pub struct PaceAnswer {
+        /// Whether the prompt was taken into account.
+        pub granted: bool,
+        /// Milliseconds until it may be sent, or until it could have been.
+        pub wait_ms: u64,
+    }
+
     /// Tokens asked from the coordinator.
     pub struct QuotaTake {
         /// Organisation.
@@ -173,6 +195,10 @@
             let resign: Resign = read(body)?;
             postcard::to_stdvec(&coordinator.take_resignation(resign)).ok()
         }
+        "pace" => {
+            let take: PaceTake = read(body)?;
+            postcard::to_stdvec(&entry.pace(&take)).ok()
+        }
         "quota" => {
             let take: QuotaTake = read(body)?;
             postcard::to_stdvec(&coordinator.take_quota(&take)).ok()
@@ -320,6 +346,21 @@
     }
 }
 
+/// Asks the VM that paces an engine when a prompt may be sent; `None` when it does not answer in time.
+pub async fn pace(entry: &Entry, take: &PaceTake) -> Option<PaceAnswer> {
+    match entry.pacing_vm(&take.engine) {
+        None => Some(entry.pace(take)),
+        Some(address) => {
+            let answer = call(entry, address, "pace", take, PACE_TIMEOUT).await;
+            if let Err(e) = &answer {
+                log::debug!("pace of {}: {e}", take.engine);
+                entry.note_member_failed(address, now());
+            }
+            answer.ok()
+        }
+    }
+}
+
 /// Takes tokens from the coordinator's part if they will be there within `max_wait_ms`, and tells after how many
 /// milliseconds; the inner error is the wait that was too long.
 ///
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -19,7 +19,7 @@
 
 use crate::attempt::{self, Arriving, AttemptError, Outgoing};
 use crate::log_event;
-use crate::peers;
+use crate::peers::{self, PaceTake};
 use crate::relay;
 use crate::reply::{Body, Failure, full};
 use crate::state::{Entry, RunningGuard, now, until};
@@ -36,6 +36,19 @@
 const WAY_BACK_MS: u64 = 20;
 /// Part of its objective that a request may wait for tokens of its organisation.
 const QUOTA_WAIT_DIVISOR: u64 = 3;
+/// Wait for an engine below which no other engine is tried.
+const SHORT_PACE_MS: u64 = 40;
+/// Longest wait for an engine's turn.
+const MAX_PACE_MS: u64 = 600;
+/// Time from the sending of a prompt to its first event at an engine that is not full.
+const FIRST_EVENT_MS: u64 = 150;
+/// Time for which a request waits for any engine's turn, in objectives; callers give up a stream without a first event
+/// after four.
+const PACE_PATIENCE: u64 = 3;
+/// Least such time; callers wait at least two seconds.
+const PACE_PATIENCE_MIN_MS: u64 = 1_500;
+/// Longest pause until an engine's turn is asked for again.
+const PACE_PAUSE_MS: u64 = 120;
 /// When a caller should come back where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// Wait for the head of the answer of a request that may be repeated, relative to its objective.
@@ -415,6 +428,7 @@
     pub async fn offer(&mut self, after: Option<&str>) -> Result<(Chosen, Arriving), Failure> {
         loop {
             let chosen = self.choose().await?;
+            let chosen = self.pace(chosen).await?;
             let server = chosen.server.id.clone();
             let out = self.outgoing(&chosen.server, after);
             let at = now();
@@ -495,7 +509,7 @@
             if !self.resolved.route.targets.iter().any(|(it, _)| *it == self.service) {
                 draw_service(&self.resolved.route, &mut rand::rng()).clone_into(&mut self.service);
             }
-            if let Some(chosen) = self.pick() {
+            if let Some(chosen) = self.pick(None) {
                 return Ok(chosen);
             }
             let at = now();
@@ -529,6 +543,67 @@
         }
     }
 
+    /// Waits until the engine can read the prompt without long pauses for its streams, or takes another engine.
+    ///
+    /// Under overload a request that cannot be on time waits for what later ones leave, so that some are on time rather
+    /// than none; it is refused when its caller would soon give up.
+    async fn pace(&mut self, first: Chosen) -> Result<Chosen, Failure> {
+        let Some((tokens, _)) = self.inbound.caller.tokens else {
+            return Ok(first);
+        };
+        if self.resolved.route.kind != RouteKind::Streaming {
+            return Ok(first);
+        }
+        let started = now();
+        let objective = self.resolved.route.objective_ms;
+        let patience = (objective * PACE_PATIENCE).max(PACE_PATIENCE_MIN_MS);
+        let mut chosen = first;
+        loop {
+            let elapsed = now().since(self.inbound.arrived);
+            let spare = objective.saturating_sub(elapsed + FIRST_EVENT_MS);
+            let max_wait = spare.clamp(SHORT_PACE_MS, MAX_PACE_MS);
+            let Some(short) = self.ask_pace(&chosen, tokens, SHORT_PACE_MS).await else {
+                return Ok(chosen);
+            };
+            let other = self.pick(Some(&chosen.server.id));
+            let asked = match &other {
+                Some(other) => self.ask_pace(other, tokens, SHORT_PACE_MS).await,
+                None => Some(u64::MAX),
+            };
+            chosen = match (other, asked) {
+                (Some(other), None) => return Ok(other),
+                (Some(other), Some(wait)) if wait < short => other,
+                _ => chosen,
+            };
+            if self.ask_pace(&chosen, tokens, max_wait).await.is_none() {
+                return Ok(chosen);
+            }
+            if now().since(started) > patience || now() + WAY_BACK_MS >= self.deadline {
+                return Err(Failure::not_run(Code::NoCapacity).retry_after(COME_BACK));
+            }
+            drop(chosen);
+            let pause = rand::random_range(PACE_PAUSE_MS / 2..PACE_PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            chosen = self.choose().await?;
+        }
+    }
+
+    /// Waits for an engine's turn; `None` when the request may be sent now, else the wait that was too long.
+    async fn ask_pace(&self, chosen: &Chosen, tokens: u64, max_wait_ms: u64) -> Option<u64> {
+        let take = PaceTake {
+            engine: chosen.server.id.clone(),
+            tokens,
+            gap_ms: self.resolved.route.gap_ms,
+            max_wait_ms,
+        };
+        let answer = peers::pace(&self.entry, &take).await?;
+        if !answer.granted {
+            return Some(answer.wait_ms);
+        }
+        tokio::time::sleep(Duration::from_millis(answer.wait_ms)).await;
+        None
+    }
+
     fn refuse_late(&self) -> Failure {
         if self.ran.is_empty() {
             return Failure::not_run(Code::DeadlineUnreachable).retry_after(COME_BACK);
@@ -536,7 +611,8 @@
         Failure::unknown(Code::TimedOut)
     }
 
-    fn pick(&self) -> Option<Chosen> {
+    /// Best server that can take the request, other than `except`.
+    fn pick(&self, except: Option<&str>) -> Option<Chosen> {
         let at = now();
         let caller = &self.inbound.caller;
         let engine = self
@@ -552,7 +628,9 @@
         let able = self.entry.candidates(&self.service, wanted, at);
         let health = self.entry.health.lock();
         let zone = &self.entry.settings.zone;
-        let fresh = able.iter().filter(|(it, _)| !self.ran.contains(&it.id));
+        let fresh = able
+            .iter()
+            .filter(|(it, _)| !self.ran.contains(&it.id) && except != Some(it.id.as_str()));
         let candidates = fresh.map(|(it, in_flight)| Candidate {
             id: &it.id,
             same_zone: it.zone == *zone,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,10 +8,12 @@
 
 use guava_core::derive_value;
 use guava_core::events::Event;
+use guava_core::rendezvous;
 use guava_core::units::Millis;
 use guava_fleet::budget::{BudgetLimits, RetryBudget};
 use guava_fleet::health::Health;
 use guava_fleet::model::{BackendServer, Configuration, ServerState};
+use guava_fleet::pacing::Pacer;
 use guava_fleet::placement::{Demand, Placed, Running};
 use guava_fleet::quota::Buckets;
 use guava_fleet::routes::InForce;
@@ -23,7 +25,10 @@
 use tokio::sync::{Notify, watch};
 
 use crate::log_event;
+use crate::peers::{PaceAnswer, PaceTake};
 
+/// Silence of a member from which on it does not count as live; members exchange at least every few seconds.
+const MEMBER_SILENT_MS: u64 = 6_000;
 /// Time after which what the coordinator told no longer goes before the servers' own entries.
 const PLACED_VALID_MS: u64 = 3_000;
 /// Time for which a server that lacked a model is not asked for it again; its entry or the coordinator's view is late.
@@ -66,6 +71,14 @@
     pub failed: Option<Millis>,
 }
 
+impl KnownMember {
+    /// Whether the member has been heard of lately and answers.
+    pub fn is_live(&self, now: Millis) -> bool {
+        let is_heard = self.heard.is_some_and(|it| now.since(it) < MEMBER_SILENT_MS);
+        is_heard && self.failed.is_none()
+    }
+}
+
 /// Entry of a server and whether it is about to be dropped.
 #[derive(Debug, Clone)]
 struct KnownServer {
@@ -115,6 +128,8 @@
     pub store: Store,
     /// Local part of the organisations' rates.
     pub quota: Mutex<Buckets>,
+    /// Pace of prompts at the engines that this VM paces.
+    pacer: Mutex<Pacer>,
     /// Health of backend servers.
     pub health: Mutex<Health>,
     /// Wakes the task that reports demand.
@@ -136,6 +151,7 @@
             store,
             http,
             quota: Mutex::default(),
+            pacer: Mutex::default(),
             health: Mutex::default(),
             demand_changed: Notify::new(),
             budgets: Mutex::default(),
@@ -385,6 +401,28 @@
         loaded.collect()
     }
 
+    /// Tells when a prompt may be sent to an engine that this VM paces.
+    pub fn pace(&self, take: &PaceTake) -> PaceAnswer {
+        let reserved = self
+            .pacer
+            .lock()
+            .reserve(now(), &take.engine, take.tokens, take.gap_ms, take.max_wait_ms);
+        PaceAnswer {
+            granted: reserved.is_ok(),
+            wait_ms: reserved.unwrap_or_else(|wait| wait),
+        }
+    }
+
+    /// Address of the VM that paces an engine; `None` when it is this one.
+    pub fn pacing_vm(&self, engine: &str) -> Option<SocketAddr> {
+        let at = now();
+        let believed = self.believed.lock();
+        let live = believed.members.values().filter(|it| it.is_live(at));
+        let best = live.max_by_key(|it| rendezvous::weight(engine, &it.member.vm))?;
+        let own = rendezvous::weight(engine, &self.settings.vm);
+        (rendezvous::weight(engine, &best.member.vm) > own).then_some(best.member.address)
+    }
+
     /// Takes one repeated send to a service from the budget.
     pub fn try_repeat(&self, service: &str, now: Millis) -> bool {
         let limits = BudgetLimits {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod health;
 pub mod model;
+pub mod pacing;
 pub mod placement;
 pub mod quota;
 pub mod routes;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -21,14 +21,18 @@
 
 /// Loads from the weight store that run at full speed together; more only share its bandwidth.
 pub const STORE_LOADS_AT_ONCE: usize = 4;
-/// Loads ahead of demand at the same time; one place stays free for a request that waits.
-const AHEAD_AT_ONCE: usize = 3;
+/// Loads from the weight store for models without a replica; the others stay free for models whose replicas are full.
+const WAITING_AT_ONCE: usize = 3;
+/// Loads from the weight store ahead of demand.
+const AHEAD_AT_ONCE: usize = 2;
 /// Window in which the weight store counts loads.
 const STORE_WINDOW_MS: u64 = 5_000;
 /// Time after which a VM's report no longer counts.
 const REPORT_VALID_MS: u64 = 1_500;
-/// Half-life of the average of arrivals.
+/// Half-life of the average of arrivals that tells what a model is worth.
 const RATE_HALF_LIFE_MS: f64 = 6_000.0;
+/// Half-life of the average of arrivals that tells a rise of demand.
+const RISE_HALF_LIFE_MS: f64 = 1_500.0;
 /// Part of an engine's slots beyond which its models get another replica.
 const FULL_PART: f64 = 0.4;
 /// Time for which a model stays after its load, so that the requests that waited for it can start.
@@ -101,6 +105,23 @@
     running: Vec<Running>,
 }
 
+/// Averages of a model's arrivals.
+#[derive(Debug, Default)]
+struct Rate {
+    long: Decaying,
+    short: Decaying,
+}
+
+impl Rate {
+    /// Arrivals per second; a rise shows within about a second, a fall after several.
+    fn per_second(&self, now: Millis) -> f64 {
+        let per_second = |sum: f64, half_life_ms: f64| sum * std::f64::consts::LN_2 / (half_life_ms / 1_000.0);
+        let long = per_second(self.long.get(RATE_HALF_LIFE_MS, now), RATE_HALF_LIFE_MS);
+        let short = per_second(self.short.get(RISE_HALF_LIFE_MS, now), RISE_HALF_LIFE_MS);
+        long.max(short)
+    }
+}
+
 /// Model at an engine.
 #[derive(Debug, Clone)]
 struct Held {
@@ -154,7 +175,7 @@
     engines: BTreeMap<String, Engine>,
     specs: HashMap<String, EngineSpec>,
     vms: HashMap<String, VmReport>,
-    rates: HashMap<(String, String), Decaying>,
+    rates: HashMap<(String, String), Rate>,
     adapter_use: HashMap<(String, String, String), Millis>,
     store_loads: Vec<Millis>,
     version: u64,
@@ -214,7 +235,8 @@
         for it in demand.iter().filter(|it| it.arrived > 0) {
             let key = (it.service.clone(), it.model.clone());
             let rate = self.rates.entry(key).or_default();
-            rate.add(f64::from(it.arrived), RATE_HALF_LIFE_MS, now);
+            rate.long.add(f64::from(it.arrived), RATE_HALF_LIFE_MS, now);
+            rate.short.add(f64::from(it.arrived), RISE_HALF_LIFE_MS, now);
         }
         for it in &demand {
             if let Some(adapter) = &it.adapter {
--- a/crates/fleet/src/placement/rank.rs
+++ b/crates/fleet/src/placement/rank.rs
@@ -5,8 +5,8 @@
 use guava_core::units::Millis;
 
 use super::{
-    AHEAD_AT_ONCE, DWELL_MS, Engine, FULL_PART, Held, LoadPlan, Order, OrderKind, Placement, RATE_HALF_LIFE_MS,
-    STORE_LOADS_AT_ONCE, STORE_WINDOW_MS,
+    AHEAD_AT_ONCE, DWELL_MS, Engine, FULL_PART, Held, LoadPlan, Order, OrderKind, Placement, STORE_LOADS_AT_ONCE,
+    STORE_WINDOW_MS, WAITING_AT_ONCE,
 };
 use crate::model::{EngineSpec, ServerState};
 
@@ -15,7 +15,11 @@
 
 /// Requests per second that one replica answers in time beside the other models of its engine: a prompt of 1,460 tokens
 /// takes an engine some 60 ms to read, and the objective leaves time for a handful that arrive together.
-const RATE_PER_REPLICA: f64 = 2.5;
+const RATE_PER_REPLICA: f64 = 2.0;
+/// Cost of each arrival per second that an engine gets already, in seconds of load time: its streams would pause more.
+const LOAD_COST: f64 = 0.4;
+/// Replicas of one model that are planned in one round.
+const LOADS_PER_ROUND: usize = 2;
 /// Time after its last request from which on an adapter may make way; most streams end within it.
 const ADAPTER_IDLE_MS: u64 = 1_500;
 
@@ -45,8 +49,8 @@
         for service in services {
             let wanted = self.wanted(&service, now);
             self.plan_adapters(&service, &wanted, now, &mut orders);
-            self.plan_waiting(&service, &wanted, now);
             self.plan_full(&service, &wanted, now);
+            self.plan_waiting(&service, &wanted, now);
             self.plan_ahead(&service, &wanted, now);
         }
         self.send_plans(now, &mut orders);
@@ -75,8 +79,7 @@
         }
         for ((of, model), rate) in &self.rates {
             if of == service {
-                let rate = rate.get(RATE_HALF_LIFE_MS, now) / (RATE_HALF_LIFE_MS / 1_000.0) * std::f64::consts::LN_2;
-                wanted.entry(model.clone()).or_default().rate = rate;
+                wanted.entry(model.clone()).or_default().rate = rate.per_second(now);
             }
         }
         wanted
@@ -151,7 +154,7 @@
                 .expect("finite")
         });
         for (model, _) in missing {
-            self.plan_load(service, model, wanted, now, STORE_LOADS_AT_ONCE, true);
+            self.plan_load(service, model, wanted, now, WAITING_AT_ONCE, true);
         }
     }
 
@@ -160,19 +163,21 @@
         let Some(slots) = self.specs.get(service).map(|it| f64::from(it.slots)) else {
             return;
         };
-        let mut full: Vec<(f64, String)> = Vec::new();
+        let mut full: Vec<(f64, usize, String)> = Vec::new();
         for (model, it) in wanted {
-            let replicas = self.replicas(service, model) as f64;
+            let replicas = self.replicas(service, model);
             let by_rate = it.rate / RATE_PER_REPLICA;
-            let by_running = f64::from(it.running) / (FULL_PART * slots);
-            let excess = by_rate.max(by_running) / replicas;
-            if replicas > 0.0 && excess > 1.0 {
-                full.push((excess, model.clone()));
+            let by_running = f64::from(it.running + it.waiting) / (FULL_PART * slots);
+            let wished = by_rate.max(by_running).ceil() as usize;
+            let coming = self.loads_of(service, model);
+            if replicas > 0 && wished > replicas + coming {
+                let excess = wished as f64 / (replicas + coming) as f64;
+                full.push((excess, (wished - replicas - coming).min(LOADS_PER_ROUND), model.clone()));
             }
         }
         full.sort_by(|a, b| b.0.total_cmp(&a.0));
-        for (_, model) in full {
-            if !self.is_loading(service, &model) {
+        for (_, count, model) in full {
+            for _ in 0..count {
                 self.plan_load(service, &model, wanted, now, STORE_LOADS_AT_ONCE, false);
             }
         }
@@ -270,6 +275,7 @@
             cost += worth;
             victims.push(name.clone());
         }
+        cost += LOAD_COST * self.rate_at(engine, wanted, replicas);
         // Spreads copies over the engines' disks.
         cost += engine.on_disk.len() as f64 * 0.01;
         (free >= need).then(|| Choice {
@@ -280,6 +286,15 @@
         })
     }
 
+    /// Arrivals per second at an engine, if the replicas of each model share them evenly.
+    fn rate_at(&self, engine: &Engine, wanted: &BTreeMap<String, Wanted>, replicas: &HashMap<String, usize>) -> f64 {
+        let rates = engine.held.keys().map(|model| {
+            let copies = replicas.get(model).copied().unwrap_or(1).max(1) as f64;
+            wanted.get(model).map_or(0.0, |it| it.rate) / copies
+        });
+        rates.sum()
+    }
+
     fn is_in_use(
         &self,
         engine: &Engine,
@@ -386,11 +401,13 @@
         })
     }
 
-    fn is_loading(&self, service: &str, model: &str) -> bool {
-        self.engines.values().any(|it| {
+    /// Loads of a model that are planned or under way.
+    fn loads_of(&self, service: &str, model: &str) -> usize {
+        let loading = self.engines.values().filter(|it| {
             let is_planned = it.plan.as_ref().is_some_and(|plan| plan.model == model);
             it.server.service == service && (it.is_loading(model) || is_planned)
-        })
+        });
+        loading.count()
     }
 
     fn replicas(&self, service: &str, model: &str) -> usize {
