--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -342,7 +342,8 @@
     async fn run(&mut self) -> Result<Response<Body>, Failure> {
         if let Some(model) = &self.inbound.caller.model {
             let adapter = self.inbound.caller.adapter.as_deref();
-            self.entry.note_arrival(&self.service, model, adapter);
+            let prompt_tokens = self.inbound.caller.tokens.map_or(0, |(prompt, _)| prompt);
+            self.entry.note_arrival(&self.service, model, adapter, prompt_tokens);
         }
         loop {
             let (chosen, arriving) = self.offer(None).await?;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -111,8 +111,18 @@
 #[derive(Debug, Default)]
 struct InHand {
     running: HashMap<(String, String), u32>,
-    waiting: HashMap<(String, String, Option<String>), u32>,
-    arrived: HashMap<(String, String, Option<String>), u32>,
+    waiting: HashMap<ModelKey, Vec<Millis>>,
+    arrived: HashMap<ModelKey, Arrived>,
+}
+
+/// Service, model and adapter.
+type ModelKey = (String, String, Option<String>);
+
+/// Requests for a model since the last report.
+#[derive(Debug, Default, Clone, Copy)]
+struct Arrived {
+    count: u32,
+    prompt_tokens: u64,
 }
 
 /// Shared state of the process.
@@ -521,11 +531,11 @@
         let mut in_hand = self.in_hand.lock();
         let mut arrived = std::mem::take(&mut in_hand.arrived);
         let mut demand: Vec<Demand> = Vec::new();
-        for (key, waiting) in &in_hand.waiting {
-            let arrived = arrived.remove(key).unwrap_or(0);
-            demand.push(demand_of(key.clone(), *waiting, arrived));
+        for (key, since) in &in_hand.waiting {
+            let arrived = arrived.remove(key).unwrap_or_default();
+            demand.push(demand_of(key.clone(), since, arrived));
         }
-        demand.extend(arrived.into_iter().map(|(key, count)| demand_of(key, 0, count)));
+        demand.extend(arrived.into_iter().map(|(key, arrived)| demand_of(key, &[], arrived)));
         let running = in_hand.running.iter().map(|((server, model), count)| Running {
             server: server.clone(),
             model: model.clone(),
@@ -544,19 +554,24 @@
     }
 
     /// Counts an arrival for a model.
-    pub fn note_arrival(&self, service: &str, model: &str, adapter: Option<&str>) {
+    pub fn note_arrival(&self, service: &str, model: &str, adapter: Option<&str>, prompt_tokens: u64) {
         let key = (service.to_owned(), model.to_owned(), adapter.map(str::to_owned));
-        *self.in_hand.lock().arrived.entry(key).or_default() += 1;
+        let mut in_hand = self.in_hand.lock();
+        let arrived = in_hand.arrived.entry(key).or_default();
+        arrived.count += 1;
+        arrived.prompt_tokens += prompt_tokens;
     }
 
     /// Counts a request as waiting for a model until the guard is dropped.
     pub fn wait_for_model(self: &Arc<Self>, service: &str, model: &str, adapter: Option<&str>) -> WaitingGuard {
         let key = (service.to_owned(), model.to_owned(), adapter.map(str::to_owned));
-        *self.in_hand.lock().waiting.entry(key.clone()).or_default() += 1;
+        let since = now();
+        self.in_hand.lock().waiting.entry(key.clone()).or_default().push(since);
         self.demand_changed.notify_one();
         WaitingGuard {
             entry: Arc::clone(self),
             key,
+            since,
         }
     }
 
@@ -571,14 +586,16 @@
     }
 }
 
-fn demand_of(key: (String, String, Option<String>), waiting: u32, arrived: u32) -> Demand {
+fn demand_of(key: ModelKey, waiting: &[Millis], arrived: Arrived) -> Demand {
     let (service, model, adapter) = key;
     Demand {
         service,
         model,
         adapter,
-        waiting,
-        arrived,
+        waiting: waiting.len() as u32,
+        oldest_ms: waiting.iter().min().map_or(0, |it| now().since(*it)),
+        arrived: arrived.count,
+        prompt_tokens: arrived.prompt_tokens,
     }
 }
 
@@ -625,12 +642,22 @@
 #[derive(Debug)]
 pub struct WaitingGuard {
     entry: Arc<Entry>,
-    key: (String, String, Option<String>),
+    key: ModelKey,
+    since: Millis,
 }
 
 impl Drop for WaitingGuard {
     fn drop(&mut self) {
-        decrement(&mut self.entry.in_hand.lock().waiting, &self.key);
+        let mut in_hand = self.entry.in_hand.lock();
+        let Some(waiting) = in_hand.waiting.get_mut(&self.key) else {
+            return;
+        };
+        if let Some(at) = waiting.iter().position(|it| *it == self.since) {
+            waiting.swap_remove(at);
+        }
+        if waiting.is_empty() {
+            in_hand.waiting.remove(&self.key);
+        }
     }
 }
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -49,8 +49,12 @@
         pub adapter: Option<String>,
         /// Requests that wait.
         pub waiting: u32,
+        /// Time for which the oldest of them has waited, in milliseconds.
+        pub oldest_ms: u64,
         /// Requests that arrived since the last report.
         pub arrived: u32,
+        /// Prompt tokens of these requests.
+        pub prompt_tokens: u64,
     }
 
     /// Requests of one VM that run at an engine.
@@ -110,16 +114,26 @@
 struct Rate {
     long: Decaying,
     short: Decaying,
+    tokens: Decaying,
 }
 
 impl Rate {
     /// Arrivals per second; a rise shows within about a second, a fall after several.
     fn per_second(&self, now: Millis) -> f64 {
-        let per_second = |sum: f64, half_life_ms: f64| sum * std::f64::consts::LN_2 / (half_life_ms / 1_000.0);
         let long = per_second(self.long.get(RATE_HALF_LIFE_MS, now), RATE_HALF_LIFE_MS);
         let short = per_second(self.short.get(RISE_HALF_LIFE_MS, now), RISE_HALF_LIFE_MS);
         long.max(short)
     }
+
+    /// Prompt tokens per second of late.
+    fn tokens_per_second(&self, now: Millis) -> f64 {
+        per_second(self.tokens.get(RISE_HALF_LIFE_MS, now), RISE_HALF_LIFE_MS)
+    }
+}
+
+/// Rate that keeps a decaying sum at this level.
+fn per_second(sum: f64, half_life_ms: f64) -> f64 {
+    sum * std::f64::consts::LN_2 / (half_life_ms / 1_000.0)
 }
 
 /// Model at an engine.
@@ -237,6 +251,7 @@
             let rate = self.rates.entry(key).or_default();
             rate.long.add(f64::from(it.arrived), RATE_HALF_LIFE_MS, now);
             rate.short.add(f64::from(it.arrived), RISE_HALF_LIFE_MS, now);
+            rate.tokens.add(it.prompt_tokens as f64, RISE_HALF_LIFE_MS, now);
         }
         for it in &demand {
             if let Some(adapter) = &it.adapter {
--- a/crates/fleet/src/placement/rank.rs
+++ b/crates/fleet/src/placement/rank.rs
@@ -13,11 +13,15 @@
 /// Value of a model's presence per request that runs there, in requests per reload second; keeps models in use.
 const RUNNING_VALUE: f64 = 50.0;
 
-/// Requests per second that one replica answers in time beside the other models of its engine: a prompt of 1,460 tokens
-/// takes an engine some 60 ms to read, and the objective leaves time for a handful that arrive together.
-const RATE_PER_REPLICA: f64 = 2.0;
+/// Prompt tokens per second for which one replica is enough: half of what pacing lets an engine read, which leaves the
+/// other half to the other models of the engine.
+const TOKENS_PER_REPLICA: f64 = 5_000.0;
+/// Part of a replica's worth that is left while the other replicas of its model are enough.
+const SPARE_PART: f64 = 0.1;
 /// Cost of each arrival per second that an engine gets already, in seconds of load time: its streams would pause more.
 const LOAD_COST: f64 = 0.4;
+/// Cost of a second that a request waits for a reload, in seconds of load time.
+const WAITING_COST: f64 = 4.0;
 /// Replicas of one model that are planned in one round.
 const LOADS_PER_ROUND: usize = 2;
 /// Time after its last request from which on an adapter may make way; most streams end within it.
@@ -28,7 +32,9 @@
 struct Wanted {
     waiting: u32,
     running: u32,
+    oldest_ms: u64,
     rate: f64,
+    tokens_per_s: f64,
     adapters: Vec<String>,
 }
 
@@ -63,6 +69,7 @@
             for it in report.demand.iter().filter(|it| it.service == service) {
                 let entry = wanted.entry(it.model.clone()).or_default();
                 entry.waiting += it.waiting;
+                entry.oldest_ms = entry.oldest_ms.max(it.oldest_ms);
                 if it.waiting > 0 {
                     entry.adapters.extend(it.adapter.clone());
                 }
@@ -79,7 +86,9 @@
         }
         for ((of, model), rate) in &self.rates {
             if of == service {
-                wanted.entry(model.clone()).or_default().rate = rate.per_second(now);
+                let entry = wanted.entry(model.clone()).or_default();
+                entry.rate = rate.per_second(now);
+                entry.tokens_per_s = rate.tokens_per_second(now);
             }
         }
         wanted
@@ -166,7 +175,7 @@
         let mut full: Vec<(f64, usize, String)> = Vec::new();
         for (model, it) in wanted {
             let replicas = self.replicas(service, model);
-            let by_rate = it.rate / RATE_PER_REPLICA;
+            let by_rate = it.tokens_per_s / TOKENS_PER_REPLICA;
             let by_running = f64::from(it.running + it.waiting) / (FULL_PART * slots);
             let wished = by_rate.max(by_running).ceil() as usize;
             let coming = self.loads_of(service, model);
@@ -323,9 +332,10 @@
         let copies = replicas.get(model).copied().unwrap_or(1).max(1) as f64;
         let reload_s = load_ms(engine, spec, model) as f64 / 1_000.0;
         let use_per_copy = (demand.rate + f64::from(demand.running) / RUNNING_VALUE) / copies;
-        // A model with one replica sends its next request into a load; with more, the others carry on.
-        let part = if copies > 1.0 { 0.5 } else { 1.0 };
-        use_per_copy * reload_s * part * 4.0
+        // A model with one replica sends its next request into a load; with more, the others may be enough.
+        let is_spare = copies > 1.0 && demand.tokens_per_s < TOKENS_PER_REPLICA * (copies - 1.0);
+        let part = if is_spare { SPARE_PART } else { 1.0 };
+        use_per_copy * reload_s * part * WAITING_COST
     }
 
     fn send_plans(&mut self, now: Millis, orders: &mut Vec<Order>) {
