--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -138,6 +138,15 @@
     since: Millis,
 }
 
+/// What follows when the lease has been given back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Release {
+    /// The process competes no more.
+    Final,
+    /// The process competes again after its rest.
+    Rest,
+}
+
 /// One lease at one process.
 #[derive(Debug)]
 pub struct Lease {
@@ -157,9 +166,7 @@
     /// Whether the outcome of the last write must be read back.
     unresolved: bool,
     next_call: Millis,
-    releasing: bool,
-    /// Whether the process competes again after it has given the lease back.
-    rejoins: bool,
+    releasing: Option<Release>,
     /// Until when this process lets others take the lease.
     rests_until: Millis,
     events: Vec<LeaseEvent>,
@@ -192,8 +199,7 @@
             attempts: Vec::new(),
             unresolved: false,
             next_call: Millis(0),
-            releasing: false,
-            rejoins: false,
+            releasing: None,
             rests_until: Millis(0),
             events: Vec::new(),
         }
@@ -228,14 +234,14 @@
 
     /// Gives the lease back at the next step and competes no more.
     pub fn release(&mut self) {
-        self.releasing = true;
+        self.releasing = Some(Release::Final);
         self.next_call = Millis(0);
     }
 
     /// Gives the lease back at the next step and competes again after `rest_ms`.
     pub fn step_down(&mut self, now: Millis, rest_ms: u64) {
         self.release();
-        self.rejoins = true;
+        self.releasing = Some(Release::Rest);
         self.rests_until = now + rest_ms;
     }
 
@@ -262,7 +268,7 @@
         if self.is_holder() {
             return self.step_holder(now, rng);
         }
-        if self.releasing || now < self.rests_until {
+        if self.releasing.is_some() || now < self.rests_until {
             return None;
         }
         self.step_candidate(standing, now, rng)
@@ -273,11 +279,11 @@
         if self.unresolved {
             return Some(LeaseCall::Read);
         }
-        if !self.releasing && now < self.renewed + self.timing.renew_ms {
+        if self.releasing.is_none() && now < self.renewed + self.timing.renew_ms {
             return None;
         }
         let expect = self.seen.as_ref().map(|it| it.lease.version);
-        let spec = self.spec(self.term, self.releasing);
+        let spec = self.spec(self.term, self.releasing.is_some());
         Some(self.write(spec, expect, now, rng))
     }
 
@@ -429,8 +435,7 @@
         if released {
             self.fire("released");
             self.events.push(LeaseEvent::Released(term));
-            self.releasing = !self.rejoins;
-            self.rejoins = false;
+            self.end_rest();
             return;
         }
         self.renewed = sent;
@@ -462,12 +467,15 @@
 
     fn lose(&mut self) {
         self.events.push(LeaseEvent::Lost(self.term));
-        self.releasing &= !self.rejoins;
-        self.rejoins = false;
+        self.end_rest();
         self.fire("reset");
         self.known = false;
     }
 
+    fn end_rest(&mut self) {
+        self.releasing = self.releasing.filter(|it| *it == Release::Final);
+    }
+
     fn fire(&mut self, event: &str) {
         if let Some(next) = self.chart.next(&self.state, event) {
             next.clone_into(&mut self.state);
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -25,9 +25,8 @@
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
-impl PooledClient {
-    /// Client without connections.
-    pub fn new() -> Self {
+impl Default for PooledClient {
+    fn default() -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -83,6 +83,13 @@
     began: Millis,
 }
 
+impl Tenure {
+    fn begin(&mut self, term: u64, at: Millis) {
+        self.term = term;
+        self.began = at;
+    }
+}
+
 /// What a VM's last report told of its contact with the store.
 #[derive(Debug, Clone)]
 struct VmContact {
@@ -232,7 +239,7 @@
                 lease.release();
                 is_released = true;
             }
-            self.hand_over_if_cut(&mut lease, at).await;
+            self.hand_over_if_cut(&mut lease, at);
             let has_contact = at.since(Millis(self.contact.load(Ordering::Relaxed))) < CONTACT_MS && at.0 > CONTACT_MS;
             let current = self.entry.coordinator().map_or(0, |it| it.term);
             let has_resigned = self.farewell.lock().as_ref().is_some_and(|it| it.term >= current);
@@ -317,7 +324,7 @@
     }
 
     /// Gives the tenure to another process when this one is cut off from the store or from all other VMs.
-    async fn hand_over_if_cut(&self, lease: &mut Lease, at: Millis) {
+    fn hand_over_if_cut(&self, lease: &mut Lease, at: Millis) {
         let Some(term) = self.term() else {
             return;
         };
@@ -428,11 +435,7 @@
         let last_holder = self.entry.coordinator().filter(|it| it.term < term.0);
         let is_other = last_holder.as_ref().is_some_and(|it| it.vm != self.entry.settings.vm);
         let farewell = self.farewell.lock().take().filter(|it| it.term + 1 == term.0);
-        {
-            let mut tenure = self.tenure.lock();
-            tenure.term = term.0;
-            tenure.began = at;
-        }
+        self.tenure.lock().begin(term.0, at);
         self.quota.lock().clear();
         self.vms.lock().clear();
         let quiet_until = |engine: &str| match &farewell {
@@ -526,10 +529,9 @@
     }
 
     async fn poll(self: Arc<Self>, server: guava_fleet::model::BackendServer) {
-        let asked = now();
         match engine::report(&*self.entry.http, &server).await {
             Ok(report) => {
-                let changed = self.placement.lock().note_state(&server.id, &report, asked, now());
+                let changed = self.placement.lock().note_state(&server.id, &report, now());
                 if changed {
                     let held: Vec<&str> = report.held.iter().map(|it| it.name.as_str()).collect();
                     log_event!(
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -42,7 +42,7 @@
 /// Time between two reports to the coordinator.
 const REPORT: Duration = Duration::from_millis(250);
 /// Time for which a question for the placement waits for a change.
-pub const PLACED_WAIT: Duration = Duration::from_millis(1_000);
+pub const PLACED_WAIT: Duration = Duration::from_secs(1);
 
 derive_value! {
     /// What one process tells another.
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -55,7 +55,7 @@
     let for_readiness = listen(settings.readiness)?;
     let for_peers = listen(settings.peers)?;
     let grace_ms = settings.grace_ms;
-    let entry = Arc::new(Entry::new(settings, Arc::new(PooledClient::new())));
+    let entry = Arc::new(Entry::new(settings, Arc::new(PooledClient::default())));
     let coordinator = Arc::new(Coordinator::new(Arc::clone(&entry)));
     let connections = Arc::new(Connections::default());
     let closing = watch::Sender::new(false);
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -48,6 +48,7 @@
     }
 
     /// Tells when a repeat may succeed.
+    #[must_use]
     pub fn retry_after(self, time: Duration) -> Self {
         Self {
             retry_after: Some(time),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -361,9 +361,8 @@
                 log_event!(Event::RequestFinished, &id, "stream begins server={}", chosen.server.id);
                 return Ok(relay::stream(path, chosen, arriving));
             }
-            match self.read_whole(chosen, arriving).await? {
-                Some(answer) => return Ok(answer),
-                None => continue,
+            if let Some(answer) = self.read_whole(chosen, arriving).await? {
+                return Ok(answer);
             }
         }
     }
@@ -537,8 +536,8 @@
             let left = until(self.deadline - WAY_BACK_MS);
             // What a server lacked is asked for again after a moment without any change.
             let pause = left.min(Duration::from_millis(250));
-            let changed = tokio::time::timeout(pause, changes.changed()).await;
-            if let Ok(Err(_)) = changed {
+            let waited = tokio::time::timeout(pause, changes.changed()).await;
+            if let Ok(Err(_)) = waited {
                 return Err(Failure::not_run(Code::Stopping));
             }
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -229,13 +229,8 @@
     pub fn apply_config(&self, config: Configuration, source: &str) -> bool {
         let version = config.version;
         let in_force = InForce::new(Arc::new(config));
-        {
-            let mut believed = self.believed.lock();
-            let current = believed.config.as_ref().map_or(0, |it| it.config.version);
-            if version <= current {
-                return false;
-            }
-            believed.config = Some(Arc::new(in_force));
+        if !self.believed.lock().put_config(in_force) {
+            return false;
         }
         log_event!(Event::ConfigApplied, "-", "version={version} source={source}");
         self.wake();
@@ -271,24 +266,7 @@
 
     /// Replaces all servers by a list of the store at `revision`.
     pub fn apply_server_list(&self, list: Vec<BackendServer>, revision: u64, now: Millis) {
-        {
-            let mut believed = self.believed.lock();
-            let listed: HashMap<String, BackendServer> = list.into_iter().map(|it| (it.id.clone(), it)).collect();
-            let gone: Vec<String> = believed
-                .servers
-                .keys()
-                .filter(|it| !listed.contains_key(*it))
-                .cloned()
-                .collect();
-            for id in gone {
-                believed.drop_server(&id, now);
-            }
-            for (_, server) in listed {
-                believed.put_server(server);
-            }
-            believed.has_servers = true;
-            believed.servers_revision = believed.servers_revision.max(revision);
-        }
+        self.believed.lock().put_list(list, revision, now);
         self.wake();
     }
 
@@ -366,12 +344,8 @@
 
     /// Takes what engines hold from the coordinator.
     pub fn apply_placement(&self, placed: Vec<Placed>, now: Millis) {
-        {
-            let mut believed = self.believed.lock();
-            believed.placed = placed.into_iter().map(|it| (it.server.clone(), it)).collect();
-            believed.placed_at = Some(now);
-            believed.missing.clear();
-        }
+        let placed = placed.into_iter().map(|it| (it.server.clone(), it)).collect();
+        self.believed.lock().put_placement(placed, now);
         self.wake();
     }
 
@@ -600,6 +574,36 @@
 }
 
 impl Believed {
+    /// Puts a configuration in force unless the one in force is as new.
+    fn put_config(&mut self, in_force: InForce) -> bool {
+        let current = self.config.as_ref().map_or(0, |it| it.config.version);
+        let is_newer = in_force.config.version > current;
+        if is_newer {
+            self.config = Some(Arc::new(in_force));
+        }
+        is_newer
+    }
+
+    fn put_placement(&mut self, placed: HashMap<String, Placed>, now: Millis) {
+        self.placed = placed;
+        self.placed_at = Some(now);
+        self.missing.clear();
+    }
+
+    fn put_list(&mut self, list: Vec<BackendServer>, revision: u64, now: Millis) {
+        let listed: HashMap<String, BackendServer> = list.into_iter().map(|it| (it.id.clone(), it)).collect();
+        let gone = self.servers.keys().filter(|it| !listed.contains_key(*it));
+        let gone: Vec<String> = gone.cloned().collect();
+        for id in gone {
+            self.drop_server(&id, now);
+        }
+        for (_, server) in listed {
+            self.put_server(server);
+        }
+        self.has_servers = true;
+        self.servers_revision = self.servers_revision.max(revision);
+    }
+
     fn put_server(&mut self, server: BackendServer) {
         let id = server.id.clone();
         let known = KnownServer {
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -15,7 +15,7 @@
 /// Kind of the objects under which entry processes register.
 const MEMBER_KIND: &str = "guava-members";
 /// Longest wait of a watch; a connection that went silent is noticed this late.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a failed call.
 const RETRY_MS: u64 = 200;
 /// Silence of a member from which on its registration is removed.
--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -68,7 +68,7 @@
 
 fn last_id(events: &[u8]) -> Option<String> {
     let text = std::str::from_utf8(events).ok()?;
-    let lines = text.split(['\n', '\r']);
-    let ids = lines.filter_map(|line| line.strip_prefix("id:"));
-    ids.last().map(|id| id.trim().to_owned())
+    let lines = text.rsplit(['\n', '\r']);
+    let mut ids = lines.filter_map(|line| line.strip_prefix("id:"));
+    ids.next().map(|id| id.trim().to_owned())
 }
--- a/crates/fleet/src/placement/orders.rs
+++ b/crates/fleet/src/placement/orders.rs
@@ -138,8 +138,8 @@
         }
     }
 
-    /// Takes the state of an engine that was asked for at `asked`; true when a load has ended.
-    pub fn note_state(&mut self, server: &str, report: &EngineReport, asked: Millis, now: Millis) -> bool {
+    /// Takes the reported state of an engine; true when what it is known to hold has changed.
+    pub fn note_state(&mut self, server: &str, report: &EngineReport, now: Millis) -> bool {
         let Some(engine) = self.engines.get_mut(server) else {
             return false;
         };
@@ -182,7 +182,6 @@
         } else if engine.is_known && report.orders == engine.orders {
             return false;
         }
-        let _ = asked;
         engine.pending = None;
         engine.is_known = true;
         engine.adopt(report.orders, &report.held, now);
--- a/crates/fleet/src/placement/rank.rs
+++ b/crates/fleet/src/placement/rank.rs
@@ -20,6 +20,8 @@
 const SPARE_PART: f64 = 0.1;
 /// Cost of each arrival per second that an engine gets already, in seconds of load time: its streams would pause more.
 const LOAD_COST: f64 = 0.4;
+/// Cost of each model on an engine's disk, in seconds of load time; spreads copies over the engines.
+const DISK_COST: f64 = 0.01;
 /// Cost of a second that a request waits for a reload, in seconds of load time.
 const WAITING_COST: f64 = 4.0;
 /// Replicas of one model that are planned in one round.
@@ -230,7 +232,11 @@
             return;
         }
         let may_use_store = self.store_loads_running() < at_once && self.is_within_ceiling(spec);
-        let replicas = self.replica_counts(service);
+        let outlook = Outlook {
+            spec,
+            wanted,
+            replicas: self.replica_counts(service),
+        };
         let choices = self.engines.values().filter(|it| {
             it.server.service == service
                 && it.takes_orders(now)
@@ -238,7 +244,7 @@
                 && it.plan.is_none()
                 && !it.held.contains_key(model)
         });
-        let choices = choices.filter_map(|it| self.weigh(it, spec, model, wanted, &replicas, now, is_urgent));
+        let choices = choices.filter_map(|it| self.weigh(it, &outlook, model, now, is_urgent));
         let allowed = choices.filter(|it| may_use_store || !it.from_store);
         let Some(best) = allowed.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
             return;
@@ -253,30 +259,26 @@
     }
 
     /// Cost of loading `model` at an engine: the load time and what the models that make way are worth there.
-    #[expect(clippy::too_many_arguments, reason = "the inputs of one decision, all borrowed")]
     fn weigh(
         &self,
         engine: &Engine,
-        spec: &EngineSpec,
+        outlook: &Outlook<'_>,
         model: &str,
-        wanted: &BTreeMap<String, Wanted>,
-        replicas: &HashMap<String, usize>,
         now: Millis,
         is_urgent: bool,
     ) -> Option<Choice> {
+        let spec = outlook.spec;
         let need = spec.models.get(model)?.mb;
         let mut free = spec.memory_mb - engine.used_mb(spec);
-        let load_s = load_ms(engine, spec, model) as f64 / 1_000.0;
-        let mut cost = load_s;
-        let mut candidates: Vec<(f64, &String)> = engine
+        let mut cost = load_ms(engine, spec, model) as f64 / 1_000.0;
+        let movable = engine
             .held
             .iter()
-            .filter(|(name, held)| held.is_ready && !self.is_in_use(engine, name, held, wanted, now, is_urgent))
-            .map(|(name, _)| (self.worth(engine, spec, name, wanted, replicas), name))
-            .collect();
-        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+            .filter(|(name, held)| held.is_ready && !self.is_in_use(engine, name, held, outlook, now, is_urgent));
+        let mut movable: Vec<(f64, &String)> = movable.map(|(name, _)| (outlook.worth(engine, name), name)).collect();
+        movable.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut victims = Vec::new();
-        for (worth, name) in candidates {
+        for (worth, name) in movable {
             if free >= need {
                 break;
             }
@@ -284,9 +286,8 @@
             cost += worth;
             victims.push(name.clone());
         }
-        cost += LOAD_COST * self.rate_at(engine, wanted, replicas);
-        // Spreads copies over the engines' disks.
-        cost += engine.on_disk.len() as f64 * 0.01;
+        cost += LOAD_COST * outlook.rate_at(engine);
+        cost += DISK_COST * engine.on_disk.len() as f64;
         (free >= need).then(|| Choice {
             engine: engine.server.id.clone(),
             victims,
@@ -295,49 +296,21 @@
         })
     }
 
-    /// Arrivals per second at an engine, if the replicas of each model share them evenly.
-    fn rate_at(&self, engine: &Engine, wanted: &BTreeMap<String, Wanted>, replicas: &HashMap<String, usize>) -> f64 {
-        let rates = engine.held.keys().map(|model| {
-            let copies = replicas.get(model).copied().unwrap_or(1).max(1) as f64;
-            wanted.get(model).map_or(0.0, |it| it.rate) / copies
-        });
-        rates.sum()
-    }
-
     fn is_in_use(
         &self,
         engine: &Engine,
         model: &str,
         held: &Held,
-        wanted: &BTreeMap<String, Wanted>,
+        outlook: &Outlook<'_>,
         now: Millis,
         is_urgent: bool,
     ) -> bool {
         let running = self.running_at(&engine.server.id, model, now);
-        let waiting = wanted.get(model).map_or(0, |it| it.waiting);
+        let waiting = outlook.wanted.get(model).map_or(0, |it| it.waiting);
         let is_fresh = now.since(held.since) < DWELL_MS && is_urgent;
         running > 0 || waiting > 0 || is_fresh
     }
 
-    /// What the presence of a model at an engine is worth, in seconds of load time that it saves.
-    fn worth(
-        &self,
-        engine: &Engine,
-        spec: &EngineSpec,
-        model: &str,
-        wanted: &BTreeMap<String, Wanted>,
-        replicas: &HashMap<String, usize>,
-    ) -> f64 {
-        let demand = wanted.get(model).cloned().unwrap_or_default();
-        let copies = replicas.get(model).copied().unwrap_or(1).max(1) as f64;
-        let reload_s = load_ms(engine, spec, model) as f64 / 1_000.0;
-        let use_per_copy = (demand.rate + f64::from(demand.running) / RUNNING_VALUE) / copies;
-        // A model with one replica sends its next request into a load; with more, the others may be enough.
-        let is_spare = copies > 1.0 && demand.tokens_per_s < TOKENS_PER_REPLICA * (copies - 1.0);
-        let part = if is_spare { SPARE_PART } else { 1.0 };
-        use_per_copy * reload_s * part * WAITING_COST
-    }
-
     fn send_plans(&mut self, now: Millis, orders: &mut Vec<Order>) {
         let mut next = Vec::new();
         for engine in self.engines.values_mut() {
@@ -438,6 +411,41 @@
     }
 }
 
+/// What decides between the engines for one load.
+struct Outlook<'a> {
+    spec: &'a EngineSpec,
+    wanted: &'a BTreeMap<String, Wanted>,
+    /// Replicas by model.
+    replicas: HashMap<String, usize>,
+}
+
+impl Outlook<'_> {
+    fn copies(&self, model: &str) -> f64 {
+        self.replicas.get(model).copied().unwrap_or(1).max(1) as f64
+    }
+
+    /// Arrivals per second at an engine, if the replicas of each model share them evenly.
+    fn rate_at(&self, engine: &Engine) -> f64 {
+        let rates = engine.held.keys().map(|model| {
+            let rate = self.wanted.get(model).map_or(0.0, |it| it.rate);
+            rate / self.copies(model)
+        });
+        rates.sum()
+    }
+
+    /// What the presence of a model at an engine is worth, in seconds of load time that it saves.
+    fn worth(&self, engine: &Engine, model: &str) -> f64 {
+        let demand = self.wanted.get(model).cloned().unwrap_or_default();
+        let copies = self.copies(model);
+        let reload_s = load_ms(engine, self.spec, model) as f64 / 1_000.0;
+        let use_per_copy = (demand.rate + f64::from(demand.running) / RUNNING_VALUE) / copies;
+        // A model with one replica sends its next request into a load; with more, the others may be enough.
+        let is_spare = copies > 1.0 && demand.tokens_per_s < TOKENS_PER_REPLICA * (copies - 1.0);
+        let part = if is_spare { SPARE_PART } else { 1.0 };
+        use_per_copy * reload_s * part * WAITING_COST
+    }
+}
+
 impl Engine {
     fn order(&self, kind: OrderKind, model: &str) -> Order {
         Order {
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -98,11 +98,10 @@
 impl Buckets {
     /// Bucket of an organisation with the given limits, made as of `since` at `part` of its burst when it is new.
     pub fn bucket(&mut self, since: Millis, name: &str, rate: f64, burst: f64, part: f64) -> &mut Bucket {
-        if !self.by_name.contains_key(name) {
-            self.by_name
-                .insert(name.to_owned(), Bucket::new(since, rate, burst, part));
-        }
-        let bucket = self.by_name.get_mut(name).expect("inserted above");
+        let bucket = self
+            .by_name
+            .entry(name.to_owned())
+            .or_insert_with(|| Bucket::new(since, rate, burst, part));
         if (bucket.rate - rate).abs() > f64::EPSILON || (bucket.burst - burst).abs() > f64::EPSILON {
             bucket.set_limits(since, rate, burst);
         }
--- /dev/null
+++ b/crates/fleet/tests/placement.rs
@@ -0,0 +1,486 @@
+//! Placement against fake engines that answer late, not at all, or carry orders out seconds later.
+//!
+//! The fake engines are the judge: they panic when an order would load more than they have room for.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use guava_core::units::Millis;
+use guava_fleet::model::{BackendServer, EngineSpec, HeldModel, ModelSpec, ServerState};
+use guava_fleet::placement::{Demand, EngineReport, Order, OrderKind, OrderOutcome, Placement, Running};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const SERVICE: &str = "advice";
+const STEP_MS: u64 = 20;
+const REPORT_LAG_MS: u64 = 100;
+const ADAPTERS: usize = 20;
+
+/// Faults of one run.
+#[derive(Clone, Copy)]
+struct Faults {
+    /// Part of the orders that are not answered and carried out 2 to 12 s later.
+    late: f64,
+    /// Part of the reports that are lost.
+    lost_reports: f64,
+}
+
+/// Order under way.
+struct Busy {
+    until: u64,
+    order: Order,
+}
+
+struct FakeEngine {
+    spec: EngineSpec,
+    orders: u64,
+    held: BTreeMap<String, BTreeSet<String>>,
+    on_disk: BTreeSet<String>,
+    busy: Option<Busy>,
+    /// Adapters that leave when their requests have ended.
+    leaving: Vec<(u64, String, String)>,
+    late: Vec<(u64, Order)>,
+    history: VecDeque<(u64, EngineReport)>,
+}
+
+impl FakeEngine {
+    fn new(spec: &EngineSpec, models: &[&str]) -> Self {
+        Self {
+            spec: spec.clone(),
+            orders: 0,
+            held: models.iter().map(|it| ((*it).to_owned(), BTreeSet::new())).collect(),
+            on_disk: models.iter().map(|it| (*it).to_owned()).collect(),
+            busy: None,
+            leaving: Vec::new(),
+            late: Vec::new(),
+            history: VecDeque::new(),
+        }
+    }
+
+    fn used_mb(&self) -> f64 {
+        let models: f64 = self.held.keys().map(|it| self.spec.models[it].mb).sum();
+        let adapters = self
+            .held
+            .iter()
+            .map(|(model, held)| self.spec.models[model].adapter_mb * held.len() as f64);
+        let loading = self.busy.as_ref().filter(|it| it.order.kind == OrderKind::Load);
+        let loading = loading.map_or(0.0, |it| self.spec.models[&it.order.model].mb);
+        models + adapters.sum::<f64>() + loading
+    }
+
+    fn adapters(&self) -> usize {
+        self.held.values().map(BTreeSet::len).sum()
+    }
+
+    fn take(&mut self, order: &Order, now: u64, rng: &mut ChaCha8Rng) -> OrderOutcome {
+        if order.follows != self.orders || self.busy.is_some() {
+            return OrderOutcome::Conflict;
+        }
+        self.orders += 1;
+        let model = &order.model;
+        match &order.kind {
+            OrderKind::Load => {
+                let need = self.spec.models[model].mb;
+                assert!(
+                    self.used_mb() + need <= self.spec.memory_mb,
+                    "{model} does not fit at {now} ms"
+                );
+                let at_hand = self.on_disk.contains(model);
+                let load = if at_hand {
+                    self.spec.models[model].disk_ms
+                } else {
+                    self.spec.models[model].store_ms
+                };
+                self.busy = Some(Busy {
+                    until: now + load,
+                    order: order.clone(),
+                });
+                OrderOutcome::Accepted
+            }
+            OrderKind::Unload => {
+                let until = now + rng.random_range(0..2_000);
+                self.busy = Some(Busy {
+                    until,
+                    order: order.clone(),
+                });
+                OrderOutcome::Accepted
+            }
+            OrderKind::LoadAdapter(adapter) => {
+                let Some(held) = self.held.get_mut(model) else {
+                    return OrderOutcome::Refused;
+                };
+                held.insert(adapter.clone());
+                assert!(
+                    self.adapters() <= self.spec.adapter_slots as usize,
+                    "a ninth adapter at {now} ms"
+                );
+                OrderOutcome::Accepted
+            }
+            OrderKind::UnloadAdapter(adapter) => {
+                if rng.random_bool(0.3) {
+                    self.leaving
+                        .push((now + rng.random_range(0..3_000), model.clone(), adapter.clone()));
+                    return OrderOutcome::Accepted;
+                }
+                if let Some(held) = self.held.get_mut(model) {
+                    held.remove(adapter);
+                }
+                OrderOutcome::Done
+            }
+        }
+    }
+
+    fn step(&mut self, now: u64, rng: &mut ChaCha8Rng) {
+        if self.busy.as_ref().is_some_and(|it| it.until <= now)
+            && let Some(busy) = self.busy.take()
+        {
+            if busy.order.kind == OrderKind::Load {
+                self.held.insert(busy.order.model.clone(), BTreeSet::new());
+                self.on_disk.insert(busy.order.model);
+            } else {
+                self.held.remove(&busy.order.model);
+            }
+        }
+        let (ended, leaving) = std::mem::take(&mut self.leaving)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now);
+        self.leaving = leaving;
+        let ended: Vec<(u64, String, String)> = ended;
+        for (_, model, adapter) in ended {
+            if let Some(held) = self.held.get_mut(&model) {
+                held.remove(&adapter);
+            }
+        }
+        let (due, late) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.late = late;
+        let due: Vec<(u64, Order)> = due;
+        for (_, order) in due {
+            self.take(&order, now, rng);
+        }
+        self.history.push_back((now, self.report()));
+        while self.history.len() > 1 && self.history[1].0 + REPORT_LAG_MS <= now {
+            self.history.pop_front();
+        }
+    }
+
+    fn report(&self) -> EngineReport {
+        let held = self.held.iter().map(|(name, adapters)| HeldModel {
+            name: name.clone(),
+            adapters: adapters.iter().cloned().collect(),
+        });
+        EngineReport {
+            orders: self.orders,
+            is_busy: self.busy.is_some(),
+            held: held.collect(),
+            in_memory: Vec::new(),
+            on_disk: self.on_disk.iter().cloned().collect(),
+        }
+    }
+
+    fn lagging_report(&self) -> EngineReport {
+        self.history.front().map_or_else(|| self.report(), |(_, it)| it.clone())
+    }
+}
+
+fn spec(models: usize) -> EngineSpec {
+    let model = |at: usize| {
+        let mb = if at.is_multiple_of(3) { 34_300.0 } else { 72_700.0 };
+        let spec = ModelSpec {
+            mb,
+            adapter_mb: 66.0,
+            store_ms: 6_000,
+            disk_ms: 1_300,
+            host_ms: 600,
+        };
+        (format!("m{at}"), spec)
+    };
+    EngineSpec {
+        slots: 64,
+        memory_mb: 200_000.0,
+        adapter_slots: 8,
+        loads_per_s: 2.6,
+        host_mb: 140_000.0,
+        models: (0..models).map(model).collect(),
+    }
+}
+
+fn server(at: usize, held: &[&str]) -> BackendServer {
+    let model = |name: &&str| HeldModel {
+        name: (*name).to_owned(),
+        adapters: Vec::new(),
+    };
+    BackendServer {
+        id: format!("i-{at}"),
+        service: SERVICE.to_owned(),
+        address: ([127, 0, 0, 1], 8_000 + at as u16).into(),
+        zone: "caerdydd".to_owned(),
+        slots: 64,
+        state: ServerState::Ready,
+        born_ms: 1,
+        leaves_in_ms: None,
+        held: held.iter().map(model).collect(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+/// Virtual deployment with one coordinator.
+struct Fleet {
+    now: u64,
+    placement: Placement,
+    servers: Vec<BackendServer>,
+    engines: HashMap<String, FakeEngine>,
+    answers: Vec<(u64, Order, OrderOutcome)>,
+    faults: Faults,
+    rng: ChaCha8Rng,
+    /// Time of each load, and whether it came from the weight store.
+    loads: Vec<(u64, bool)>,
+}
+
+impl Fleet {
+    fn new(engines: usize, spec: &EngineSpec, faults: Faults, seed: u64) -> Self {
+        let mut placement = Placement::default();
+        placement.set_specs(HashMap::from([(SERVICE.to_owned(), spec.clone())]));
+        let mut servers = Vec::new();
+        let mut fakes = HashMap::new();
+        for at in 0..engines {
+            let names = [format!("m{}", 2 * at), format!("m{}", 2 * at + 1)];
+            let names: Vec<&str> = names.iter().map(String::as_str).collect();
+            let server = server(at, &names);
+            fakes.insert(server.id.clone(), FakeEngine::new(spec, &names));
+            servers.push(server);
+        }
+        Self {
+            now: 1_000,
+            placement,
+            servers,
+            engines: fakes,
+            answers: Vec::new(),
+            faults,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            loads: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, demand: Vec<Demand>, running: Vec<Running>) {
+        self.now += STEP_MS;
+        let at = Millis(self.now);
+        for engine in self.engines.values_mut() {
+            engine.step(self.now, &mut self.rng);
+        }
+        self.placement.set_servers(&self.servers, at);
+        self.placement.note_report("vm", demand, running, at);
+        let (due, waiting) = std::mem::take(&mut self.answers)
+            .into_iter()
+            .partition(|(when, ..)| *when <= self.now);
+        self.answers = waiting;
+        let due: Vec<(u64, Order, OrderOutcome)> = due;
+        for (_, order, outcome) in due {
+            self.placement.note_outcome(&order, outcome, at);
+        }
+        for order in self.placement.next_orders(at) {
+            self.send(order);
+        }
+        for server in self.placement.polls(at) {
+            if self.rng.random_bool(self.faults.lost_reports) {
+                self.placement.note_poll_failed(&server.id, at);
+            } else {
+                let report = self.engines[&server.id].lagging_report();
+                self.placement.note_state(&server.id, &report, at);
+            }
+        }
+    }
+
+    fn send(&mut self, order: Order) {
+        let engine = self.engines.get_mut(&order.server).expect("orders name known engines");
+        if order.kind == OrderKind::Load {
+            self.loads.push((self.now, !engine.on_disk.contains(&order.model)));
+        }
+        if self.rng.random_bool(self.faults.late) {
+            let when = self.now + self.rng.random_range(2_000..12_000);
+            engine.late.push((when, order.clone()));
+            self.answers.push((self.now + 400, order, OrderOutcome::Unanswered));
+            return;
+        }
+        let outcome = engine.take(&order, self.now, &mut self.rng);
+        self.answers.push((self.now + STEP_MS, order, outcome));
+    }
+
+    fn holders(&self, model: &str) -> usize {
+        self.engines.values().filter(|it| it.held.contains_key(model)).count()
+    }
+}
+
+fn waiting(model: &str, adapter: Option<String>, count: u32) -> Demand {
+    Demand {
+        service: SERVICE.to_owned(),
+        model: model.to_owned(),
+        adapter,
+        waiting: count,
+        oldest_ms: 100,
+        arrived: 1,
+        prompt_tokens: 1_460,
+    }
+}
+
+/// Guards against orders that overfill an engine, which crashes it: an adapter that is still in use, an order that was
+/// not answered, or one that is carried out after newer ones counted wrongly.
+#[rstest]
+fn engines_are_never_overfilled(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64, #[values(0.0, 0.1, 0.35)] late: f64) {
+    let spec = spec(24);
+    let faults = Faults {
+        late,
+        lost_reports: late / 2.0,
+    };
+    let mut fleet = Fleet::new(4, &spec, faults, seed);
+    let mut choices = ChaCha8Rng::seed_from_u64(seed + 100);
+    let mut demand = Vec::new();
+
+    for step in 0..4_000 {
+        if step % 10 == 0 {
+            let model = format!("m{}", choices.random_range(0..24_usize));
+            let adapter = format!("a{}", choices.random_range(0..ADAPTERS));
+            let busy = format!("m{}", choices.random_range(0..3_usize));
+            demand = vec![waiting(&model, None, 2), waiting(&busy, Some(adapter), 1)];
+        }
+        fleet.step(demand.clone(), Vec::new());
+    }
+
+    let orders: u64 = fleet.engines.values().map(|it| it.orders).sum();
+    assert!(orders > 100, "only {orders} orders were carried out");
+}
+
+/// Guards against a waiting model that is never loaded.
+#[rstest]
+fn a_waiting_model_is_loaded(#[values(1, 2, 3)] seed: u64) {
+    let spec = spec(24);
+    let mut fleet = Fleet::new(
+        4,
+        &spec,
+        Faults {
+            late: 0.0,
+            lost_reports: 0.0,
+        },
+        seed,
+    );
+
+    let mut steps = 0;
+    while fleet.holders("m20") == 0 && steps < 1_000 {
+        fleet.step(vec![waiting("m20", None, 1)], Vec::new());
+        steps += 1;
+    }
+
+    let took_ms = steps * STEP_MS;
+    assert!(took_ms < 9_000, "loaded after {took_ms} ms");
+}
+
+/// Guards against more loads from the weight store than it allows in any 5 s.
+#[rstest]
+fn loads_from_the_store_keep_to_its_rate(#[values(1, 2, 3)] seed: u64) {
+    let mut spec = spec(40);
+    spec.loads_per_s = 0.4;
+    let mut fleet = Fleet::new(
+        8,
+        &spec,
+        Faults {
+            late: 0.0,
+            lost_reports: 0.0,
+        },
+        seed,
+    );
+
+    for step in 0..2_000 {
+        let model = format!("m{}", step / 25 % 40);
+        fleet.step(vec![waiting(&model, None, 3)], Vec::new());
+    }
+
+    let from_store: Vec<u64> = fleet
+        .loads
+        .iter()
+        .filter(|(_, store)| *store)
+        .map(|(at, _)| *at)
+        .collect();
+    let most = from_store
+        .iter()
+        .map(|start| {
+            from_store
+                .iter()
+                .filter(|it| (*start..start + 5_000).contains(*it))
+                .count()
+        })
+        .max();
+    assert!(most.unwrap_or(0) <= 2, "{most:?} loads within 5 s");
+}
+
+/// Guards against a newly busy model that stays with one replica: demand moved to it, and its streams paused for too
+/// long.
+#[rstest]
+fn a_model_in_sudden_demand_gets_replicas(#[values(1, 2, 3)] seed: u64) {
+    let spec = spec(24);
+    let mut fleet = Fleet::new(
+        8,
+        &spec,
+        Faults {
+            late: 0.0,
+            lost_reports: 0.0,
+        },
+        seed,
+    );
+    for _ in 0..100 {
+        fleet.step(Vec::new(), Vec::new());
+    }
+
+    let started = fleet.now;
+    while fleet.holders("m3") < 3 && fleet.now < started + 20_000 {
+        let mut demand = waiting("m3", None, 0);
+        demand.arrived = u32::from(fleet.now % 100 == 0);
+        demand.prompt_tokens = u64::from(demand.arrived) * 1_460;
+        fleet.step(vec![demand], Vec::new());
+    }
+
+    let took_ms = fleet.now - started;
+    assert!(
+        fleet.holders("m3") >= 3,
+        "{} replicas after {took_ms} ms",
+        fleet.holders("m3")
+    );
+    assert!(took_ms < 15_000, "three replicas after {took_ms} ms");
+}
+
+/// Guards against an order of a new coordinator within the gap after its predecessor's last one.
+#[rstest]
+fn a_new_coordinator_keeps_the_gap() {
+    let spec = spec(24);
+    let mut fleet = Fleet::new(
+        4,
+        &spec,
+        Faults {
+            late: 0.0,
+            lost_reports: 0.0,
+        },
+        1,
+    );
+    fleet.step(Vec::new(), Vec::new());
+    let from = Millis(fleet.now + 3_000);
+    let quiet = |engine: &str| if engine == "i-0" { from } else { Millis(0) };
+    fleet.placement.start_term(Millis(fleet.now), quiet);
+
+    let mut first = HashMap::new();
+    for at in 0..300 {
+        let before: HashMap<String, u64> = fleet.engines.iter().map(|(id, it)| (id.clone(), it.orders)).collect();
+        fleet.step(vec![waiting(&format!("m{}", 8 + at % 16), None, 1)], Vec::new());
+        for (id, engine) in &fleet.engines {
+            if engine.orders > before[id] {
+                first.entry(id.clone()).or_insert(fleet.now);
+            }
+        }
+    }
+
+    assert!(first.get("i-0").is_none_or(|it| *it >= from.0), "{first:?}");
+    assert!(
+        first.values().any(|it| *it < from.0),
+        "no engine got an order at once: {first:?}"
+    );
+}
