Follow configuration, servers and placement by a feed from the coordinator

Only the coordinator watches it now; the others long poll it, or in a large fleet one another in a tree, and watch the store themselves when the view they are told is over 1.3 s old. Entries that differ only in what an engine holds are not passed on, as the placement tells that.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -101,6 +101,7 @@
     SettingsReloaded = 4016, Info, "The settings file was read again.";
     SettingsRefused = 4017, Error, "The settings file has faults; the settings in force stay.";
     PeerMessageRefused = 4018, Warn, "A message of another process cannot be read.";
+    SourceChanged = 4019, Info, "This process begins or ends to watch the platform itself.";
 
     // 5xxx: platform.
     PlatformUnavailable = 5001, Warn, "The platform's object service does not answer.";
--- /dev/null
+++ b/crates/entry/src/believed.rs
@@ -0,0 +1,284 @@
+//! What the process believes of its deployment: configuration, backend servers, what engines hold, other processes.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use guava_core::units::Millis;
+use guava_fleet::model::{BackendServer, HeldModel, ServerState};
+use guava_fleet::placement::Placed;
+use guava_fleet::routes::InForce;
+
+use crate::state::{CoordinatorHint, KnownMember};
+
+/// Time after which what the coordinator told no longer goes before the servers' own entries.
+const PLACED_VALID_MS: u64 = 3_000;
+/// Time for which a server that lacked a model is not asked for it again; its entry or the coordinator's view is late.
+const MISSING_MS: u64 = 300;
+/// Time after the store's return in which the entries of live servers come back.
+pub const LAPSE_GRACE_MS: u64 = 2_200;
+/// Silence of the store after which missing entries may have lapsed with it.
+const LAPSE_GAP_MS: u64 = 2_600;
+/// Entries of removed servers that are kept for followers; one that lacks more gets the whole list.
+const KEPT_REMOVALS: usize = 256;
+
+/// Entry of a server.
+#[derive(Debug, Clone)]
+struct KnownServer {
+    server: Arc<BackendServer>,
+    /// Number of the change that brought its present form.
+    change: u64,
+    /// When the entry went missing right after the store had been away.
+    lapsed: Option<Millis>,
+}
+
+/// Source of what is believed and its age.
+#[derive(Debug, Clone, Copy)]
+struct SourceAge {
+    age_ms: u64,
+    at: Millis,
+}
+
+/// Changes of servers since an earlier state.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ServerChanges {
+    /// Number of the last change.
+    pub change: u64,
+    /// Whether `present` holds all servers.
+    pub is_whole: bool,
+    /// New or changed servers.
+    pub present: Vec<BackendServer>,
+    /// Servers that are gone.
+    pub gone: Vec<String>,
+}
+
+/// Beliefs; [`crate::state::Entry`] holds them behind its lock.
+#[derive(Debug, Default)]
+pub struct Believed {
+    /// Configuration in force.
+    pub config: Option<Arc<InForce>>,
+    /// Other entry processes by VM.
+    pub members: HashMap<String, KnownMember>,
+    /// Who coordinates.
+    pub coordinator: Option<CoordinatorHint>,
+    /// When the store last answered this process.
+    pub store_contact: Option<Millis>,
+    /// Requests from all VMs by server, as last told.
+    pub loads: HashMap<String, u32>,
+    /// Own requests by server when the loads were told.
+    pub own_then: HashMap<String, u32>,
+    /// Whether the servers have been listed at least once.
+    pub has_servers: bool,
+    /// Revision of the store at which the servers last changed.
+    pub servers_revision: u64,
+    servers: HashMap<String, KnownServer>,
+    changes: u64,
+    removed: BTreeMap<u64, String>,
+    store_returned: Option<Millis>,
+    placed: HashMap<String, Placed>,
+    placed_version: (u64, u64),
+    placed_at: Option<Millis>,
+    missing: HashMap<(String, String), Millis>,
+    source: Option<SourceAge>,
+}
+
+impl Believed {
+    /// Puts a configuration in force unless the one in force is as new.
+    pub fn put_config(&mut self, in_force: InForce) -> bool {
+        let current = self.config.as_ref().map_or(0, |it| it.config.version);
+        let is_newer = in_force.config.version > current;
+        if is_newer {
+            self.config = Some(Arc::new(in_force));
+        }
+        is_newer
+    }
+
+    /// Notes an answer of the store; true when it had been away for so long that entries may have lapsed.
+    pub fn note_store_contact(&mut self, now: Millis) -> bool {
+        let has_known = self.store_contact.is_some() || self.source.is_some();
+        let was_away = has_known && self.source_age(now) > LAPSE_GAP_MS;
+        self.store_contact = Some(now);
+        if was_away {
+            self.store_returned = Some(now);
+        }
+        was_away
+    }
+
+    /// Notes how old the beliefs of the process are that this one follows.
+    pub fn note_source(&mut self, age_ms: u64, now: Millis) {
+        self.source = Some(SourceAge { age_ms, at: now });
+    }
+
+    /// Age of the view of the store that the followed process has told.
+    pub fn feed_age(&self, now: Millis) -> u64 {
+        let told = self.source.map(|it| it.age_ms.saturating_add(now.since(it.at)));
+        told.unwrap_or(u64::MAX)
+    }
+
+    /// Time for which the beliefs may be out of date.
+    pub fn source_age(&self, now: Millis) -> u64 {
+        let own = self.store_contact.map_or(u64::MAX, |it| now.since(it));
+        own.min(self.feed_age(now))
+    }
+
+    /// Replaces all servers; true when followers should learn it.
+    pub fn put_list(&mut self, list: Vec<BackendServer>, revision: u64, now: Millis) -> bool {
+        let before = self.changes;
+        let listed: HashMap<String, BackendServer> = list.into_iter().map(|it| (it.id.clone(), it)).collect();
+        let gone = self.servers.keys().filter(|it| !listed.contains_key(*it));
+        let gone: Vec<String> = gone.cloned().collect();
+        for id in gone {
+            self.drop_server(&id, now);
+        }
+        for (_, server) in listed {
+            self.put_server(server);
+        }
+        let is_first = !std::mem::replace(&mut self.has_servers, true);
+        self.servers_revision = self.servers_revision.max(revision);
+        is_first || self.changes != before
+    }
+
+    /// Takes a server's entry; true when followers should learn it.
+    pub fn put_server(&mut self, server: BackendServer) -> bool {
+        let known = self.servers.get(&server.id);
+        let is_same = known.is_some_and(|it| it.lapsed.is_none() && has_same_standing(&it.server, &server));
+        if !is_same {
+            self.changes += 1;
+        }
+        let change = known.filter(|_| is_same).map_or(self.changes, |it| it.change);
+        let known = KnownServer {
+            server: Arc::new(server),
+            change,
+            lapsed: None,
+        };
+        self.servers.insert(known.server.id.clone(), known);
+        !is_same
+    }
+
+    /// Takes the removal of a server's entry; true when followers should learn it.
+    pub fn drop_server(&mut self, id: &str, now: Millis) -> bool {
+        let has_just_returned = self.store_returned.is_some_and(|it| now.since(it) < LAPSE_GRACE_MS);
+        match self.servers.get_mut(id) {
+            Some(known) if has_just_returned && known.server.state == ServerState::Ready => {
+                known.lapsed.get_or_insert(now);
+                false
+            }
+            Some(_) => {
+                self.remove(id);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Drops servers whose entries did not come back after the store's return, and counts them.
+    pub fn drop_lapsed(&mut self, now: Millis) -> usize {
+        let is_over = |it: &KnownServer| it.lapsed.is_some_and(|since| now.since(since) >= LAPSE_GRACE_MS);
+        let over = self.servers.iter().filter(|(_, it)| is_over(it));
+        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
+        for id in &over {
+            self.remove(id);
+        }
+        over.len()
+    }
+
+    fn remove(&mut self, id: &str) {
+        self.servers.remove(id);
+        self.changes += 1;
+        self.removed.insert(self.changes, id.to_owned());
+        if self.removed.len() > KEPT_REMOVALS {
+            self.removed.pop_first();
+        }
+    }
+
+    /// Known servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Arc<BackendServer>> {
+        self.servers.values().map(|it| &it.server)
+    }
+
+    /// Number of the last change of servers.
+    pub fn change(&self) -> u64 {
+        self.changes
+    }
+
+    /// Server of this id.
+    pub fn server(&self, id: &str) -> Option<&Arc<BackendServer>> {
+        self.servers.get(id).map(|it| &it.server)
+    }
+
+    /// Changes since the numbered one, or all servers when `since` is `None` or too long ago.
+    pub fn changes_since(&self, since: Option<u64>) -> ServerChanges {
+        let oldest_kept = self.removed.first_key_value().map_or(0, |(change, _)| *change);
+        let is_known = |it: &u64| *it <= self.changes && (self.removed.len() < KEPT_REMOVALS || *it + 1 >= oldest_kept);
+        let since = since.filter(is_known);
+        let present = self
+            .servers
+            .values()
+            .filter(|it| since.is_none_or(|since| it.change > since));
+        let gone = since.map(|since| self.removed.range(since + 1..).map(|(_, id)| id.clone()).collect());
+        ServerChanges {
+            change: self.changes,
+            is_whole: since.is_none(),
+            present: present.map(|it| (*it.server).clone()).collect(),
+            gone: gone.unwrap_or_default(),
+        }
+    }
+
+    /// Takes what engines hold from the coordinator of this term.
+    pub fn put_placement(&mut self, version: (u64, u64), placed: Vec<Placed>, now: Millis) {
+        self.placed = placed.into_iter().map(|it| (it.server.clone(), it)).collect();
+        self.placed_version = version;
+        self.placed_at = Some(now);
+        self.missing.clear();
+    }
+
+    /// Notes that the placement of this version is still current.
+    pub fn confirm_placement(&mut self, version: (u64, u64), now: Millis) {
+        if version == self.placed_version {
+            self.placed_at = Some(now);
+        }
+    }
+
+    /// Version of the placement, and the placement itself unless `known` is the same.
+    pub fn placement(&self, known: (u64, u64)) -> ((u64, u64), Option<Vec<Placed>>) {
+        let is_new = known != self.placed_version;
+        let placed = is_new.then(|| self.placed.values().cloned().collect());
+        (self.placed_version, placed)
+    }
+
+    /// Notes that a server turned out not to hold a model.
+    pub fn note_missing(&mut self, server: &str, model: &str, now: Millis) {
+        let key = (server.to_owned(), model.to_owned());
+        self.missing.insert(key, now);
+    }
+
+    /// Whether a server takes requests for the model and adapter.
+    pub fn holds(&self, server: &BackendServer, model: &str, adapter: Option<&str>, now: Millis) -> bool {
+        let key = (server.id.clone(), model.to_owned());
+        if self.missing.get(&key).is_some_and(|it| now.since(*it) < MISSING_MS) {
+            return false;
+        }
+        let is_fresh = self.placed_at.is_some_and(|it| now.since(it) < PLACED_VALID_MS);
+        let placed = self.placed.get(&server.id).filter(|it| it.born_ms == server.born_ms);
+        match placed {
+            Some(placed) if is_fresh => lists(&placed.held, model, adapter),
+            // Neither may be right, and a request that meets the wrong server is refused there without having run.
+            Some(placed) => lists(&placed.held, model, adapter) || server.holds(model, adapter),
+            None => server.holds(model, adapter),
+        }
+    }
+}
+
+fn lists(held: &[HeldModel], model: &str, adapter: Option<&str>) -> bool {
+    let has_adapter = |it: &HeldModel| adapter.is_none_or(|name| it.adapters.iter().any(|held| held == name));
+    held.iter().any(|it| it.name == model && has_adapter(it))
+}
+
+/// Whether two entries of a server differ only in what its engine holds, which the coordinator tells.
+fn has_same_standing(a: &BackendServer, b: &BackendServer) -> bool {
+    a.state == b.state
+        && a.address == b.address
+        && a.born_ms == b.born_ms
+        && a.service == b.service
+        && a.zone == b.zone
+        && a.slots == b.slots
+}
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -21,12 +21,11 @@
 use guava_platform::{CallError, engine};
 use parking_lot::Mutex;
 use serde_json::json;
-use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::log_event;
-use crate::peers::{self, PlacedAnswer, PlacedQuery, QuotaAnswer, QuotaTake, Report, ReportAnswer, Resign};
-use crate::state::{CoordinatorHint, Entry, now};
+use crate::peers::{self, QuotaAnswer, QuotaTake, Report, ReportAnswer, Resign};
+use crate::state::{CoordinatorHint, Entry, Member, now};
 
 /// Kind of the lease's object in the store.
 const LEASE_KIND: &str = "guava-leases";
@@ -115,7 +114,8 @@
     contact: AtomicU64,
     vms: Mutex<HashMap<String, VmContact>>,
     farewell: Mutex<Option<Farewell>>,
-    version: watch::Sender<(u64, u64)>,
+    /// Term and version of the placement that was told last.
+    published: Mutex<Option<(u64, u64)>>,
 }
 
 impl Coordinator {
@@ -129,7 +129,7 @@
             contact: AtomicU64::new(0),
             vms: Mutex::default(),
             farewell: Mutex::default(),
-            version: watch::Sender::new((0, 0)),
+            published: Mutex::default(),
         }
     }
 
@@ -171,28 +171,6 @@
         }
     }
 
-    /// What engines hold, as soon as it differs from what the caller knows.
-    pub async fn placed(&self, known: PlacedQuery, wait: Duration) -> PlacedAnswer {
-        let mut versions = self.version.subscribe();
-        let known = (known.term, known.version);
-        // The time-out stands for an unchanged placement.
-        let _ = timeout(wait, versions.wait_for(|it| *it != known)).await;
-        let Some(term) = self.term() else {
-            return PlacedAnswer {
-                term: 0,
-                version: 0,
-                placed: None,
-            };
-        };
-        let placement = self.placement.lock();
-        let version = placement.version();
-        PlacedAnswer {
-            term,
-            version,
-            placed: ((term, version) != known).then(|| placement.placed(now())),
-        }
-    }
-
     /// Takes tokens from the central part of an organisation's rate.
     pub fn take_quota(&self, take: &QuotaTake) -> QuotaAnswer {
         let refused = QuotaAnswer {
@@ -263,7 +241,12 @@
         let me = self.entry.settings.vm.as_str();
         let members = self.entry.members();
         let live = members.iter().filter(|it| it.is_live(at));
-        let candidates = live.map(|it| it.member.vm.as_str()).chain([me]);
+        // The coordinator does the most work, so it is one of the VMs with most processor time.
+        let live: Vec<&Member> = live.map(|it| &it.member).collect();
+        let own = self.entry.settings.processor;
+        let most = live.iter().map(|it| it.processor).max().unwrap_or(0).max(own);
+        let strong = live.iter().filter(|it| it.processor >= most).map(|it| it.vm.as_str());
+        let candidates = strong.chain((own >= most).then_some(me));
         // The same VM with an earlier process: that process has ended.
         let farewell = self.farewell.lock();
         let holder_ended = lease.seen().is_some_and(|it| {
@@ -460,19 +443,34 @@
         log_event!(Event::LeaseAcquired, "-", "term={} predecessor={predecessor}", term.0);
     }
 
+    /// Tells this process, and through its feed the others, what engines hold.
+    fn publish(&self) {
+        let Some(term) = self.term() else {
+            return;
+        };
+        let at = now();
+        let (version, placed) = {
+            let placement = self.placement.lock();
+            let version = (term, placement.version());
+            let is_new = self.published.lock().replace(version) != Some(version);
+            (version, is_new.then(|| placement.placed(at)))
+        };
+        self.entry.apply_placement(version, placed, at);
+    }
+
     /// Decides and sends orders while this process coordinates.
     pub async fn place(self: Arc<Self>) {
         loop {
-            if let Some(term) = self.term() {
-                self.round(term);
+            if self.coordinates() {
+                self.round();
             }
             sleep(ROUND).await;
         }
     }
 
-    fn round(self: &Arc<Self>, term: u64) {
+    fn round(self: &Arc<Self>) {
         let at = now();
-        let (polls, orders, version) = {
+        let (polls, orders) = {
             let mut placement = self.placement.lock();
             if let Some(config) = self.entry.config() {
                 let engines = config.config.services.iter();
@@ -482,7 +480,7 @@
             let servers = self.entry.servers();
             placement.set_servers(servers.iter().map(AsRef::as_ref), at);
             let orders = placement.next_orders(at);
-            (placement.polls(at), orders, placement.version())
+            (placement.polls(at), orders)
         };
         for order in orders {
             tokio::spawn(Arc::clone(self).send(order));
@@ -490,15 +488,7 @@
         for server in polls {
             tokio::spawn(Arc::clone(self).poll(server));
         }
-        self.tell(term, version);
-    }
-
-    fn tell(&self, term: u64, version: u64) {
-        self.version.send_if_modified(|it| {
-            let is_new = *it != (term, version);
-            *it = (term, version);
-            is_new
-        });
+        self.publish();
     }
 
     async fn send(self: Arc<Self>, order: Order) {
@@ -551,11 +541,4 @@
         }
         self.publish();
     }
-
-    fn publish(&self) {
-        let version = self.placement.lock().version();
-        if let Some(term) = self.term() {
-            self.tell(term, version);
-        }
-    }
 }
--- /dev/null
+++ b/crates/entry/src/feed.rs
@@ -0,0 +1,188 @@
+//! Feed of configuration, backend servers and placement from one entry process to others.
+//!
+//! Only the coordinator watches the store all the time: each call is counted and paid, and every VM would ask for the
+//! same. The others follow it by long polls, in a large fleet through a tree of followers. Each answer tells how old its
+//! source's view of the store may be; a process whose view is too old watches the store itself until the feed is back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use guava_core::derive_value;
+use guava_core::events::Event;
+use guava_core::rendezvous;
+use guava_fleet::model::{BackendServer, Configuration};
+use guava_fleet::placement::Placed;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::believed;
+use crate::coordinator::Coordinator;
+use crate::log_event;
+use crate::peers;
+use crate::state::{Entry, now};
+
+/// Longest wait of a question without news.
+const WAIT: Duration = Duration::from_millis(500);
+/// Time for the answer beyond the wait.
+const SLACK: Duration = Duration::from_millis(300);
+/// Age of the view of the store from which on a process watches the store itself; a change must be in force within two
+/// seconds.
+const STALE_MS: u64 = 1_300;
+/// Time for which the feed must have been fresh before a process stops watching the store.
+const STEADY_MS: u64 = 1_500;
+/// Followers of one process.
+const FAN_OUT: usize = 12;
+/// Pause after a question that failed or could not be asked.
+const RETRY: Duration = Duration::from_millis(150);
+
+derive_value! {
+    /// What a follower knows.
+    pub struct FeedQuery {
+        /// Process that told it; changes are numbered by each process for itself.
+        pub source: u64,
+        /// Last change of servers.
+        pub change: Option<u64>,
+        /// Version of the configuration.
+        pub config_version: u64,
+        /// Term and version of the placement.
+        pub placed_version: (u64, u64),
+    }
+
+    /// What a follower lacks.
+    pub struct FeedAnswer {
+        /// Process that answers.
+        pub source: u64,
+        /// Age of its view of the store in milliseconds.
+        pub age_ms: u64,
+        /// Newer configuration.
+        pub config: Option<Configuration>,
+        /// Changes of servers.
+        pub servers: Option<FeedServers>,
+        /// Revision of the store at which the servers last changed.
+        pub revision: u64,
+        /// Term and version of the placement; term zero for none.
+        pub placed_version: (u64, u64),
+        /// Newer placement.
+        pub placed: Option<Vec<Placed>>,
+    }
+
+    /// Changes of servers.
+    pub struct FeedServers {
+        /// Number of the last change.
+        pub change: u64,
+        /// Whether `present` holds all servers.
+        pub is_whole: bool,
+        /// New or changed servers.
+        pub present: Vec<BackendServer>,
+        /// Servers that are gone.
+        pub gone: Vec<String>,
+    }
+}
+
+impl From<believed::ServerChanges> for FeedServers {
+    fn from(changes: believed::ServerChanges) -> Self {
+        Self {
+            change: changes.change,
+            is_whole: changes.is_whole,
+            present: changes.present,
+            gone: changes.gone,
+        }
+    }
+}
+
+/// Answers a follower as soon as there is something that it lacks.
+pub async fn answer(entry: &Entry, query: &FeedQuery) -> FeedAnswer {
+    let mut changes = entry.subscribe();
+    let news = timeout(WAIT, async {
+        loop {
+            if let Some(answer) = entry.news_for(query) {
+                return answer;
+            }
+            if changes.changed().await.is_err() {
+                return entry.feed_for(query);
+            }
+        }
+    });
+    news.await.unwrap_or_else(|_| entry.feed_for(query))
+}
+
+/// Follows another process for as long as this one runs.
+pub async fn follow(entry: Arc<Entry>, coordinator: Arc<Coordinator>) {
+    let mut query = FeedQuery {
+        source: 0,
+        change: None,
+        config_version: 0,
+        placed_version: (0, 0),
+    };
+    loop {
+        let Some(address) = source(&entry).filter(|_| !coordinator.coordinates()) else {
+            sleep(RETRY).await;
+            continue;
+        };
+        query.config_version = entry.config().map_or(0, |it| it.config.version);
+        let asked = peers::call::<_, FeedAnswer>(&entry, address, "feed", &query, WAIT + SLACK).await;
+        let answer = match asked {
+            Ok(answer) => answer,
+            Err(e) => {
+                log::debug!("feed of {address}: {e}");
+                entry.note_member_failed(address, now());
+                sleep(RETRY).await;
+                continue;
+            }
+        };
+        if let Some(servers) = &answer.servers {
+            query.change = Some(servers.change);
+        } else if answer.source != query.source {
+            query.change = None;
+        }
+        query.source = answer.source;
+        query.placed_version = answer.placed_version;
+        entry.apply_feed(answer, now());
+    }
+}
+
+/// Process to follow: the coordinator, or in a large fleet a follower that ranks before this one.
+fn source(entry: &Entry) -> Option<SocketAddr> {
+    let coordinator = entry.coordinator()?;
+    let me = entry.settings.vm.as_str();
+    if coordinator.vm == me {
+        return None;
+    }
+    let at = now();
+    let members = entry.members();
+    let others = members
+        .iter()
+        .filter(|it| it.is_live(at) && it.member.vm != coordinator.vm);
+    let names = others.map(|it| it.member.vm.as_str()).chain([me]);
+    let ranked = rendezvous::rank("feed", names, |it| *it);
+    let rank = ranked.iter().position(|it| *it == me)?;
+    if rank < FAN_OUT {
+        return Some(coordinator.address);
+    }
+    let parent = ranked[(rank - FAN_OUT) / FAN_OUT];
+    let parent = members.iter().find(|it| it.member.vm == parent)?;
+    Some(parent.member.address)
+}
+
+/// Decides whether this process watches the store itself, for as long as it runs.
+pub async fn choose_source(entry: Arc<Entry>, coordinator: Arc<Coordinator>, direct: watch::Sender<bool>) {
+    let mut fresh_since = None;
+    loop {
+        let at = now();
+        let is_needed = coordinator.coordinates() || entry.feed_age_ms(at) > STALE_MS;
+        if is_needed {
+            fresh_since = None;
+        } else {
+            fresh_since.get_or_insert(at);
+        }
+        let is_steady = fresh_since.is_some_and(|it| at.since(it) > STEADY_MS);
+        let is_direct = *direct.borrow();
+        if is_needed != is_direct && (is_needed || is_steady) {
+            direct.send_replace(is_needed);
+            let age = entry.feed_age_ms(at);
+            log_event!(Event::SourceChanged, "-", "watches_store={is_needed} feed_age_ms={age}");
+        }
+        sleep(RETRY / 3).await;
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,9 +4,11 @@
 //! knows with the other entry processes, and one of them at a time, found by a lease, orders loads.
 
 pub mod attempt;
+pub mod believed;
 pub mod callers;
 pub mod client;
 pub mod coordinator;
+pub mod feed;
 pub mod logging;
 pub mod peers;
 pub mod program;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,9 +1,10 @@
 //! Messages between entry processes.
 //!
 //! `exchange` spreads members, configuration, servers and the coordinator by gossip, so that a VM that the store refuses
-//! still learns them. `report` tells the coordinator what waits and runs; `placed` waits for a change of what engines
-//! hold; `quota` takes tokens from the coordinator's part of an organisation's rate. All are repeated safely: the first
-//! three replace what was known, and a lost answer of `quota` only loses tokens. Bodies are postcard.
+//! still learns them. `feed` passes changes on as they come (see [`crate::feed`]). `report` tells the coordinator what
+//! waits and runs. `quota` takes tokens from the coordinator's part of an organisation's rate, `pace` the reading of a
+//! prompt from an engine's pace, and `resign` ends a tenure. All are repeated safely: they replace what was known, and a
+//! lost answer of `quota` or `pace` only loses tokens. Bodies are postcard.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,7 +14,7 @@
 use guava_core::derive_value;
 use guava_core::events::Event;
 use guava_fleet::model::{BackendServer, Configuration};
-use guava_fleet::placement::{Demand, Placed, Running};
+use guava_fleet::placement::{Demand, Running};
 use guava_platform::CallError;
 use http::Request;
 use rand::seq::IteratorRandom;
@@ -22,6 +23,7 @@
 use tokio::time::sleep;
 
 use crate::coordinator::Coordinator;
+use crate::feed::{self, FeedQuery};
 use crate::log_event;
 use crate::state::{CoordinatorHint, Entry, Member, now};
 
@@ -30,7 +32,7 @@
 /// Time between two exchanges while it does not, which bounds how late a VM learns what others know.
 const EXCHANGE_ALONE_MS: u64 = 300;
 /// Age of the last answer of the store from which on the servers of others are asked for.
-const STORE_AWAY_MS: u64 = 3_500;
+const STORE_AWAY_MS: u64 = 2_500;
 /// Members told in one exchange.
 const TOLD_MEMBERS: usize = 32;
 /// Time for a message between entry processes.
@@ -39,10 +41,10 @@
 const QUOTA_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for the answer of the VM that paces an engine; without one the prompt is sent at once.
 const PACE_TIMEOUT: Duration = Duration::from_millis(60);
+/// VMs for which the time between reports grows by one step.
+const VMS_PER_REPORT_STEP: u32 = 24;
 /// Time between two reports to the coordinator.
 const REPORT: Duration = Duration::from_millis(250);
-/// Time for which a question for the placement waits for a change.
-pub const PLACED_WAIT: Duration = Duration::from_secs(1);
 
 derive_value! {
     /// What one process tells another.
@@ -93,24 +95,6 @@
         pub loads: Vec<(String, u32)>,
     }
 
-    /// Question for what engines hold.
-    pub struct PlacedQuery {
-        /// Term of the coordinator that answered last.
-        pub term: u64,
-        /// Version that is known.
-        pub version: u64,
-    }
-
-    /// What engines hold.
-    pub struct PlacedAnswer {
-        /// Term of the coordinator; zero when the process does not coordinate.
-        pub term: u64,
-        /// Version.
-        pub version: u64,
-        /// Placement, when it has changed.
-        pub placed: Option<Vec<Placed>>,
-    }
-
     /// Prompt to be sent to an engine.
     pub struct PaceTake {
         /// Engine.
@@ -187,9 +171,9 @@
             let report: Report = read(body)?;
             postcard::to_stdvec(&coordinator.take_report(report)).ok()
         }
-        "placed" => {
-            let query: PlacedQuery = read(body)?;
-            postcard::to_stdvec(&coordinator.placed(query, PLACED_WAIT).await).ok()
+        "feed" => {
+            let query: FeedQuery = read(body)?;
+            postcard::to_stdvec(&feed::answer(entry, &query).await).ok()
         }
         "resign" => {
             let resign: Resign = read(body)?;
@@ -225,7 +209,7 @@
         coordinator: entry.coordinator(),
         config: None,
         servers: None,
-        wants_servers: entry.store_age_ms(now()) > STORE_AWAY_MS,
+        wants_servers: entry.source_age_ms(now()) > STORE_AWAY_MS,
     }
 }
 
@@ -272,7 +256,7 @@
 /// Exchanges with processes chosen at random, for as long as the process runs.
 pub async fn gossip(entry: Arc<Entry>) {
     loop {
-        let lacks_store = entry.store_age_ms(now()) > STORE_AWAY_MS;
+        let lacks_store = entry.source_age_ms(now()) > STORE_AWAY_MS;
         let address = {
             let mut addresses: Vec<SocketAddr> = entry.members().iter().map(|it| it.member.address).collect();
             addresses.extend(entry.settings.seeds.iter().filter(|it| **it != entry.settings.peers));
@@ -312,37 +296,10 @@
         if let Some(answer) = answer.filter(|it| it.coordinates) {
             entry.apply_loads(answer.loads);
         }
-        let _ = tokio::time::timeout(REPORT, entry.demand_changed.notified()).await;
-    }
-}
-
-/// Follows what engines hold, as the coordinator knows it.
-pub async fn follow_placement(entry: Arc<Entry>, coordinator: Arc<Coordinator>) {
-    let mut known = PlacedQuery { term: 0, version: 0 };
-    loop {
-        let answer = if coordinator.coordinates() {
-            Some(coordinator.placed(known.clone(), PLACED_WAIT).await)
-        } else if let Some(hint) = entry.coordinator().filter(|it| it.vm != entry.settings.vm) {
-            let timeout = PLACED_WAIT + TIMEOUT;
-            call::<_, PlacedAnswer>(&entry, hint.address, "placed", &known, timeout)
-                .await
-                .ok()
-        } else {
-            None
-        };
-        let Some(answer) = answer.filter(|it| it.term > 0) else {
-            sleep(REPORT).await;
-            continue;
-        };
-        known = PlacedQuery {
-            term: answer.term,
-            version: answer.version,
-        };
-        if let Some(placed) = answer.placed {
-            entry.apply_placement(placed, now());
-        } else {
-            entry.confirm_placement(now());
-        }
+        // In a large fleet each VM reports less often, so that the coordinator's work stays bounded.
+        let pause = REPORT * (1 + entry.vms() as u32 / VMS_PER_REPORT_STEP);
+        // The time-out stands for an unchanged demand.
+        let _ = tokio::time::timeout(pause, entry.demand_changed.notified()).await;
     }
 }
 
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -13,6 +13,7 @@
 use crate::callers::{self, Connections, listen};
 use crate::client::PooledClient;
 use crate::coordinator::Coordinator;
+use crate::feed;
 use crate::log_event;
 use crate::peers;
 use crate::state::{Entry, now};
@@ -79,12 +80,19 @@
         Arc::clone(&connections),
         closing.subscribe(),
     ));
-    tokio::spawn(store_watch::follow_config(Arc::clone(&entry)));
-    tokio::spawn(store_watch::follow_servers(Arc::clone(&entry)));
+    let direct = watch::Sender::new(true);
+    tokio::spawn(store_watch::follow_config(Arc::clone(&entry), direct.subscribe()));
+    tokio::spawn(store_watch::follow_servers(Arc::clone(&entry), direct.subscribe()));
+    tokio::spawn(store_watch::drop_lapsed(Arc::clone(&entry)));
+    tokio::spawn(feed::choose_source(
+        Arc::clone(&entry),
+        Arc::clone(&coordinator),
+        direct,
+    ));
     tokio::spawn(store_watch::register(Arc::clone(&entry)));
     tokio::spawn(peers::gossip(Arc::clone(&entry)));
     tokio::spawn(peers::report(Arc::clone(&entry), Arc::clone(&coordinator)));
-    tokio::spawn(peers::follow_placement(Arc::clone(&entry), Arc::clone(&coordinator)));
+    tokio::spawn(feed::follow(Arc::clone(&entry), Arc::clone(&coordinator)));
     tokio::spawn(Arc::clone(&coordinator).keep_lease());
     tokio::spawn(coordinator.place());
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -24,19 +24,13 @@
 use rustix::time::{ClockId, clock_gettime};
 use tokio::sync::{Notify, watch};
 
+use crate::believed::{Believed, LAPSE_GRACE_MS};
+use crate::feed::{FeedAnswer, FeedQuery};
 use crate::log_event;
 use crate::peers::{PaceAnswer, PaceTake};
 
 /// Silence of a member from which on it does not count as live; members exchange at least every few seconds.
 const MEMBER_SILENT_MS: u64 = 6_000;
-/// Time after which what the coordinator told no longer goes before the servers' own entries.
-const PLACED_VALID_MS: u64 = 3_000;
-/// Time for which a server that lacked a model is not asked for it again; its entry or the coordinator's view is late.
-const MISSING_MS: u64 = 300;
-/// Time after the store's return in which the entries of live servers come back.
-const LAPSE_GRACE_MS: u64 = 2_200;
-/// Silence of the store after which missing entries may have lapsed with it.
-const LAPSE_GAP_MS: u64 = 2_600;
 
 derive_value! {
     /// Another entry process.
@@ -47,6 +41,8 @@
         pub address: SocketAddr,
         /// Start time of the process in milliseconds since the epoch.
         pub incarnation: u64,
+        /// Processor time that the VM has, in hundredths of a core.
+        pub processor: u32,
     }
 
     /// Who coordinates, as far as is known.
@@ -79,34 +75,6 @@
     }
 }
 
-/// Entry of a server and whether it is about to be dropped.
-#[derive(Debug, Clone)]
-struct KnownServer {
-    server: Arc<BackendServer>,
-    /// When the entry went missing right after the store had been away.
-    lapsed: Option<Millis>,
-}
-
-#[derive(Debug, Default)]
-struct Believed {
-    config: Option<Arc<InForce>>,
-    servers: HashMap<String, KnownServer>,
-    /// Whether the servers have been listed at least once.
-    has_servers: bool,
-    /// Revision of the store at which the servers last changed.
-    servers_revision: u64,
-    placed: HashMap<String, Placed>,
-    placed_at: Option<Millis>,
-    loads: HashMap<String, u32>,
-    /// Own requests by server when the loads were reported.
-    own_then: HashMap<String, u32>,
-    missing: HashMap<(String, String), Millis>,
-    members: HashMap<String, KnownMember>,
-    coordinator: Option<CoordinatorHint>,
-    store_contact: Option<Millis>,
-    store_returned: Option<Millis>,
-}
-
 /// Requests in hand.
 #[derive(Debug, Default)]
 struct InHand {
@@ -180,6 +148,7 @@
             vm: self.settings.vm.clone(),
             address: self.settings.peers,
             incarnation: self.incarnation,
+            processor: self.settings.processor,
         }
     }
 
@@ -239,17 +208,7 @@
 
     /// Notes an answer of the store.
     pub fn note_store_contact(&self, now: Millis) {
-        let was_away = {
-            let mut believed = self.believed.lock();
-            let gap = believed.store_contact.map(|it| now.since(it));
-            believed.store_contact = Some(now);
-            let was_away = gap.is_some_and(|it| it > LAPSE_GAP_MS);
-            if was_away {
-                believed.store_returned = Some(now);
-            }
-            was_away
-        };
-        if was_away {
+        if self.believed.lock().note_store_contact(now) {
             log_event!(
                 Event::PlatformAvailable,
                 "-",
@@ -258,50 +217,54 @@
         }
     }
 
-    /// Time since the store last answered.
+    /// Time since the store last answered this process.
     pub fn store_age_ms(&self, now: Millis) -> u64 {
         let contact = self.believed.lock().store_contact;
         contact.map_or(u64::MAX, |it| now.since(it))
     }
 
+    /// Time for which configuration and servers may be out of date.
+    pub fn source_age_ms(&self, now: Millis) -> u64 {
+        self.believed.lock().source_age(now)
+    }
+
+    /// Age of the view of the store that the process that this one follows has told.
+    pub fn feed_age_ms(&self, now: Millis) -> u64 {
+        self.believed.lock().feed_age(now)
+    }
+
     /// Replaces all servers by a list of the store at `revision`.
     pub fn apply_server_list(&self, list: Vec<BackendServer>, revision: u64, now: Millis) {
-        self.believed.lock().put_list(list, revision, now);
-        self.wake();
+        if self.believed.lock().put_list(list, revision, now) {
+            self.wake();
+        }
     }
 
     /// Applies one changed entry; `None` when it was removed or names no usable server.
     pub fn apply_server(&self, id: &str, server: Option<BackendServer>, revision: u64, now: Millis) {
         let state = server.as_ref().map(|it| it.state);
-        let changed = {
+        let is_change = {
             let mut believed = self.believed.lock();
-            let before = believed.servers.get(id).map(|it| it.server.state);
+            believed.servers_revision = believed.servers_revision.max(revision);
             match server {
                 Some(server) => believed.put_server(server),
                 None => believed.drop_server(id, now),
             }
-            believed.servers_revision = believed.servers_revision.max(revision);
-            before != state
         };
-        if changed {
-            match state {
-                Some(ServerState::Ready) => log_event!(Event::ServerListed, "-", "server={id} revision={revision}"),
-                Some(ServerState::Draining) => log_event!(Event::ServerLeaving, "-", "server={id} revision={revision}"),
-                None => log_event!(Event::ServerEnded, "-", "server={id} revision={revision}"),
-            }
+        if !is_change {
+            return;
+        }
+        match state {
+            Some(ServerState::Ready) => log_event!(Event::ServerListed, "-", "server={id} revision={revision}"),
+            Some(ServerState::Draining) => log_event!(Event::ServerLeaving, "-", "server={id} revision={revision}"),
+            None => log_event!(Event::ServerEnded, "-", "server={id} revision={revision}"),
         }
         self.wake();
     }
 
     /// Drops servers whose entries did not come back after the store's return.
     pub fn drop_lapsed(&self, now: Millis) {
-        let mut believed = self.believed.lock();
-        let before = believed.servers.len();
-        believed
-            .servers
-            .retain(|_, it| it.lapsed.is_none_or(|since| now.since(since) < LAPSE_GRACE_MS));
-        let dropped = before - believed.servers.len();
-        drop(believed);
+        let dropped = self.believed.lock().drop_lapsed(now);
         if dropped > 0 {
             log_event!(
                 Event::ServerEnded,
@@ -314,14 +277,12 @@
 
     /// Known servers.
     pub fn servers(&self) -> Vec<Arc<BackendServer>> {
-        let believed = self.believed.lock();
-        believed.servers.values().map(|it| Arc::clone(&it.server)).collect()
+        self.believed.lock().servers().map(Arc::clone).collect()
     }
 
     /// Server of this id.
     pub fn server(&self, id: &str) -> Option<Arc<BackendServer>> {
-        let believed = self.believed.lock();
-        believed.servers.get(id).map(|it| Arc::clone(&it.server))
+        self.believed.lock().server(id).map(Arc::clone)
     }
 
     /// Revision at which the servers last changed.
@@ -342,22 +303,78 @@
         believed.own_then = own;
     }
 
-    /// Takes what engines hold from the coordinator.
-    pub fn apply_placement(&self, placed: Vec<Placed>, now: Millis) {
-        let placed = placed.into_iter().map(|it| (it.server.clone(), it)).collect();
-        self.believed.lock().put_placement(placed, now);
-        self.wake();
+    /// Takes what engines hold, or that it has not changed.
+    pub fn apply_placement(&self, version: (u64, u64), placed: Option<Vec<Placed>>, now: Millis) {
+        match placed {
+            Some(placed) => {
+                self.believed.lock().put_placement(version, placed, now);
+                self.wake();
+            }
+            None => self.believed.lock().confirm_placement(version, now),
+        }
+    }
+
+    /// What a follower lacks; `None` when it lacks nothing.
+    pub fn news_for(&self, query: &FeedQuery) -> Option<FeedAnswer> {
+        let answer = self.feed_for(query);
+        let has_news = answer.config.is_some() || answer.servers.is_some() || answer.placed.is_some();
+        has_news.then_some(answer)
     }
 
-    /// Notes that the coordinator's placement has not changed.
-    pub fn confirm_placement(&self, now: Millis) {
-        self.believed.lock().placed_at = Some(now);
+    /// State of the feed for a follower, with what it lacks.
+    pub fn feed_for(&self, query: &FeedQuery) -> FeedAnswer {
+        let believed = self.believed.lock();
+        let config = believed.config.as_ref();
+        let config = config.filter(|it| it.config.version > query.config_version);
+        let known = query.change.filter(|_| query.source == self.incarnation);
+        let has_changed = known != Some(believed.change()) && believed.has_servers;
+        let (placed_version, placed) = believed.placement(query.placed_version);
+        FeedAnswer {
+            source: self.incarnation,
+            age_ms: believed.source_age(now()),
+            config: config.map(|it| (*it.config).clone()),
+            servers: has_changed.then(|| believed.changes_since(known).into()),
+            revision: believed.servers_revision,
+            placed_version,
+            placed: placed.filter(|_| placed_version.0 > 0),
+        }
+    }
+
+    /// Takes an answer of the process that this one follows.
+    pub fn apply_feed(&self, answer: FeedAnswer, now: Millis) {
+        if let Some(config) = answer.config {
+            self.apply_config(config, "feed");
+        }
+        let is_change = {
+            let mut believed = self.believed.lock();
+            believed.note_source(answer.age_ms, now);
+            let mut is_change = false;
+            if let Some(servers) = answer.servers {
+                if servers.is_whole {
+                    is_change |= believed.put_list(servers.present, answer.revision, now);
+                } else {
+                    for server in servers.present {
+                        is_change |= believed.put_server(server);
+                    }
+                    for id in servers.gone {
+                        is_change |= believed.drop_server(&id, now);
+                    }
+                    believed.servers_revision = believed.servers_revision.max(answer.revision);
+                }
+            }
+            is_change
+        };
+        if is_change {
+            self.wake();
+        }
+        if answer.placed_version.0 > 0 {
+            self.apply_placement(answer.placed_version, answer.placed, now);
+        }
     }
 
     /// Notes that a server turned out not to hold a model.
     pub fn note_missing(&self, server: &str, model: &str, now: Millis) {
-        let key = (server.to_owned(), model.to_owned());
-        self.believed.lock().missing.insert(key, now);
+        self.believed.lock().note_missing(server, model, now);
     }
 
     /// Servers of a service that can take a request for the model, with their load.
@@ -370,17 +387,15 @@
         let own = self.running_by_server();
         let believed = self.believed.lock();
         let ready = believed
-            .servers
-            .values()
-            .filter(|it| it.server.service == service && it.server.state == ServerState::Ready);
-        let able =
-            ready.filter(|it| model.is_none_or(|(name, adapter)| believed.holds(&it.server, name, adapter, now)));
+            .servers()
+            .filter(|it| it.service == service && it.state == ServerState::Ready);
+        let able = ready.filter(|it| model.is_none_or(|(name, adapter)| believed.holds(it, name, adapter, now)));
         let loaded = able.map(|it| {
-            let id = &it.server.id;
+            let id = &it.id;
             let own_now = own.get(id).copied().unwrap_or(0);
             let own_then = believed.own_then.get(id).copied().unwrap_or(0);
             let others = believed.loads.get(id).copied().unwrap_or(0).saturating_sub(own_then);
-            (Arc::clone(&it.server), own_now + others)
+            (Arc::clone(it), own_now + others)
         });
         loaded.collect()
     }
@@ -573,75 +588,6 @@
     }
 }
 
-impl Believed {
-    /// Puts a configuration in force unless the one in force is as new.
-    fn put_config(&mut self, in_force: InForce) -> bool {
-        let current = self.config.as_ref().map_or(0, |it| it.config.version);
-        let is_newer = in_force.config.version > current;
-        if is_newer {
-            self.config = Some(Arc::new(in_force));
-        }
-        is_newer
-    }
-
-    fn put_placement(&mut self, placed: HashMap<String, Placed>, now: Millis) {
-        self.placed = placed;
-        self.placed_at = Some(now);
-        self.missing.clear();
-    }
-
-    fn put_list(&mut self, list: Vec<BackendServer>, revision: u64, now: Millis) {
-        let listed: HashMap<String, BackendServer> = list.into_iter().map(|it| (it.id.clone(), it)).collect();
-        let gone = self.servers.keys().filter(|it| !listed.contains_key(*it));
-        let gone: Vec<String> = gone.cloned().collect();
-        for id in gone {
-            self.drop_server(&id, now);
-        }
-        for (_, server) in listed {
-            self.put_server(server);
-        }
-        self.has_servers = true;
-        self.servers_revision = self.servers_revision.max(revision);
-    }
-
-    fn put_server(&mut self, server: BackendServer) {
-        let id = server.id.clone();
-        let known = KnownServer {
-            server: Arc::new(server),
-            lapsed: None,
-        };
-        self.servers.insert(id, known);
-    }
-
-    fn drop_server(&mut self, id: &str, now: Millis) {
-        let has_just_returned = self.store_returned.is_some_and(|it| now.since(it) < LAPSE_GRACE_MS);
-        match self.servers.get_mut(id) {
-            Some(known) if has_just_returned && known.server.state == ServerState::Ready => {
-                known.lapsed.get_or_insert(now);
-            }
-            _ => {
-                self.servers.remove(id);
-            }
-        }
-    }
-
-    fn holds(&self, server: &BackendServer, model: &str, adapter: Option<&str>, now: Millis) -> bool {
-        let key = (server.id.clone(), model.to_owned());
-        if self.missing.get(&key).is_some_and(|it| now.since(*it) < MISSING_MS) {
-            return false;
-        }
-        let is_fresh = self.placed_at.is_some_and(|it| now.since(it) < PLACED_VALID_MS);
-        let placed = self.placed.get(&server.id).filter(|it| it.born_ms == server.born_ms);
-        match placed {
-            Some(placed) if is_fresh => placed
-                .held
-                .iter()
-                .any(|it| it.name == model && adapter.is_none_or(|name| it.adapters.iter().any(|held| held == name))),
-            _ => server.holds(model, adapter),
-        }
-    }
-}
-
 /// Counts a waiting request; see [`Entry::wait_for_model`].
 #[derive(Debug)]
 pub struct WaitingGuard {
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -7,6 +7,7 @@
 use guava_platform::store::{Changes, Object};
 use guava_platform::{CallError, config, servers};
 use serde_json::json;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::log_event;
@@ -18,35 +19,72 @@
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a failed call.
 const RETRY_MS: u64 = 200;
+/// Longest pause after failed calls in a row; a configuration must be in force within two seconds of the store's return.
+const RETRY_MAX_MS: u64 = 600;
 /// Silence of a member from which on its registration is removed.
 const MEMBER_GONE_MS: u64 = 30_000;
 /// Time between checks of members.
 const MEMBER_CHECK: Duration = Duration::from_secs(5);
 
-async fn pause_after(what: &str, error: &CallError) {
-    log::debug!("{what}: {error}");
-    let jitter = rand::random_range(0..RETRY_MS);
-    sleep(Duration::from_millis(RETRY_MS + jitter)).await;
+/// Pause that doubles with each failure in a row; refused calls are paid as well.
+#[derive(Debug)]
+struct Backoff {
+    pause_ms: u64,
+}
+
+impl Backoff {
+    fn new() -> Self {
+        Self { pause_ms: RETRY_MS }
+    }
+
+    fn reset(&mut self) {
+        self.pause_ms = RETRY_MS;
+    }
+
+    async fn pause_after(&mut self, what: &str, error: &CallError) {
+        log::debug!("{what}: {error}");
+        let jitter = rand::random_range(0..self.pause_ms / 2);
+        sleep(Duration::from_millis(self.pause_ms - jitter)).await;
+        self.pause_ms = (self.pause_ms * 2).min(RETRY_MAX_MS);
+    }
+}
+
+/// Waits until this process watches the store itself; see [`crate::feed`].
+async fn wait_for_turn(direct: &mut watch::Receiver<bool>) {
+    // Fails only when the process ends.
+    let _ = direct.wait_for(|it| *it).await;
+}
+
+/// Drops servers that did not come back after the store's return, for as long as the process runs.
+pub async fn drop_lapsed(entry: Arc<Entry>) {
+    loop {
+        sleep(Duration::from_millis(RETRY_MS)).await;
+        entry.drop_lapsed(now());
+    }
 }
 
 /// Follows the operators' configuration.
-pub async fn follow_config(entry: Arc<Entry>) {
+pub async fn follow_config(entry: Arc<Entry>, mut direct: watch::Receiver<bool>) {
+    let mut backoff = Backoff::new();
     loop {
+        wait_for_turn(&mut direct).await;
         let listing = match entry.store.list(config::KIND).await {
             Ok(listing) => listing,
             Err(e) => {
-                pause_after("list of configurations", &e).await;
+                backoff.pause_after("list of configurations", &e).await;
                 continue;
             }
         };
+        backoff.reset();
         entry.note_store_contact(now());
         for object in &listing.objects {
             take_config(&entry, object);
         }
         let mut revision = listing.revision;
-        loop {
+        while *direct.borrow() {
             match entry.store.watch(config::KIND, revision, WATCH_WAIT).await {
                 Ok(Changes::Since { events, revision: next }) => {
+                    backoff.reset();
                     entry.note_store_contact(now());
                     for (_, object) in events {
                         if let Some(object) = object {
@@ -56,7 +94,7 @@
                     revision = next;
                 }
                 Ok(Changes::HistoryGone) => break,
-                Err(e) => pause_after("watch of configurations", &e).await,
+                Err(e) => backoff.pause_after("watch of configurations", &e).await,
             }
         }
     }
@@ -75,32 +113,35 @@
 }
 
 /// Follows the entries of backend servers.
-pub async fn follow_servers(entry: Arc<Entry>) {
+pub async fn follow_servers(entry: Arc<Entry>, mut direct: watch::Receiver<bool>) {
+    let mut backoff = Backoff::new();
     loop {
+        wait_for_turn(&mut direct).await;
         let listing = match entry.store.list(servers::KIND).await {
             Ok(listing) => listing,
             Err(e) => {
-                pause_after("list of servers", &e).await;
+                backoff.pause_after("list of servers", &e).await;
                 continue;
             }
         };
+        backoff.reset();
         entry.note_store_contact(now());
         let list = listing.objects.iter().filter_map(servers::decode).collect();
         entry.apply_server_list(list, listing.revision, now());
         let mut revision = listing.revision;
-        loop {
+        while *direct.borrow() {
             match entry.store.watch(servers::KIND, revision, WATCH_WAIT).await {
                 Ok(Changes::Since { events, revision: next }) => {
+                    backoff.reset();
                     entry.note_store_contact(now());
                     for (id, object) in events {
                         let server = object.as_ref().and_then(servers::decode);
                         entry.apply_server(&id, server, next, now());
                     }
-                    entry.drop_lapsed(now());
                     revision = next;
                 }
                 Ok(Changes::HistoryGone) => break,
-                Err(e) => pause_after("watch of servers", &e).await,
+                Err(e) => backoff.pause_after("watch of servers", &e).await,
             }
         }
     }
@@ -108,6 +149,7 @@
 
 /// Registers this process, learns the others once, and removes registrations of VMs that are gone.
 pub async fn register(entry: Arc<Entry>) {
+    let mut backoff = Backoff::new();
     let me = entry.me();
     loop {
         let value = json!(me);
@@ -119,7 +161,7 @@
         };
         match written {
             Ok(_) => break,
-            Err(e) => pause_after("registration", &e).await,
+            Err(e) => backoff.pause_after("registration", &e).await,
         }
     }
     loop {
@@ -132,7 +174,7 @@
                 }
                 break;
             }
-            Err(e) => pause_after("list of members", &e).await,
+            Err(e) => backoff.pause_after("list of members", &e).await,
         }
     }
     let started = now();
