Make the coordinator's rounds cheap, relay signs of life, and serve metrics

Inputs are now passed on when they change and counts are made once a round. Members were only live when heard directly, which in a large fleet takes longer than the limit; exchanges now tell how long ago others were heard. The lease is read when the feed is old rather than when reports fail, which at 91 VMs come less often than the limit was.

--- a/crates/entry/src/believed.rs
+++ b/crates/entry/src/believed.rs
@@ -72,6 +72,8 @@
     pub servers_revision: u64,
     servers: HashMap<String, KnownServer>,
     changes: u64,
+    /// Counts every entry that was taken, also those that followers need not learn.
+    entries_taken: u64,
     removed: BTreeMap<u64, String>,
     store_returned: Option<Millis>,
     placed: HashMap<String, Placed>,
@@ -139,6 +141,7 @@
 
     /// Takes a server's entry; true when followers should learn it.
     pub fn put_server(&mut self, server: BackendServer) -> bool {
+        self.entries_taken += 1;
         let known = self.servers.get(&server.id);
         let is_same = known.is_some_and(|it| it.lapsed.is_none() && has_same_standing(&it.server, &server));
         if !is_same {
@@ -182,6 +185,7 @@
     }
 
     fn remove(&mut self, id: &str) {
+        self.entries_taken += 1;
         self.servers.remove(id);
         self.changes += 1;
         self.removed.insert(self.changes, id.to_owned());
@@ -195,6 +199,11 @@
         self.servers.values().map(|it| &it.server)
     }
 
+    /// Grows with every entry of a server that was taken or removed.
+    pub fn entries_taken(&self) -> u64 {
+        self.entries_taken
+    }
+
     /// Number of the last change of servers.
     pub fn change(&self) -> u64 {
         self.changes
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use guava_telemetry::Metrics;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -185,6 +186,15 @@
     .await;
 }
 
+/// Serves the metrics.
+pub async fn serve_metrics(metrics: Metrics, listener: TcpListener) {
+    serve_small(listener, move |_| {
+        let text = metrics.text();
+        async move { (StatusCode::OK, text.into_bytes()) }
+    })
+    .await;
+}
+
 /// Answers messages of other entry processes.
 pub async fn serve_peers(entry: Arc<Entry>, coordinator: Arc<Coordinator>, listener: TcpListener) {
     serve_small(listener, move |req: Request<Incoming>| {
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -6,7 +6,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use guava_core::derive_value;
@@ -24,6 +23,7 @@
 use tokio::time::sleep;
 
 use crate::log_event;
+use crate::metrics;
 use crate::peers::{self, QuotaAnswer, QuotaTake, Report, ReportAnswer, Resign};
 use crate::state::{CoordinatorHint, Entry, Member, now};
 
@@ -41,8 +41,8 @@
     candidate_read_ms: 400,
     retry_ms: 250,
 };
-/// Silence of the coordinator from which on the lease is read.
-const CONTACT_MS: u64 = 900;
+/// Age of the coordinator's view of the store, as its feed tells it, from which on the lease is read.
+const CONTACT_MS: u64 = 1_400;
 /// Time between two rounds of decisions.
 const ROUND: Duration = Duration::from_millis(20);
 /// Age of the store's last answer from which on the coordinator gives up its tenure if another VM reaches the store.
@@ -111,9 +111,10 @@
     placement: Mutex<Placement>,
     quota: Mutex<Buckets>,
     tenure: Mutex<Tenure>,
-    contact: AtomicU64,
     vms: Mutex<HashMap<String, VmContact>>,
     farewell: Mutex<Option<Farewell>>,
+    /// Version of the configuration and count of server entries that the placement has seen.
+    inputs: Mutex<(u64, u64)>,
     /// Term and version of the placement that was told last.
     published: Mutex<Option<(u64, u64)>>,
 }
@@ -126,9 +127,9 @@
             placement: Mutex::default(),
             quota: Mutex::default(),
             tenure: Mutex::default(),
-            contact: AtomicU64::new(0),
             vms: Mutex::default(),
             farewell: Mutex::default(),
+            inputs: Mutex::default(),
             published: Mutex::default(),
         }
     }
@@ -143,13 +144,6 @@
         (tenure.term > 0 && now() < tenure.until).then_some(tenure.term)
     }
 
-    /// Notes whether the coordinator answered a report.
-    pub fn note_contact(&self, answered: bool) {
-        if answered {
-            self.contact.store(now().0, Ordering::Relaxed);
-        }
-    }
-
     /// Takes a VM's report.
     pub fn take_report(&self, report: Report) -> ReportAnswer {
         let coordinates = self.coordinates();
@@ -218,7 +212,7 @@
                 is_released = true;
             }
             self.hand_over_if_cut(&mut lease, at);
-            let has_contact = at.since(Millis(self.contact.load(Ordering::Relaxed))) < CONTACT_MS && at.0 > CONTACT_MS;
+            let has_contact = self.entry.feed_age_ms(at) < CONTACT_MS;
             let current = self.entry.coordinator().map_or(0, |it| it.term);
             let has_resigned = self.farewell.lock().as_ref().is_some_and(|it| it.term >= current);
             let has_contact = has_contact && !has_resigned;
@@ -323,26 +317,12 @@
             }
             lease.abandon(at, REST_MS);
             self.note_tenure(lease);
-            let resign = Resign {
-                term,
-                order_ages: self.placement.lock().order_ages(now()),
-            };
             log_event!(
                 Event::LeaseReleased,
                 "-",
                 "term={term} reason=store age {store_age} ms able_vms={able}"
             );
-            for member in self.entry.members() {
-                let entry = Arc::clone(&self.entry);
-                let resign = resign.clone();
-                tokio::spawn(async move {
-                    let address = member.member.address;
-                    let told = peers::call::<_, bool>(&entry, address, "resign", &resign, RESIGN_TIMEOUT).await;
-                    if let Err(e) = told {
-                        log::debug!("resignation to {address}: {e}");
-                    }
-                });
-            }
+            self.announce_end(term);
             return;
         }
         let last_heard = others.iter().map(|(_, it)| it.at).max();
@@ -358,6 +338,25 @@
         }
     }
 
+    /// Tells all other processes that this one's tenure has ended, so that one takes the lease at once.
+    fn announce_end(&self, term: u64) {
+        let resign = Resign {
+            term,
+            order_ages: self.placement.lock().order_ages(now()),
+        };
+        for member in self.entry.members() {
+            let entry = Arc::clone(&self.entry);
+            let resign = resign.clone();
+            tokio::spawn(async move {
+                let address = member.member.address;
+                let told = peers::call::<_, bool>(&entry, address, "resign", &resign, RESIGN_TIMEOUT).await;
+                if let Err(e) = told {
+                    log::debug!("resignation to {address}: {e}");
+                }
+            });
+        }
+    }
+
     /// Takes the announcement of the coordinator that it has stopped.
     pub fn take_resignation(&self, resign: Resign) -> bool {
         let farewell = Farewell {
@@ -400,6 +399,7 @@
                 LeaseEvent::Released(term) => {
                     self.tenure.lock().term = 0;
                     log_event!(Event::LeaseReleased, "-", "term={}", term.0);
+                    self.announce_end(term.0);
                 }
                 LeaseEvent::Lost(term) => {
                     self.tenure.lock().term = 0;
@@ -476,13 +476,7 @@
         let at = now();
         let (polls, orders) = {
             let mut placement = self.placement.lock();
-            if let Some(config) = self.entry.config() {
-                let engines = config.config.services.iter();
-                let specs = engines.filter_map(|(name, it)| Some((name.clone(), it.engine.clone()?)));
-                placement.set_specs(specs.collect::<HashMap<_, _>>());
-            }
-            let servers = self.entry.servers();
-            placement.set_servers(servers.iter().map(AsRef::as_ref), at);
+            self.update_inputs(&mut placement, at);
             let orders = placement.next_orders(at);
             (placement.polls(at), orders)
         };
@@ -495,6 +489,23 @@
         self.publish();
     }
 
+    /// Passes changes of configuration and servers on to the placement.
+    fn update_inputs(&self, placement: &mut Placement, at: Millis) {
+        let config = self.entry.config();
+        let version = config.as_ref().map_or(0, |it| it.config.version);
+        let entries = self.entry.entries_taken();
+        let (known_version, known_entries) = std::mem::replace(&mut *self.inputs.lock(), (version, entries));
+        if let Some(config) = config.filter(|_| version != known_version) {
+            let engines = config.config.services.iter();
+            let specs = engines.filter_map(|(name, it)| Some((name.clone(), it.engine.clone()?)));
+            placement.set_specs(specs.collect());
+        }
+        if (version, entries) != (known_version, known_entries) {
+            let servers = self.entry.servers();
+            placement.set_servers(servers.iter().map(AsRef::as_ref), at);
+        }
+    }
+
     async fn send(self: Arc<Self>, order: Order) {
         let Some(term) = self.term() else {
             let mut placement = self.placement.lock();
@@ -504,10 +515,14 @@
         let at = now();
         let holder = &self.entry.settings.vm;
         let outcome = engine::send_order(&*self.entry.http, &order, holder, term).await;
-        let event = match outcome {
-            OrderOutcome::Accepted | OrderOutcome::Done => Event::OrderSent,
-            _ => Event::OrderFailed,
+        let (event, label) = match outcome {
+            OrderOutcome::Accepted => (Event::OrderSent, "accepted"),
+            OrderOutcome::Done => (Event::OrderSent, "done"),
+            OrderOutcome::Conflict => (Event::OrderFailed, "conflict"),
+            OrderOutcome::Refused => (Event::OrderFailed, "refused"),
+            OrderOutcome::Unanswered => (Event::OrderFailed, "unanswered"),
         };
+        metrics::order(now().since(at), label);
         log_event!(
             event,
             "-",
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -20,7 +20,7 @@
 use crate::coordinator::Coordinator;
 use crate::log_event;
 use crate::peers;
-use crate::state::{Entry, now};
+use crate::state::{Entry, KnownMember, now};
 
 /// Longest wait of a question without news.
 const WAIT: Duration = Duration::from_millis(500);
@@ -29,6 +29,9 @@
 /// Age of the view of the store from which on a process watches the store itself; a change must be in force within two
 /// seconds.
 const STALE_MS: u64 = 1_300;
+/// Further age for processes that follow another follower: those that follow the coordinator ask the store first, and
+/// tell what it answers.
+const STALE_FOLLOWER_MS: u64 = 350;
 /// Time for which the feed must have been fresh before a process stops watching the store.
 const STEADY_MS: u64 = 1_500;
 /// Followers of one process.
@@ -145,18 +148,12 @@
 /// Process to follow: the coordinator, or in a large fleet a follower that ranks before this one.
 fn source(entry: &Entry) -> Option<SocketAddr> {
     let coordinator = entry.coordinator()?;
-    let me = entry.settings.vm.as_str();
-    if coordinator.vm == me {
+    if coordinator.vm == entry.settings.vm {
         return None;
     }
-    let at = now();
     let members = entry.members();
-    let others = members
-        .iter()
-        .filter(|it| it.is_live(at) && it.member.vm != coordinator.vm);
-    let names = others.map(|it| it.member.vm.as_str()).chain([me]);
-    let ranked = rendezvous::rank("feed", names, |it| *it);
-    let rank = ranked.iter().position(|it| *it == me)?;
+    let ranked = ranked_followers(entry, &members);
+    let rank = ranked.iter().position(|it| *it == entry.settings.vm)?;
     if rank < FAN_OUT {
         return Some(coordinator.address);
     }
@@ -165,12 +162,36 @@
     Some(parent.member.address)
 }
 
+/// Whether this process follows the coordinator itself, or none.
+fn is_first_follower(entry: &Entry) -> bool {
+    let members = entry.members();
+    let ranked = ranked_followers(entry, &members);
+    ranked.iter().take(FAN_OUT).any(|it| *it == entry.settings.vm)
+}
+
+/// Live processes other than the coordinator, in the order in which they follow it.
+fn ranked_followers<'a>(entry: &'a Entry, members: &'a [KnownMember]) -> Vec<&'a str> {
+    let at = now();
+    let coordinator = entry.coordinator();
+    let is_coordinator = |vm: &str| coordinator.as_ref().is_some_and(|it| it.vm == vm);
+    let live = members
+        .iter()
+        .filter(|it| it.is_live(at))
+        .map(|it| it.member.vm.as_str());
+    let names = live
+        .chain([entry.settings.vm.as_str()])
+        .filter(|it| !is_coordinator(it));
+    rendezvous::rank("feed", names, |it| *it)
+}
+
 /// Decides whether this process watches the store itself, for as long as it runs.
 pub async fn choose_source(entry: Arc<Entry>, coordinator: Arc<Coordinator>, direct: watch::Sender<bool>) {
     let mut fresh_since = None;
     loop {
         let at = now();
-        let is_needed = coordinator.coordinates() || entry.feed_age_ms(at) > STALE_MS;
+        let age = entry.feed_age_ms(at);
+        let is_stale = age > STALE_MS + STALE_FOLLOWER_MS || age > STALE_MS && is_first_follower(&entry);
+        let is_needed = coordinator.coordinates() || is_stale;
         if is_needed {
             fresh_since = None;
         } else {
@@ -180,7 +201,6 @@
         let is_direct = *direct.borrow();
         if is_needed != is_direct && (is_needed || is_steady) {
             direct.send_replace(is_needed);
-            let age = entry.feed_age_ms(at);
             log_event!(Event::SourceChanged, "-", "watches_store={is_needed} feed_age_ms={age}");
         }
         sleep(RETRY / 3).await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod coordinator;
 pub mod feed;
 pub mod logging;
+pub mod metrics;
 pub mod peers;
 pub mod program;
 pub mod relay;
--- a/crates/entry/src/logging.rs
+++ b/crates/entry/src/logging.rs
@@ -20,7 +20,10 @@
 /// Fields of a line: time, level, event, VM, request and details.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {K(event)(-)} vm={K(vm)(-)} request={K(request)(-)} {m}{n}";
 
+/// Lines dropped since the last one that was written.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// Lines dropped since the start.
+static DROPPED_IN_ALL: AtomicU64 = AtomicU64::new(0);
 static VM: std::sync::OnceLock<String> = std::sync::OnceLock::new();
 
 /// Logs a numbered event: `log_event!(event, request, "format", arguments)`.
@@ -34,6 +37,7 @@
 
 /// Writes one event.
 pub fn emit(event: guava_core::events::Event, request: &str, detail: std::fmt::Arguments<'_>) {
+    crate::metrics::count(event);
     let vm = VM.get().map_or("-", String::as_str);
     let number = event.to_string();
     log::log!(
@@ -44,6 +48,11 @@
     );
 }
 
+/// Lines dropped since the start.
+pub fn dropped() -> u64 {
+    DROPPED_IN_ALL.load(Ordering::Relaxed)
+}
+
 /// Starts the log.
 pub fn init(vm: &str, level: LevelFilter) {
     // A second start, as in tests, keeps the first name.
@@ -82,6 +91,7 @@
         self.encoder.encode(&mut line, record)?;
         if self.tx.try_send(line.0).is_err() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
+            DROPPED_IN_ALL.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -22,6 +22,9 @@
     /// logged at debug.
     #[arg(long, env = "GUAVA_LOG_LEVEL", default_value = "debug")]
     log_level: LevelFilter,
+    /// Port of the metrics, at /metrics on the address for callers; none are served without it.
+    #[arg(long, env = "GUAVA_METRICS_PORT")]
+    metrics_port: Option<u16>,
     /// Address that other entry processes use for this one, where a forwarder stands before its own.
     #[arg(long, env = "GUAVA_ADVERTISE")]
     advertise: Option<SocketAddr>,
@@ -51,7 +54,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(program::run(settings)) {
+    match runtime.block_on(program::run(settings, args.metrics_port)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("guava-entry: {e}");
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,129 @@
+//! Metrics of the process.
+//!
+//! Each logged event is counted by its number, so that every decision has a counter and the number of series is bounded
+//! by the catalogue of events. Names and units follow Prometheus's conventions.
+
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use guava_core::events::Event;
+use guava_fleet::model::RouteKind;
+use guava_telemetry::Metrics;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Histogram;
+
+use crate::logging;
+use crate::state::{Entry, now};
+
+/// Upper bounds of the histograms in seconds.
+const BOUNDS_S: [f64; 13] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0];
+
+static EVENTS: [AtomicU64; Event::ALL.len()] = [const { AtomicU64::new(0) }; Event::ALL.len()];
+static LATENCIES: OnceLock<Latencies> = OnceLock::new();
+
+#[derive(Debug)]
+struct Latencies {
+    first_byte: Histogram<f64>,
+    model_wait: Histogram<f64>,
+    order: Histogram<f64>,
+}
+
+/// Counts an event.
+pub fn count(event: Event) {
+    let at = Event::ALL.iter().position(|it| *it == event);
+    if let Some(counter) = at.and_then(|at| EVENTS.get(at)) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Notes the time from the arrival of a request to the first byte of its answer.
+pub fn first_byte(kind: RouteKind, ms: u64) {
+    let kind = match kind {
+        RouteKind::Idempotent => "idempotent",
+        RouteKind::NonIdempotent => "non_idempotent",
+        RouteKind::Streaming => "streaming",
+    };
+    record(|it| &it.first_byte, ms, &[KeyValue::new("kind", kind)]);
+}
+
+/// Notes the time for which a request waited for a model.
+pub fn model_wait(ms: u64) {
+    record(|it| &it.model_wait, ms, &[]);
+}
+
+/// Notes the time that an engine took to answer an order.
+pub fn order(ms: u64, outcome: &'static str) {
+    record(|it| &it.order, ms, &[KeyValue::new("outcome", outcome)]);
+}
+
+fn record(of: impl Fn(&Latencies) -> &Histogram<f64>, ms: u64, labels: &[KeyValue]) {
+    if let Some(latencies) = LATENCIES.get() {
+        of(latencies).record(ms as f64 / 1_000.0, labels);
+    }
+}
+
+/// Registers the instruments that read the process's state.
+pub fn register(entry: &std::sync::Arc<Entry>) -> Metrics {
+    let metrics = Metrics::default();
+    let meter = metrics.meter();
+    meter
+        .u64_observable_counter("guava_events")
+        .with_description("Logged events by number")
+        .with_callback(|observer| {
+            for (event, counter) in Event::ALL.iter().zip(&EVENTS) {
+                let count = counter.load(Ordering::Relaxed);
+                if count > 0 {
+                    observer.observe(count, &[KeyValue::new("event", event.to_string())]);
+                }
+            }
+        })
+        .build();
+    let gauge = |name: &'static str, text: &'static str, read: fn(&Entry) -> u64| {
+        let entry = std::sync::Arc::downgrade(entry);
+        meter
+            .u64_observable_gauge(name)
+            .with_description(text)
+            .with_callback(move |observer| {
+                if let Some(entry) = entry.upgrade() {
+                    observer.observe(read(&entry), &[]);
+                }
+            })
+            .build();
+    };
+    gauge("guava_config_version", "Version of the configuration in force", |it| {
+        it.config().map_or(0, |it| it.config.version)
+    });
+    gauge(
+        "guava_source_age_ms",
+        "Time for which configuration and servers may be out of date",
+        |it| it.source_age_ms(now()),
+    );
+    gauge("guava_servers", "Backend servers that are known", |it| {
+        it.servers().len() as u64
+    });
+    gauge("guava_members", "Other entry processes that are known", |it| {
+        it.members().len() as u64
+    });
+    gauge("guava_requests_waiting", "Requests that wait for a model", |it| {
+        it.waiting()
+    });
+    gauge("guava_requests_running", "Requests that run at backend servers", |it| {
+        it.running()
+    });
+    gauge(
+        "guava_log_lines_dropped",
+        "Log lines dropped because their reader was slow",
+        |_| logging::dropped(),
+    );
+    let histogram = |name: &'static str, text: &'static str| {
+        let built = meter.f64_histogram(name).with_description(text).with_unit("s");
+        built.with_boundaries(BOUNDS_S.to_vec()).build()
+    };
+    // A second registration, as in tests, keeps the first instruments.
+    let _ = LATENCIES.set(Latencies {
+        first_byte: histogram("guava_first_byte", "Time from arrival to the first byte of the answer"),
+        model_wait: histogram("guava_model_wait", "Time for which requests waited for a model"),
+        order: histogram("guava_order", "Time that engines took to answer orders"),
+    });
+    metrics
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -34,7 +34,9 @@
 /// Age of the last answer of the store from which on the servers of others are asked for.
 const STORE_AWAY_MS: u64 = 2_500;
 /// Members told in one exchange.
-const TOLD_MEMBERS: usize = 32;
+const TOLD_MEMBERS: usize = 16;
+/// Age up to which a member's sign of life is worth telling.
+const TOLD_AGE_MS: u64 = 6_000;
 /// Time for a message between entry processes.
 const TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for tokens from the coordinator; a request that waits longer would miss its objective.
@@ -51,8 +53,8 @@
     pub struct Exchange {
         /// Sender.
         pub from: Member,
-        /// Some members.
-        pub members: Vec<Member>,
+        /// Some members, with the milliseconds since they were heard.
+        pub members: Vec<(Member, u64)>,
         /// Version of its configuration; zero for none.
         pub config_version: u64,
         /// Revision at which its servers last changed; zero for none.
@@ -200,7 +202,11 @@
 }
 
 fn own_exchange(entry: &Entry) -> Exchange {
-    let members = entry.members().into_iter().map(|it| it.member);
+    let at = now();
+    let members = entry.members().into_iter().filter_map(|it| {
+        let age = at.since(it.heard?);
+        (age < TOLD_AGE_MS).then_some((it.member, age))
+    });
     Exchange {
         from: entry.me(),
         members: members.choose_multiple(&mut rand::rng(), TOLD_MEMBERS),
@@ -224,8 +230,8 @@
         own.servers = Some(entry.servers().iter().map(|it| (**it).clone()).collect());
     }
     entry.note_member(heard.from.clone(), Some(at));
-    for member in heard.members {
-        entry.note_member(member, None);
+    for (member, age) in heard.members {
+        entry.note_member(member, Some(at - age));
     }
     if let Some(hint) = heard.coordinator {
         entry.note_coordinator(hint);
@@ -294,7 +300,9 @@
             Some(coordinator.take_report(report))
         } else if let Some(hint) = entry.coordinator().filter(|it| it.vm != entry.settings.vm) {
             let answer = call::<_, ReportAnswer>(&entry, hint.address, "report", &report, TIMEOUT).await;
-            coordinator.note_contact(answer.as_ref().is_ok_and(|it| it.coordinates));
+            if let Err(e) = &answer {
+                log::debug!("report to {}: {e}", hint.address);
+            }
             answer.ok()
         } else {
             None
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -15,6 +15,7 @@
 use crate::coordinator::Coordinator;
 use crate::feed;
 use crate::log_event;
+use crate::metrics;
 use crate::peers;
 use crate::state::{Entry, now};
 use crate::watch as store_watch;
@@ -49,12 +50,14 @@
 /// # Errors
 ///
 /// Fails when an address is not free or signals cannot be handled.
-pub async fn run(settings: Settings) -> Result<(), ProgramError> {
+pub async fn run(settings: Settings, metrics_port: Option<u16>) -> Result<(), ProgramError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let for_callers = listen(settings.callers)?;
     let for_readiness = listen(settings.readiness)?;
     let for_peers = listen(settings.peers)?;
+    let ip = settings.callers.ip();
+    let for_metrics = metrics_port.map(|port| listen((ip, port).into())).transpose()?;
     let grace_ms = settings.grace_ms;
     let entry = Arc::new(Entry::new(settings, Arc::new(PooledClient::default())));
     let coordinator = Arc::new(Coordinator::new(Arc::clone(&entry)));
@@ -68,6 +71,9 @@
         entry.settings.zone
     );
 
+    if let Some(listener) = for_metrics {
+        tokio::spawn(callers::serve_metrics(metrics::register(&entry), listener));
+    }
     tokio::spawn(callers::serve_readiness(Arc::clone(&entry), for_readiness));
     tokio::spawn(callers::serve_peers(
         Arc::clone(&entry),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -17,6 +17,7 @@
 
 use crate::attempt::Arriving;
 use crate::log_event;
+use crate::metrics;
 use crate::reply::{Body, BodyError};
 use crate::request::{Chosen, Path};
 use crate::state::{now, until};
@@ -161,7 +162,11 @@
         if whole.is_empty() {
             continue;
         }
-        progress.note_sent(now());
+        let at = now();
+        if progress.first.is_none() {
+            metrics::first_byte(path.route().kind, at.since(path.arrived()));
+        }
+        progress.note_sent(at);
         if tx.send(Ok(Frame::data(Bytes::from(whole)))).await.is_err() {
             return PartEnd::CallerLeft;
         }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -19,6 +19,7 @@
 
 use crate::attempt::{self, Arriving, AttemptError, Outgoing};
 use crate::log_event;
+use crate::metrics;
 use crate::peers::{self, PaceTake};
 use crate::relay;
 use crate::reply::{Body, Failure, full};
@@ -392,6 +393,7 @@
         *answer.headers_mut() = headers::for_caller(&arriving.headers);
         answer.headers_mut().remove(header::CONTENT_LENGTH);
         let took = now().since(self.inbound.arrived);
+        metrics::first_byte(self.resolved.route.kind, took);
         log_event!(
             Event::RequestFinished,
             self.id(),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -27,10 +27,12 @@
 use crate::believed::{Believed, LAPSE_GRACE_MS};
 use crate::feed::{FeedAnswer, FeedQuery};
 use crate::log_event;
+use crate::metrics;
 use crate::peers::{PaceAnswer, PaceTake};
 
-/// Silence of a member from which on it does not count as live; members exchange at least every few seconds.
-const MEMBER_SILENT_MS: u64 = 6_000;
+/// Silence of a member from which on it does not count as live. In a fleet of a hundred, signs of life reach all others
+/// within about five seconds.
+const MEMBER_SILENT_MS: u64 = 8_000;
 
 derive_value! {
     /// Another entry process.
@@ -280,6 +282,11 @@
         self.believed.lock().servers().map(Arc::clone).collect()
     }
 
+    /// Grows with every entry of a server that was taken or removed.
+    pub fn entries_taken(&self) -> u64 {
+        self.believed.lock().entries_taken()
+    }
+
     /// Server of this id.
     pub fn server(&self, id: &str) -> Option<Arc<BackendServer>> {
         self.believed.lock().server(id).map(Arc::clone)
@@ -445,7 +452,7 @@
         self.believed.lock().members.len() + 1
     }
 
-    /// Notes a member; a later incarnation replaces an earlier one.
+    /// Notes a member and when it gave a sign of life; a later incarnation replaces an earlier one.
     pub fn note_member(&self, member: Member, heard: Option<Millis>) {
         if member.vm == self.settings.vm {
             return;
@@ -463,8 +470,8 @@
             known.member = member;
             known.failed = None;
         }
-        if heard.is_some() {
-            known.heard = heard;
+        known.heard = known.heard.max(heard);
+        if known.failed.is_some_and(|it| heard.is_some_and(|heard| heard > it)) {
             known.failed = None;
         }
     }
@@ -542,6 +549,16 @@
         counts
     }
 
+    /// Requests that wait for a model.
+    pub fn waiting(&self) -> u64 {
+        self.in_hand.lock().waiting.values().map(|it| it.len() as u64).sum()
+    }
+
+    /// Requests that run at backend servers.
+    pub fn running(&self) -> u64 {
+        self.in_hand.lock().running.values().map(|it| u64::from(*it)).sum()
+    }
+
     /// Counts an arrival for a model.
     pub fn note_arrival(&self, service: &str, model: &str, adapter: Option<&str>, prompt_tokens: u64) {
         let key = (service.to_owned(), model.to_owned(), adapter.map(str::to_owned));
@@ -598,6 +615,7 @@
 
 impl Drop for WaitingGuard {
     fn drop(&mut self) {
+        metrics::model_wait(now().since(self.since));
         let mut in_hand = self.entry.in_hand.lock();
         let Some(waiting) = in_hand.waiting.get_mut(&self.key) else {
             return;
--- a/crates/fleet/src/placement/rank.rs
+++ b/crates/fleet/src/placement/rank.rs
@@ -40,6 +40,9 @@
     adapters: Vec<String>,
 }
 
+/// Requests that run, by engine and model.
+type RunningCounts = HashMap<String, HashMap<String, u32>>;
+
 /// Where a load costs least.
 struct Choice {
     engine: String,
@@ -54,17 +57,32 @@
         self.store_loads.retain(|it| now.since(*it) < STORE_WINDOW_MS);
         let mut orders = Vec::new();
         let services: Vec<String> = self.specs.keys().cloned().collect();
+        let running = self.running(now);
         for service in services {
-            let wanted = self.wanted(&service, now);
-            self.plan_adapters(&service, &wanted, now, &mut orders);
-            self.plan_full(&service, &wanted, now);
-            self.plan_waiting(&service, &wanted, now);
-            self.plan_ahead(&service, &wanted, now);
+            let round = Round {
+                wanted: self.wanted(&service, now),
+                running: &running,
+                now,
+            };
+            self.plan_adapters(&service, &round, &mut orders);
+            self.plan_full(&service, &round);
+            self.plan_waiting(&service, &round);
+            self.plan_ahead(&service, &round);
         }
         self.send_plans(now, &mut orders);
         orders
     }
 
+    /// Requests from all VMs by engine and model.
+    fn running(&self, now: Millis) -> RunningCounts {
+        let mut counts = RunningCounts::new();
+        for it in self.live_reports(now).flat_map(|it| &it.running) {
+            let models = counts.entry(it.server.clone()).or_default();
+            *models.entry(it.model.clone()).or_default() += it.count;
+        }
+        counts
+    }
+
     fn wanted(&self, service: &str, now: Millis) -> BTreeMap<String, Wanted> {
         let mut wanted: BTreeMap<String, Wanted> = BTreeMap::new();
         for report in self.live_reports(now) {
@@ -97,17 +115,13 @@
     }
 
     /// Loads adapters that requests wait for at an engine that holds their model.
-    fn plan_adapters(
-        &mut self,
-        service: &str,
-        wanted: &BTreeMap<String, Wanted>,
-        now: Millis,
-        orders: &mut Vec<Order>,
-    ) {
+    fn plan_adapters(&mut self, service: &str, round: &Round<'_>, orders: &mut Vec<Order>) {
+        let now = round.now;
         let Some(slots) = self.specs.get(service).map(|it| it.adapter_slots as usize) else {
             return;
         };
-        let asked = wanted
+        let asked = round
+            .wanted
             .iter()
             .flat_map(|(model, it)| it.adapters.iter().map(move |adapter| (model, adapter)));
         let asked: HashSet<(&String, &String)> = asked.collect();
@@ -156,8 +170,9 @@
     }
 
     /// Plans loads for models that requests wait for and that no engine holds.
-    fn plan_waiting(&mut self, service: &str, wanted: &BTreeMap<String, Wanted>, now: Millis) {
-        let mut missing: Vec<(&String, &Wanted)> = wanted
+    fn plan_waiting(&mut self, service: &str, round: &Round<'_>) {
+        let mut missing: Vec<(&String, &Wanted)> = round
+            .wanted
             .iter()
             .filter(|(model, it)| it.waiting > 0 && !self.is_placed(service, model))
             .collect();
@@ -167,17 +182,17 @@
                 .expect("finite")
         });
         for (model, _) in missing {
-            self.plan_load(service, model, wanted, now, WAITING_AT_ONCE, true);
+            self.plan_load(service, model, round, WAITING_AT_ONCE, true);
         }
     }
 
     /// Plans another replica for models that get more requests than their replicas answer in time.
-    fn plan_full(&mut self, service: &str, wanted: &BTreeMap<String, Wanted>, now: Millis) {
+    fn plan_full(&mut self, service: &str, round: &Round<'_>) {
         let Some(slots) = self.specs.get(service).map(|it| f64::from(it.slots)) else {
             return;
         };
         let mut full: Vec<(f64, usize, String)> = Vec::new();
-        for (model, it) in wanted {
+        for (model, it) in &round.wanted {
             let replicas = self.replicas(service, model);
             let by_rate = it.tokens_per_s / TOKENS_PER_REPLICA;
             let by_running = f64::from(it.running + it.waiting) / (FULL_PART * slots);
@@ -191,13 +206,16 @@
         full.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, count, model) in full {
             for _ in 0..count {
-                self.plan_load(service, &model, wanted, now, STORE_LOADS_AT_ONCE, false);
+                self.plan_load(service, &model, round, STORE_LOADS_AT_ONCE, false);
             }
         }
     }
 
     /// Plans loads of models that no engine has at hand.
-    fn plan_ahead(&mut self, service: &str, wanted: &BTreeMap<String, Wanted>, now: Millis) {
+    fn plan_ahead(&mut self, service: &str, round: &Round<'_>) {
+        if self.store_loads_running() >= AHEAD_AT_ONCE {
+            return;
+        }
         let Some(spec) = self.specs.get(service) else {
             return;
         };
@@ -208,25 +226,18 @@
                 .any(|it| it.server.service == service && it.has_at_hand(model))
         });
         let mut absent: Vec<String> = absent.cloned().collect();
-        let rate = |model: &String| wanted.get(model).map_or(0.0, |it| it.rate);
+        let rate = |model: &String| round.wanted.get(model).map_or(0.0, |it| it.rate);
         absent.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
         for model in absent {
             if self.store_loads_running() >= AHEAD_AT_ONCE {
                 return;
             }
-            self.plan_load(service, &model, wanted, now, AHEAD_AT_ONCE, false);
+            self.plan_load(service, &model, round, AHEAD_AT_ONCE, false);
         }
     }
 
-    fn plan_load(
-        &mut self,
-        service: &str,
-        model: &str,
-        wanted: &BTreeMap<String, Wanted>,
-        now: Millis,
-        at_once: usize,
-        is_urgent: bool,
-    ) {
+    fn plan_load(&mut self, service: &str, model: &str, round: &Round<'_>, at_once: usize, is_urgent: bool) {
+        let now = round.now;
         let Some(spec) = self.specs.get(service) else {
             return;
         };
@@ -236,7 +247,7 @@
         let may_use_store = self.store_loads_running() < at_once && self.is_within_ceiling(spec);
         let outlook = Outlook {
             spec,
-            wanted,
+            round,
             replicas: self.replica_counts(service),
         };
         let choices = self.engines.values().filter(|it| {
@@ -246,7 +257,7 @@
                 && it.plan.is_none()
                 && !it.held.contains_key(model)
         });
-        let choices = choices.filter_map(|it| self.weigh(it, &outlook, model, now, is_urgent));
+        let choices = choices.filter_map(|it| weigh(it, &outlook, model, is_urgent));
         let allowed = choices.filter(|it| may_use_store || !it.from_store);
         let Some(best) = allowed.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
             return;
@@ -260,59 +271,6 @@
         }
     }
 
-    /// Cost of loading `model` at an engine: the load time and what the models that make way are worth there.
-    fn weigh(
-        &self,
-        engine: &Engine,
-        outlook: &Outlook<'_>,
-        model: &str,
-        now: Millis,
-        is_urgent: bool,
-    ) -> Option<Choice> {
-        let spec = outlook.spec;
-        let need = spec.models.get(model)?.mb;
-        let mut free = spec.memory_mb - engine.used_mb(spec);
-        let mut cost = load_ms(engine, spec, model) as f64 / 1_000.0;
-        let movable = engine
-            .held
-            .iter()
-            .filter(|(name, held)| held.is_ready && !self.is_in_use(engine, name, held, outlook, now, is_urgent));
-        let mut movable: Vec<(f64, &String)> = movable.map(|(name, _)| (outlook.worth(engine, name), name)).collect();
-        movable.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut victims = Vec::new();
-        for (worth, name) in movable {
-            if free >= need {
-                break;
-            }
-            free += spec.models.get(name).map_or(0.0, |it| it.mb);
-            cost += worth;
-            victims.push(name.clone());
-        }
-        cost += LOAD_COST * outlook.rate_at(engine);
-        cost += DISK_COST * engine.on_disk.len() as f64;
-        (free >= need).then(|| Choice {
-            engine: engine.server.id.clone(),
-            victims,
-            from_store: !engine.has_at_hand(model),
-            cost,
-        })
-    }
-
-    fn is_in_use(
-        &self,
-        engine: &Engine,
-        model: &str,
-        held: &Held,
-        outlook: &Outlook<'_>,
-        now: Millis,
-        is_urgent: bool,
-    ) -> bool {
-        let running = self.running_at(&engine.server.id, model, now);
-        let waiting = outlook.wanted.get(model).map_or(0, |it| it.waiting);
-        let is_fresh = now.since(held.since) < DWELL_MS && is_urgent;
-        running > 0 || waiting > 0 || is_fresh
-    }
-
     fn send_plans(&mut self, now: Millis, orders: &mut Vec<Order>) {
         let mut next = Vec::new();
         for engine in self.engines.values_mut() {
@@ -350,14 +308,6 @@
             .map_or(0, |(engine, spec)| load_ms(engine, spec, model))
     }
 
-    fn running_at(&self, server: &str, model: &str, now: Millis) -> u32 {
-        let running = self.live_reports(now).flat_map(|it| &it.running);
-        running
-            .filter(|it| it.server == server && it.model == model)
-            .map(|it| it.count)
-            .sum()
-    }
-
     fn store_loads_running(&self) -> usize {
         let running = self.engines.values().filter(|it| {
             it.pending.as_ref().is_some_and(|p| p.from_store) || it.plan.as_ref().is_some_and(|p| p.from_store)
@@ -413,10 +363,17 @@
     }
 }
 
+/// What holds for all decisions of one round about a service.
+struct Round<'a> {
+    wanted: BTreeMap<String, Wanted>,
+    running: &'a RunningCounts,
+    now: Millis,
+}
+
 /// What decides between the engines for one load.
 struct Outlook<'a> {
     spec: &'a EngineSpec,
-    wanted: &'a BTreeMap<String, Wanted>,
+    round: &'a Round<'a>,
     /// Replicas by model.
     replicas: HashMap<String, usize>,
 }
@@ -429,7 +386,7 @@
     /// Arrivals per second at an engine, if the replicas of each model share them evenly.
     fn rate_at(&self, engine: &Engine) -> f64 {
         let rates = engine.held.keys().map(|model| {
-            let rate = self.wanted.get(model).map_or(0.0, |it| it.rate);
+            let rate = self.round.wanted.get(model).map_or(0.0, |it| it.rate);
             rate / self.copies(model)
         });
         rates.sum()
@@ -437,7 +394,7 @@
 
     /// What the presence of a model at an engine is worth, in seconds of load time that it saves.
     fn worth(&self, engine: &Engine, model: &str) -> f64 {
-        let demand = self.wanted.get(model).cloned().unwrap_or_default();
+        let demand = self.round.wanted.get(model).cloned().unwrap_or_default();
         let copies = self.copies(model);
         let reload_s = load_ms(engine, self.spec, model) as f64 / 1_000.0;
         let use_per_copy = (demand.rate + f64::from(demand.running) / RUNNING_VALUE) / copies;
@@ -446,6 +403,45 @@
         let part = if is_spare { SPARE_PART } else { 1.0 };
         use_per_copy * reload_s * part * WAITING_COST
     }
+
+    /// Whether a model must stay at an engine.
+    fn is_in_use(&self, engine: &Engine, model: &str, held: &Held, is_urgent: bool) -> bool {
+        let running = self.round.running.get(&engine.server.id).and_then(|it| it.get(model));
+        let waiting = self.round.wanted.get(model).map_or(0, |it| it.waiting);
+        let is_fresh = self.round.now.since(held.since) < DWELL_MS && is_urgent;
+        running.is_some_and(|it| *it > 0) || waiting > 0 || is_fresh
+    }
+}
+
+/// Cost of loading `model` at an engine: the load time and what the models that make way are worth there.
+fn weigh(engine: &Engine, outlook: &Outlook<'_>, model: &str, is_urgent: bool) -> Option<Choice> {
+    let spec = outlook.spec;
+    let need = spec.models.get(model)?.mb;
+    let mut free = spec.memory_mb - engine.used_mb(spec);
+    let mut cost = load_ms(engine, spec, model) as f64 / 1_000.0;
+    let movable = engine
+        .held
+        .iter()
+        .filter(|(name, held)| held.is_ready && !outlook.is_in_use(engine, name, held, is_urgent));
+    let mut movable: Vec<(f64, &String)> = movable.map(|(name, _)| (outlook.worth(engine, name), name)).collect();
+    movable.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut victims = Vec::new();
+    for (worth, name) in movable {
+        if free >= need {
+            break;
+        }
+        free += spec.models.get(name).map_or(0.0, |it| it.mb);
+        cost += worth;
+        victims.push(name.clone());
+    }
+    cost += LOAD_COST * outlook.rate_at(engine);
+    cost += DISK_COST * engine.on_disk.len() as f64;
+    (free >= need).then(|| Choice {
+        engine: engine.server.id.clone(),
+        victims,
+        from_store: !engine.has_at_hand(model),
+        cost,
+    })
 }
 
 impl Engine {
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::metrics::Metrics;
 use crate::shared::Shared;
+use guava_telemetry::Metrics;
 
 /// Answer to a request for `/healthz`, `/readyz` or `/metrics`.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,7 +37,7 @@
             "/readyz" => Some(plain(503, format!("{}\n", self.reason()))),
             "/metrics" => Some(HealthAnswer {
                 status: 200,
-                content_type: prometheus::TEXT_FORMAT,
+                content_type: guava_telemetry::TEXT_FORMAT,
                 body: self.metrics.text(),
             }),
             _ => None,
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -22,7 +22,6 @@
 use crate::health::Health;
 use crate::lease_manager::LeaseManager;
 use crate::members::MemberTable;
-use crate::metrics::Metrics;
 use crate::peers::PeerClients;
 use crate::platform::TrackedPlatform;
 use crate::server::Methods;
@@ -32,6 +31,7 @@
 use crate::timeline::EventLog;
 use crate::watchers::KINDS;
 use crate::{Clock, MemberInfo, Node, Timeline, antientropy, bootstrap, logging, server, vms, watchers};
+use guava_telemetry::Metrics;
 
 /// Differences from other members that wait to be repaired.
 const MISMATCH_QUEUE: usize = 16;
@@ -115,8 +115,8 @@
         };
         let shared = assemble(me, clock, Arc::clone(&socket), store, vms);
         let manager = Arc::new(LeaseManager::new(&shared));
-        let metrics = Metrics::new();
-        metrics.observe(&shared, &manager);
+        let metrics = Metrics::default();
+        crate::metrics::observe(&metrics, &shared, &manager);
         let tasks = spawn_tasks(&shared, &socket, &seeds);
         let detail = format!("{} incarnation {}", shared.me().id, shared.me().incarnation.0);
         shared.timeline.record(Event::ProcessStarted, None, None, &detail);
