Let the VM of the last holder take the lease first, and tell by the feed who coordinates

The holder's VM ranked fourth among the candidates and was not allowed to act, and the others counted its fresh feed as a sign that it coordinated. The feed now tells how long ago a process was known to coordinate, the VM of the last holder ranks first, and every process may read the lease once at its start.

Ruled out: the retry budget and the rate of the weight store (no refusals by them).

--- a/crates/entry/src/believed.rs
+++ b/crates/entry/src/believed.rs
@@ -31,13 +31,19 @@
     lapsed: Option<Millis>,
 }
 
-/// Source of what is believed and its age.
+/// Age that another process has told, and when.
 #[derive(Debug, Clone, Copy)]
-struct SourceAge {
+struct ToldAge {
     age_ms: u64,
     at: Millis,
 }
 
+impl ToldAge {
+    fn age(told: Option<Self>, now: Millis) -> u64 {
+        told.map_or(u64::MAX, |it| it.age_ms.saturating_add(now.since(it.at)))
+    }
+}
+
 /// Changes of servers since an earlier state.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ServerChanges {
@@ -80,7 +86,8 @@
     placed_version: (u64, u64),
     placed_at: Option<Millis>,
     missing: HashMap<(String, String), Millis>,
-    source: Option<SourceAge>,
+    source: Option<ToldAge>,
+    coordination: Option<ToldAge>,
 }
 
 impl Believed {
@@ -107,13 +114,22 @@
 
     /// Notes how old the beliefs of the process are that this one follows.
     pub fn note_source(&mut self, age_ms: u64, now: Millis) {
-        self.source = Some(SourceAge { age_ms, at: now });
+        self.source = Some(ToldAge { age_ms, at: now });
     }
 
     /// Age of the view of the store that the followed process has told.
     pub fn feed_age(&self, now: Millis) -> u64 {
-        let told = self.source.map(|it| it.age_ms.saturating_add(now.since(it.at)));
-        told.unwrap_or(u64::MAX)
+        ToldAge::age(self.source, now)
+    }
+
+    /// Notes how long ago a process was known to coordinate.
+    pub fn note_coordination(&mut self, age_ms: u64, now: Millis) {
+        self.coordination = Some(ToldAge { age_ms, at: now });
+    }
+
+    /// Time since a process was known to coordinate.
+    pub fn coordination_age(&self, now: Millis) -> u64 {
+        ToldAge::age(self.coordination, now)
     }
 
     /// Time for which the beliefs may be out of date.
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -11,7 +11,9 @@
 use guava_core::derive_value;
 use guava_core::events::Event;
 use guava_core::ids::{Incarnation, MemberId, OperationId, Role, Term};
-use guava_core::lease::{Lease, LeaseCall, LeaseEvent, LeaseSpec, Standing, StoredLease, Timing, WriteOutcome};
+use guava_core::lease::{
+    ACTIVE_CANDIDATES, Lease, LeaseCall, LeaseEvent, LeaseSpec, Standing, StoredLease, Timing, WriteOutcome,
+};
 use guava_core::rendezvous;
 use guava_core::units::Millis;
 use guava_fleet::placement::{Order, OrderOutcome, Placement};
@@ -41,7 +43,7 @@
     candidate_read_ms: 400,
     retry_ms: 250,
 };
-/// Age of the coordinator's view of the store, as its feed tells it, from which on the lease is read.
+/// Time since a process was known to coordinate, as the feed tells it, from which on the lease is read.
 const CONTACT_MS: u64 = 1_400;
 /// Time between two rounds of decisions.
 const ROUND: Duration = Duration::from_millis(20);
@@ -212,7 +214,7 @@
                 is_released = true;
             }
             self.hand_over_if_cut(&mut lease, at);
-            let has_contact = self.entry.feed_age_ms(at) < CONTACT_MS;
+            let has_contact = self.entry.coordination_age_ms(at) < CONTACT_MS;
             let current = self.entry.coordinator().map_or(0, |it| it.term);
             let has_resigned = self.farewell.lock().as_ref().is_some_and(|it| it.term >= current);
             let has_contact = has_contact && !has_resigned;
@@ -247,10 +249,15 @@
             let is_earlier_life = it.holder.vm.as_str() == me && it.incarnation.0 < self.entry.incarnation;
             is_earlier_life || farewell.as_ref().is_some_and(|farewell| farewell.term == it.term.0)
         });
-        Standing {
-            rank: rendezvous::position(LEASE_NAME, candidates, me),
-            holder_ended,
-        }
+        let rank = rendezvous::position(LEASE_NAME, candidates, me);
+        let rank = match lease.seen() {
+            // Whether this VM held it last shows at the first read.
+            None => rank.map(|it| it.min(ACTIVE_CANDIDATES - 1)),
+            // The VM of the last holder needs no gap between orders, so it goes first.
+            Some(seen) if seen.holder.vm.as_str() == me => Some(0),
+            Some(_) => rank,
+        };
+        Standing { rank, holder_ended }
     }
 
     async fn carry_out(&self, lease: &mut Lease, call: LeaseCall) {
@@ -453,6 +460,7 @@
             return;
         };
         let at = now();
+        self.entry.note_coordinates(at);
         let (version, placed) = {
             let placement = self.placement.lock();
             let version = (term, placement.version());
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -58,6 +58,8 @@
         pub source: u64,
         /// Age of its view of the store in milliseconds.
         pub age_ms: u64,
+        /// Time since its coordinator was known to coordinate, in milliseconds.
+        pub coordination_age_ms: u64,
         /// Newer configuration.
         pub config: Option<Configuration>,
         /// Changes of servers.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -235,6 +235,16 @@
         self.believed.lock().feed_age(now)
     }
 
+    /// Time since a process was known to coordinate.
+    pub fn coordination_age_ms(&self, now: Millis) -> u64 {
+        self.believed.lock().coordination_age(now)
+    }
+
+    /// Notes that this process coordinates.
+    pub fn note_coordinates(&self, now: Millis) {
+        self.believed.lock().note_coordination(0, now);
+    }
+
     /// Replaces all servers by a list of the store at `revision`.
     pub fn apply_server_list(&self, list: Vec<BackendServer>, revision: u64, now: Millis) {
         if self.believed.lock().put_list(list, revision, now) {
@@ -339,6 +349,7 @@
         FeedAnswer {
             source: self.incarnation,
             age_ms: believed.source_age(now()),
+            coordination_age_ms: believed.coordination_age(now()),
             config: config.map(|it| (*it.config).clone()),
             servers: has_changed.then(|| believed.changes_since(known).into()),
             revision: believed.servers_revision,
@@ -355,6 +366,7 @@
         let is_change = {
             let mut believed = self.believed.lock();
             believed.note_source(answer.age_ms, now);
+            believed.note_coordination(answer.coordination_age_ms, now);
             let mut is_change = false;
             if let Some(servers) = answer.servers {
                 if servers.is_whole {
