--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -441,3 +441,62 @@
         assert_eq!(term, takes.then_some(Term(2)));
     }
 }
+
+/// Guards against a holder that goes on to act after it has stepped down or cannot reach the platform, and against one
+/// that never competes again.
+#[test]
+fn a_holder_that_steps_down_rests_and_competes_again() {
+    for abandons in [false, true] {
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let mut lease = Lease::new(MemberId::new("vm-1", Role::Controller), Incarnation(1));
+        let standing = Standing {
+            rank: Some(0),
+            holder_ended: false,
+        };
+        let mut now = Millis(1_000);
+        let mut version = 0;
+        let mut stored = None;
+        let mut carry_out = |lease: &mut Lease, now: Millis| {
+            let Some(call) = lease.step(standing, now, &mut rng) else {
+                return;
+            };
+            match &call {
+                LeaseCall::Read => lease.on_read(stored.clone(), now),
+                LeaseCall::Write { spec, operation, .. } => {
+                    version += 1;
+                    stored = Some(StoredLease {
+                        version,
+                        operation: operation.clone(),
+                        spec: spec.clone(),
+                    });
+                    lease.on_write(&call, WriteOutcome::Done { version }, now);
+                }
+            }
+        };
+        while lease.held(now).is_none() && now < Millis(20_000) {
+            carry_out(&mut lease, now);
+            now = now + 150;
+        }
+        assert_eq!(lease.held(now), Some(Term(1)));
+
+        if abandons {
+            lease.abandon(now, 2_000);
+            assert_eq!(lease.held(now), None);
+        } else {
+            lease.step_down(now, 2_000);
+            carry_out(&mut lease, now);
+            assert_eq!(lease.held(now), None);
+        }
+        for _ in 0..10 {
+            now = now + 150;
+            carry_out(&mut lease, now);
+            assert_eq!(lease.held(now), None, "acts while it rests, abandons={abandons}");
+        }
+        for _ in 0..200 {
+            now = now + 150;
+            carry_out(&mut lease, now);
+        }
+
+        assert!(lease.held(now).is_some(), "competes again, abandons={abandons}");
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/believed.rs
@@ -0,0 +1,121 @@
+//! Beliefs about servers: lapsed entries, and changes for followers.
+
+use guava_core::units::Millis;
+use guava_entry::believed::{Believed, LAPSE_GRACE_MS};
+use guava_fleet::model::{BackendServer, HeldModel, ServerState};
+use guava_fleet::placement::Placed;
+
+fn server(id: &str, state: ServerState) -> BackendServer {
+    BackendServer {
+        id: id.to_owned(),
+        service: "advice".to_owned(),
+        address: ([127, 0, 0, 1], 8_000).into(),
+        zone: "caerdydd".to_owned(),
+        slots: 64,
+        state,
+        born_ms: 1,
+        leaves_in_ms: None,
+        held: vec![held("m1")],
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn held(name: &str) -> HeldModel {
+    HeldModel {
+        name: name.to_owned(),
+        adapters: Vec::new(),
+    }
+}
+
+fn ids(believed: &Believed) -> Vec<String> {
+    let mut ids: Vec<String> = believed.servers().map(|it| it.id.clone()).collect();
+    ids.sort();
+    ids
+}
+
+/// Guards against live servers that are dropped because their entries lapsed while the store was away.
+#[test]
+fn lapsed_entries_are_kept_for_a_moment_after_the_stores_return() {
+    let mut believed = Believed::default();
+    believed.note_store_contact(Millis(1_000));
+    believed.put_list(
+        vec![server("a", ServerState::Ready), server("b", ServerState::Ready)],
+        1,
+        Millis(1_000),
+    );
+
+    let was_away = believed.note_store_contact(Millis(6_000));
+    believed.put_list(Vec::new(), 2, Millis(6_000));
+    believed.put_server(server("a", ServerState::Ready));
+    let kept = ids(&believed);
+    believed.drop_lapsed(Millis(6_000 + LAPSE_GRACE_MS));
+
+    assert!(was_away);
+    assert_eq!(kept, ["a", "b"]);
+    assert_eq!(ids(&believed), ["a"]);
+}
+
+/// Guards against a server that left while the store was well and goes on to get requests.
+#[test]
+fn a_removed_entry_counts_at_once_while_the_store_is_well() {
+    let mut believed = Believed::default();
+    believed.note_store_contact(Millis(1_000));
+    believed.put_list(vec![server("a", ServerState::Ready)], 1, Millis(1_000));
+    believed.note_store_contact(Millis(1_500));
+
+    assert!(believed.drop_server("a", Millis(1_500)));
+    assert_eq!(ids(&believed), Vec::<String>::new());
+}
+
+/// Guards against a follower that misses a change, gets one again, or is told what it need not know.
+#[test]
+fn followers_get_each_change_once() {
+    let mut believed = Believed::default();
+    believed.put_list(
+        vec![server("a", ServerState::Ready), server("b", ServerState::Ready)],
+        1,
+        Millis(0),
+    );
+    let whole = believed.changes_since(None);
+
+    let mut other_models = server("a", ServerState::Ready);
+    other_models.held = vec![held("m2")];
+    let is_told = believed.put_server(other_models);
+    believed.put_server(server("b", ServerState::Draining));
+    believed.drop_server("a", Millis(10));
+    let changes = believed.changes_since(Some(whole.change));
+    let none = believed.changes_since(Some(changes.change));
+
+    assert!(whole.is_whole && whole.present.len() == 2);
+    assert!(!is_told, "what an engine holds is the placement's to tell");
+    assert!(!changes.is_whole);
+    assert_eq!(
+        changes.present.iter().map(|it| it.id.as_str()).collect::<Vec<_>>(),
+        ["b"]
+    );
+    assert_eq!(changes.gone, ["a"]);
+    assert!(none.present.is_empty() && none.gone.is_empty());
+}
+
+/// Guards against a placement of an earlier life of a server, and against one that is out of date.
+#[test]
+fn the_placement_goes_before_the_entry_while_it_is_fresh() {
+    let mut believed = Believed::default();
+    let entry = server("a", ServerState::Ready);
+    believed.put_server(entry.clone());
+    let placed = Placed {
+        server: "a".to_owned(),
+        born_ms: 1,
+        held: vec![held("m2")],
+        in_flight: 0,
+    };
+
+    believed.put_placement((1, 1), vec![placed], Millis(0));
+    let mut reborn = entry.clone();
+    reborn.born_ms = 2;
+
+    assert!(!believed.holds(&entry, "m1", None, Millis(100)) && believed.holds(&entry, "m2", None, Millis(100)));
+    assert!(believed.holds(&reborn, "m1", None, Millis(100)) && !believed.holds(&reborn, "m2", None, Millis(100)));
+    assert!(believed.holds(&entry, "m1", None, Millis(60_000)));
+}
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -455,7 +455,7 @@
     let started = fleet.now;
     while fleet.holders("m3") < 3 && fleet.now < started + 20_000 {
         let mut demand = waiting("m3", None, 0);
-        demand.arrived = u32::from(fleet.now % 100 == 0);
+        demand.arrived = u32::from(fleet.now.is_multiple_of(100));
         demand.prompt_tokens = u64::from(demand.arrived) * 1_460;
         fleet.step(vec![demand], Vec::new());
     }
--- a/crates/soak/src/cmd.rs
+++ b/crates/soak/src/cmd.rs
@@ -184,7 +184,7 @@
             sleep_until(started + Duration::from_millis(it.at_ms)).await;
             let limit = Duration::from_millis(it.for_ms + STOP_MS + 5_000);
             let played = tokio::time::timeout(limit, faults::play(&fleet, &it)).await;
-            played.unwrap_or_else(|_| Err(SoakError::NotReady))
+            played.unwrap_or(Err(SoakError::NotReady))
         });
     }
     while let Some(played) = playing.join_next().await {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -252,5 +252,5 @@
     let mut fleet = fleet.lock().await;
     let (store, record) = (fleet.store.clone(), fleet.record.clone());
     store.remove("servers", &id);
-    fleet.backends[at].restart(&store, &record).await
+    fleet.backends[at].restart(&store, &record)
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -155,7 +155,7 @@
                 }
             }
         });
-        ready.await.map_err(|_| SoakError::NotReady)?;
+        ready.await.or(Err(SoakError::NotReady))?;
         Ok(fleet)
     }
 
@@ -223,7 +223,7 @@
     /// # Errors
     ///
     /// Fails when the address is not free again.
-    pub async fn restart(&mut self, store: &Store, record: &Record) -> Result<(), SoakError> {
+    pub fn restart(&mut self, store: &Store, record: &Record) -> Result<(), SoakError> {
         let socket = tokio::net::TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(self.address)?;
