Gather changes of servers before they are asked for, and join the story of a request

guava-story prints the lines of all processes that explain a request: its own, and the changes of belief about the servers and models that it met.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod reply;
 pub mod request;
 pub mod state;
+pub mod story;
 pub mod watch;
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -17,6 +17,11 @@
 const MEMBER_KIND: &str = "guava-members";
 /// Longest wait of a watch; a connection that went silent is noticed this late.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Time in which changes of servers gather at a process that others follow. Each answer of a watch is a paid call, and a
+/// server that leaves is served for two seconds more.
+const GATHER_FOLLOWED: Duration = Duration::from_millis(120);
+/// Time in which changes of servers gather at a process that watches for itself, as all do for a moment at their start.
+const GATHER: Duration = Duration::from_millis(400);
 /// Pause after a failed call.
 const RETRY_MS: u64 = 200;
 /// Longest pause after failed calls in a row; a configuration must be in force within two seconds of the store's return.
@@ -112,6 +117,12 @@
     }
 }
 
+/// Time in which changes of servers gather before they are asked for.
+fn gather_time(entry: &Entry) -> Duration {
+    let is_followed = entry.coordinator().is_some_and(|it| it.vm == entry.settings.vm);
+    if is_followed { GATHER_FOLLOWED } else { GATHER }
+}
+
 /// Follows the entries of backend servers.
 pub async fn follow_servers(entry: Arc<Entry>, mut direct: watch::Receiver<bool>) {
     let mut backoff = Backoff::new();
@@ -134,11 +145,15 @@
                 Ok(Changes::Since { events, revision: next }) => {
                     backoff.reset();
                     entry.note_store_contact(now());
+                    let has_events = !events.is_empty();
                     for (id, object) in events {
                         let server = object.as_ref().and_then(servers::decode);
                         entry.apply_server(&id, server, next, now());
                     }
                     revision = next;
+                    if has_events {
+                        sleep(gather_time(&entry)).await;
+                    }
                 }
                 Ok(Changes::HistoryGone) => break,
                 Err(e) => backoff.pause_after("watch of servers", &e).await,
--- /dev/null
+++ b/crates/entry/tests/story.rs
@@ -0,0 +1,31 @@
+//! Story of a request from the logs of several processes.
+
+use guava_entry::story::story;
+
+const LOGS: &str = "\
+2026-08-28T08:10:41.437Z INFO E2010 vm=vm-1 request=- A backend server has ended. server=i-1 revision=9
+2026-08-28T08:10:42.000Z INFO E2010 vm=vm-1 request=- A backend server has ended. server=i-2 revision=10
+  12.5 vm-2 2026-08-28T08:10:42.300Z DEBUG E1004 vm=vm-2 request=a1 A request was sent to a backend server. server=i-1 left_ms=900
+2026-08-28T08:10:42.100Z DEBUG E1003 vm=vm-2 request=a1 A request waits for a replica. model=m1 adapter=- left_ms=990
+2026-08-28T08:10:42.200Z INFO E2014 vm=vm-1 request=- An order was sent to a model engine. server=i-7 kind=Load model=m1
+2026-08-28T08:10:42.350Z DEBUG E1004 vm=vm-2 request=a2 A request was sent to a backend server. server=i-1
+2026-08-28T08:10:42.400Z WARN E1007 vm=vm-2 request=a1 A request failed after it was sent. server=i-1 why=reset
+2026-08-28T08:10:50.000Z INFO E2010 vm=vm-1 request=- A backend server has ended. server=i-1 revision=20
+not a line of ours
+";
+
+/// Guards against a story that lacks the beliefs behind a request, is out of order, or tells of other requests.
+#[test]
+fn a_request_is_told_with_the_beliefs_behind_it() {
+    let told = story(LOGS.lines(), "a1");
+
+    let events: Vec<&str> = told.iter().filter_map(|it| it.split(' ').nth(2)).collect();
+    assert_eq!(events, ["E2010", "E1003", "E2014", "E1004", "E1007"], "{told:#?}");
+    assert!(told[0].contains("server=i-1"));
+}
+
+/// Guards against an unknown id that gets the story of another request.
+#[test]
+fn an_unknown_request_has_no_story() {
+    assert!(story(LOGS.lines(), "a9").is_empty());
+}
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -53,7 +53,7 @@
         let vms = 6;
         let mut local: Vec<Buckets> = (0..vms).map(|_| Buckets::default()).collect();
         let mut central = Bucket::new(Millis(0), RATE * (1.0 - LOCAL_PART), BURST * (1.0 - LOCAL_PART), 1.0);
-        let part = LOCAL_PART / vms as f64;
+        let part = LOCAL_PART / f64::from(vms);
         let mut now = 0;
         let mut admitted = Vec::new();
         let mut largest = 0.0_f64;
@@ -70,7 +70,7 @@
         admitted.sort_by_key(|(at, _)| *at);
 
         // A request that is larger than a bucket's burst leaves a debt there; each place has at most one such debt.
-        let debts = largest * (vms + 1) as f64;
+        let debts = largest * f64::from(vms + 1);
         let allowed = RATE * WINDOW_MS as f64 / 1_000.0 + BURST + debts;
         prop_assert!(most_in_window(&admitted) <= allowed);
     }
--- a/crates/fleet/tests/requests.rs
+++ b/crates/fleet/tests/requests.rs
@@ -90,7 +90,8 @@
     /// Guards against events that are lost, doubled or passed on in part, wherever the bytes are cut.
     #[test]
     fn whole_events_pass_in_order(count in 1_usize..30, cuts in prop::collection::vec(1_usize..40, 1..60)) {
-        let text: String = (1..=count).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect();
+        let events: Vec<String> = (1..=count).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect();
+        let text = events.concat();
         let torn = format!("{text}id: {}\ndata: to", count + 1);
         let mut splitter = Splitter::default();
         let mut passed = Vec::new();
