Refuse at once what cannot be there in time, and tell when to come back

A request for a model that no engine holds waited until its caller gave up, 12 s for a write-up, although the queue for the weight store was known to be longer. The coordinator now answers each report with the least time until each wanted model can take requests; a request that even this time is too long for is refused as not run with that time as Retry-After, and no request waits beyond the time after which its caller gives up a stream without a first event.

--- a/crates/entry/src/believed.rs
+++ b/crates/entry/src/believed.rs
@@ -5,7 +5,7 @@
 
 use guava_core::units::Millis;
 use guava_fleet::model::{BackendServer, HeldModel, ServerState};
-use guava_fleet::placement::Placed;
+use guava_fleet::placement::{Placed, Wait};
 use guava_fleet::routes::InForce;
 
 use crate::state::{CoordinatorHint, KnownMember};
@@ -86,6 +86,8 @@
     placed_version: (u64, u64),
     placed_at: Option<Millis>,
     missing: HashMap<(String, String), Millis>,
+    waits: Vec<Wait>,
+    waits_at: Option<Millis>,
     source: Option<ToldAge>,
     coordination: Option<ToldAge>,
 }
@@ -270,6 +272,22 @@
         (self.placed_version, placed)
     }
 
+    /// Takes the times until models can take requests.
+    pub fn put_waits(&mut self, waits: Vec<Wait>, now: Millis) {
+        self.waits = waits;
+        self.waits_at = Some(now);
+    }
+
+    /// Least time until a model can take requests; `None` when nobody has told it of late.
+    pub fn wait_ms(&self, service: &str, model: &str, now: Millis) -> Option<u64> {
+        let told = self.waits_at.filter(|it| now.since(*it) < PLACED_VALID_MS)?;
+        let wait = self
+            .waits
+            .iter()
+            .find(|it| it.service == service && it.model == model)?;
+        Some(wait.ms.saturating_sub(now.since(told)))
+    }
+
     /// Notes that a server turned out not to hold a model.
     pub fn note_missing(&mut self, server: &str, model: &str, now: Millis) {
         let key = (server.to_owned(), model.to_owned());
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -157,6 +157,7 @@
         self.vms.lock().insert(report.vm.clone(), contact);
         let mut placement = self.placement.lock();
         placement.note_report(&report.vm, report.demand, report.running, at);
+        let waits = if coordinates { placement.waits(at) } else { Vec::new() };
         let loads = placement.running_by_server(at);
         ReportAnswer {
             coordinates,
@@ -164,6 +165,7 @@
                 .into_iter()
                 .map(|(server, count)| (server.to_owned(), count))
                 .collect(),
+            waits,
         }
     }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -14,7 +14,7 @@
 use guava_core::derive_value;
 use guava_core::events::Event;
 use guava_fleet::model::{BackendServer, Configuration};
-use guava_fleet::placement::{Demand, Running};
+use guava_fleet::placement::{Demand, Running, Wait};
 use guava_platform::CallError;
 use http::Request;
 use rand::seq::IteratorRandom;
@@ -95,6 +95,8 @@
         pub coordinates: bool,
         /// Requests from all VMs by server.
         pub loads: Vec<(String, u32)>,
+        /// Times until the models that requests of any VM wait for can take them.
+        pub waits: Vec<Wait>,
     }
 
     /// Prompt to be sent to an engine.
@@ -309,6 +311,7 @@
         };
         if let Some(answer) = answer.filter(|it| it.coordinates) {
             entry.apply_loads(answer.loads);
+            entry.apply_waits(answer.waits, now());
         }
         // In a large fleet each VM reports less often, so that the coordinator's work stays bounded.
         let pause = REPORT * (1 + entry.vms() as u32 / VMS_PER_REPORT_STEP);
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -43,6 +43,9 @@
 const MAX_PACE_MS: u64 = 600;
 /// Time from the sending of a prompt to its first event at an engine that is not full.
 const FIRST_EVENT_MS: u64 = 150;
+/// Least time after which callers give up a stream without a first event; they wait for four objectives or eight pauses
+/// if that is longer.
+const FIRST_EVENT_PATIENCE_MS: u64 = 2_000;
 /// Time for which a request waits for any engine's turn, in objectives; callers give up a stream without a first event
 /// after four.
 const PACE_PATIENCE: u64 = 3;
@@ -515,9 +518,15 @@
                 return Ok(chosen);
             }
             let at = now();
-            if at + WAY_BACK_MS >= self.deadline {
+            let give_up = self.give_up();
+            if at >= give_up {
                 return Err(self.refuse_late());
             }
+            // What cannot be there in time is refused now, with the time to come back.
+            if let Some(wait) = self.model_wait(at).filter(|it| at + *it > give_up) {
+                let retry_after = Duration::from_millis(wait);
+                return Err(self.refuse_late().retry_after(retry_after));
+            }
             // Another VM has more time for what waits here.
             if self.entry.is_closing() {
                 return Err(Failure::not_run(Code::Stopping).retry_after(Duration::ZERO));
@@ -535,7 +544,7 @@
                     self.deadline.since(at)
                 );
             }
-            let left = until(self.deadline - WAY_BACK_MS);
+            let left = until(give_up);
             // What a server lacked is asked for again after a moment without any change.
             let pause = left.min(Duration::from_millis(250));
             let waited = tokio::time::timeout(pause, changes.changed()).await;
@@ -606,6 +615,25 @@
         None
     }
 
+    /// Time from which on an answer could not begin before the caller has given up.
+    fn give_up(&self) -> Millis {
+        let deadline = self.deadline - WAY_BACK_MS;
+        let route = &self.resolved.route;
+        if route.kind != RouteKind::Streaming {
+            return deadline;
+        }
+        let patience = FIRST_EVENT_PATIENCE_MS
+            .max(route.objective_ms * 4)
+            .max(route.gap_ms * 8);
+        deadline.min(self.inbound.arrived + (patience - FIRST_EVENT_MS))
+    }
+
+    /// Least time until the request's model can take it, as the coordinator has told.
+    fn model_wait(&self, at: Millis) -> Option<u64> {
+        let model = self.inbound.caller.model.as_deref()?;
+        self.entry.wait_ms(&self.service, model, at)
+    }
+
     fn refuse_late(&self) -> Failure {
         if self.ran.is_empty() {
             return Failure::not_run(Code::DeadlineUnreachable).retry_after(COME_BACK);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,7 +14,7 @@
 use guava_fleet::health::Health;
 use guava_fleet::model::{BackendServer, Configuration, ServerState};
 use guava_fleet::pacing::Pacer;
-use guava_fleet::placement::{Demand, Placed, Running};
+use guava_fleet::placement::{Demand, Placed, Running, Wait};
 use guava_fleet::quota::Buckets;
 use guava_fleet::routes::InForce;
 use guava_platform::Http;
@@ -320,6 +320,17 @@
         believed.own_then = own;
     }
 
+    /// Takes the times until models can take requests.
+    pub fn apply_waits(&self, waits: Vec<Wait>, now: Millis) {
+        self.believed.lock().put_waits(waits, now);
+        self.wake();
+    }
+
+    /// Least time until a model can take requests; `None` when nobody has told it of late.
+    pub fn wait_ms(&self, service: &str, model: &str, now: Millis) -> Option<u64> {
+        self.believed.lock().wait_ms(service, model, now)
+    }
+
     /// Takes what engines hold, or that it has not changed.
     pub fn apply_placement(&self, version: (u64, u64), placed: Option<Vec<Placed>>, now: Millis) {
         match placed {
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -67,6 +67,16 @@
         pub count: u32,
     }
 
+    /// Least time until a model can take requests.
+    pub struct Wait {
+        /// Service.
+        pub service: String,
+        /// Model.
+        pub model: String,
+        /// Time in milliseconds.
+        pub ms: u64,
+    }
+
     /// What an engine holds, as the coordinator tells the VMs.
     pub struct Placed {
         /// Backend server.
--- a/crates/fleet/src/placement/rank.rs
+++ b/crates/fleet/src/placement/rank.rs
@@ -6,7 +6,7 @@
 
 use super::{
     AHEAD_AT_ONCE, DWELL_MS, Engine, FULL_PART, Held, LoadPlan, Order, OrderKind, Placement, STORE_LOADS_AT_ONCE,
-    STORE_WINDOW_MS, WAITING_AT_ONCE,
+    STORE_WINDOW_MS, WAITING_AT_ONCE, Wait,
 };
 use crate::model::{EngineSpec, ServerState};
 
@@ -83,6 +83,43 @@
         counts
     }
 
+    /// Least time until each model that requests wait for can take them.
+    ///
+    /// The times are never too long by design: a request is refused when even they are too long for it.
+    pub fn waits(&self, now: Millis) -> Vec<Wait> {
+        let mut waits = Vec::new();
+        for (service, spec) in &self.specs {
+            let wanted = self.wanted(service, now);
+            let mut waiting: Vec<(&String, &Wanted)> = wanted.iter().filter(|(_, it)| it.waiting > 0).collect();
+            waiting.sort_by_key(|(_, it)| std::cmp::Reverse(it.oldest_ms));
+            let mut queued = 0;
+            for (model, _) in waiting {
+                let Some(size) = spec.models.get(model) else {
+                    continue;
+                };
+                let engines = || self.engines.values().filter(|it| it.server.service == *service);
+                let loading = engines().filter_map(|it| it.load_left_ms(spec, model, now)).min();
+                let is_held = engines().any(|it| it.held.get(model).is_some_and(|held| held.is_ready));
+                let ms = match loading {
+                    _ if is_held => 0,
+                    Some(left) => left,
+                    None if engines().any(|it| it.has_at_hand(model)) => size.host_ms,
+                    None => {
+                        let rounds_before = queued / STORE_LOADS_AT_ONCE as u64;
+                        queued += 1;
+                        size.store_ms * (rounds_before + 1)
+                    }
+                };
+                waits.push(Wait {
+                    service: service.clone(),
+                    model: model.clone(),
+                    ms,
+                });
+            }
+        }
+        waits
+    }
+
     fn wanted(&self, service: &str, now: Millis) -> BTreeMap<String, Wanted> {
         let mut wanted: BTreeMap<String, Wanted> = BTreeMap::new();
         for report in self.live_reports(now) {
@@ -463,6 +500,15 @@
         weights + largest * f64::from(spec.adapter_slots)
     }
 
+    /// Time until a load that is under way or planned has ended, if all goes well.
+    fn load_left_ms(&self, spec: &EngineSpec, model: &str, now: Millis) -> Option<u64> {
+        if self.plan.as_ref().is_some_and(|it| it.model == model) {
+            return Some(load_ms(self, spec, model));
+        }
+        let held = self.held.get(model).filter(|_| self.is_loading(model))?;
+        Some(load_ms(self, spec, model).saturating_sub(now.since(held.since)))
+    }
+
     fn has_at_hand(&self, model: &str) -> bool {
         self.held.contains_key(model) || self.in_memory.contains(model) || self.on_disk.contains(model)
     }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -506,3 +506,40 @@
     assert_eq!(first.len(), 4);
     assert!(first.values().all(|it| *it >= from.0), "{first:?}");
 }
+
+/// Guards against a caller that is kept waiting for a model that cannot be there in time, and against one that is
+/// refused although it can.
+#[test]
+fn waits_are_told_and_never_too_long() {
+    let spec = spec(24);
+    let mut fleet = Fleet::new(4, &spec, CALM, 1);
+    let models: Vec<String> = (8..24).map(|at| format!("m{at}")).collect();
+    let demand = || models.iter().map(|it| waiting(it, None, 1)).collect::<Vec<Demand>>();
+
+    let mut told: HashMap<String, (u64, u64)> = HashMap::new();
+    let mut ready: HashMap<String, u64> = HashMap::new();
+    for _ in 0..3_000 {
+        fleet.step(demand(), Vec::new());
+        for wait in fleet.placement.waits(Millis(fleet.now)) {
+            told.entry(wait.model).or_insert((fleet.now, wait.ms));
+        }
+        for model in &models {
+            if fleet.holders(model) > 0 {
+                ready.entry(model.clone()).or_insert(fleet.now);
+            }
+        }
+    }
+
+    assert_eq!(told.len(), models.len());
+    assert!(
+        told.values().any(|(_, ms)| *ms >= 12_000),
+        "a long queue is told: {told:?}"
+    );
+    for (model, at) in &ready {
+        let (told_at, ms) = told[model];
+        assert!(
+            told_at + ms <= at + STEP_MS,
+            "{model} was there at {at}, told at {told_at} for {ms} ms later"
+        );
+    }
+}
