--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -103,6 +103,11 @@
     let (head, body) = req.into_parts();
     let caller = headers::read_caller(&head.headers);
     let id = caller.attempt_id.clone();
+    let mut unfinished = Unfinished {
+        id: &id,
+        arrived,
+        is_over: false,
+    };
     let answer = match read_body(&entry, body).await {
         Ok(body) => {
             let inbound = inbound(head, caller, body, arrived);
@@ -110,6 +115,7 @@
         }
         Err(failure) => Err(failure),
     };
+    unfinished.is_over = true;
     match answer {
         Ok(answer) => answer,
         Err(failure) => {
@@ -128,6 +134,22 @@
     }
 }
 
+/// Logs a request whose caller left before it got a head of an answer, which drops the request.
+struct Unfinished<'a> {
+    id: &'a str,
+    arrived: Millis,
+    is_over: bool,
+}
+
+impl Drop for Unfinished<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            let after = now().since(self.arrived);
+            log_event!(Event::CallerLeft, self.id, "stage=before the answer after_ms={after}");
+        }
+    }
+}
+
 fn inbound(head: Parts, caller: CallerHeaders, body: Bytes, arrived: Millis) -> Inbound {
     Inbound {
         method: head.method,
