--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -11,6 +11,7 @@
 use guava_fleet::model::{BackendServer, Organisation, Route, RouteKind};
 use guava_fleet::quota::{LOCAL_PART, START_LEVEL};
 use guava_fleet::routes::{InForce, draw_service};
+use guava_platform::CallError;
 use guava_platform::headers::{self, CallerHeaders, ServerHeaders};
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, Uri, header};
@@ -37,6 +38,8 @@
 const WAY_BACK_MS: u64 = 20;
 /// Part of its objective that a request may wait for tokens of its organisation.
 const QUOTA_WAIT_DIVISOR: u64 = 3;
+/// Pause until a coordinator is asked for tokens again; a hand-over takes about half a second.
+const QUOTA_PAUSE_MS: u64 = 50;
 /// Wait for an engine below which no other engine is tried.
 const SHORT_PACE_MS: u64 = 40;
 /// Longest wait for an engine's turn.
@@ -260,7 +263,7 @@
     if local.is_ok() {
         return Ok(spent);
     }
-    let (wait, central) = match peers::take_quota(entry, &organisation.name, tokens, max_wait).await {
+    let (wait, central) = match take_central(entry, &organisation.name, tokens, max_wait).await {
         Ok(Ok(wait)) => {
             tokio::time::sleep(Duration::from_millis(wait)).await;
             return Ok(spent);
@@ -287,6 +290,23 @@
     Err(Failure::not_run(Code::RateExceeded).retry_after(retry_after))
 }
 
+/// Takes tokens from the coordinator, and while it changes hands asks again for as long as the request can wait.
+async fn take_central(
+    entry: &Entry,
+    organisation: &str,
+    tokens: f64,
+    max_wait_ms: u64,
+) -> Result<Result<u64, u64>, CallError> {
+    let end = now() + max_wait_ms;
+    loop {
+        let asked = peers::take_quota(entry, organisation, tokens, end.since(now())).await;
+        if !matches!(asked, Err(CallError::NotRun(_))) || now() + QUOTA_PAUSE_MS >= end {
+            return asked;
+        }
+        tokio::time::sleep(Duration::from_millis(QUOTA_PAUSE_MS)).await;
+    }
+}
+
 fn reserve_local(entry: &Entry, spent: &Spent, at: Millis, max_wait_ms: u64) -> Result<u64, u64> {
     let Some(organisation) = &spent.organisation else {
         return Ok(0);
