--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -112,6 +112,8 @@
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
+        // A connection whose next head is not whole after the idle time is closed, however slowly it sends.
+        .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(head_bytes.max(8_192) * 2)
         .serve_connection(TokioIo::new(stream), service);
     let mut serving = pin!(serving);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! One process on each VM takes callers' requests and does its share of control: it follows the store, exchanges what it
 //! knows with the other entry processes, and one of them at a time, found by a lease, orders loads.
 
+pub mod admission;
 pub mod attempt;
 pub mod believed;
 pub mod callers;
@@ -11,6 +12,7 @@
 pub mod feed;
 pub mod logging;
 pub mod metrics;
+pub mod path;
 pub mod peers;
 pub mod program;
 pub mod relay;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -18,8 +18,8 @@
 use crate::attempt::Arriving;
 use crate::log_event;
 use crate::metrics;
+use crate::path::{Chosen, Path};
 use crate::reply::{Body, BodyError};
-use crate::request::{Chosen, Path};
 use crate::state::{now, until};
 
 /// Events that wait for a caller that reads slowly.
