Keep the order gap of the holder before across a restart of the coordinator

The lease now tells for how long its term has been held, and a later life of the VM waits for the rest of the gap.

--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -70,6 +70,9 @@
         lease: LeaseSpec,
         operation: OperationId,
         address: std::net::SocketAddr,
+        /// Milliseconds for which this term has been held; tells a later life of the VM whether engines may still have
+        /// orders of an earlier holder.
+        held_ms: u64,
         /// Milliseconds since the holder's last order, by engine, in an object that gives the lease back.
         order_ages: Vec<(String, u64)>,
     }
@@ -86,6 +89,10 @@
 }
 
 impl Tenure {
+    fn held_ms(&self, term: u64, at: Millis) -> u64 {
+        if self.term == term { at.since(self.began) } else { 0 }
+    }
+
     fn begin(&mut self, term: u64, at: Millis) {
         self.term = term;
         self.began = at;
@@ -116,6 +123,8 @@
     tenure: Mutex<Tenure>,
     vms: Mutex<HashMap<String, VmContact>>,
     farewell: Mutex<Option<Farewell>>,
+    /// Term of the lease as last read, and for how long it had been held.
+    last_held: Mutex<(u64, u64)>,
     /// Version of the configuration and count of server entries that the placement has seen.
     inputs: Mutex<(u64, u64)>,
     /// Term and version of the placement that was told last.
@@ -132,6 +141,7 @@
             tenure: Mutex::default(),
             vms: Mutex::default(),
             farewell: Mutex::default(),
+            last_held: Mutex::default(),
             inputs: Mutex::default(),
             published: Mutex::default(),
         }
@@ -283,6 +293,7 @@
                     lease: spec.clone(),
                     operation: operation.clone(),
                     address: self.entry.settings.advertised,
+                    held_ms: self.tenure.lock().held_ms(spec.term.0, now()),
                     order_ages: if spec.released {
                         self.placement.lock().order_ages(now())
                     } else {
@@ -380,6 +391,7 @@
 
     fn decode(&self, object: &Object) -> Option<StoredLease> {
         let value: LeaseObject = serde_json::from_value(object.spec.clone()).ok()?;
+        *self.last_held.lock() = (value.lease.term.0, value.held_ms);
         if value.lease.released {
             let farewell = Farewell {
                 term: value.lease.term.0,
@@ -432,7 +444,17 @@
         self.quota.lock().clear();
         self.vms.lock().clear();
         let (quiet_until, others_from) = match &farewell {
-            _ if !is_other => (HashMap::new(), at),
+            // This VM's own orders need no gap, but those of the holder before its earlier life may be recent.
+            _ if !is_other => {
+                let (last_term, held_ms) = *self.last_held.lock();
+                let held_ms = if last_term + 1 == term.0 { held_ms } else { 0 };
+                let wait = if term.0 == 1 {
+                    0
+                } else {
+                    (gap + ORDER_TRAVEL_MS).saturating_sub(held_ms)
+                };
+                (HashMap::new(), at + wait)
+            }
             None => (HashMap::new(), at + gap),
             Some(farewell) => {
                 let quiet_from = farewell.at + gap + ORDER_TRAVEL_MS;
