Take a lease that was read as free at once

Cause: after every read a candidate waited for the time between reads (2 s) before its next call, also when the read had shown that nobody holds the lease or that its holder gave it back. guava-dev was ready after 0.2 s and its first cold request waited 2.67 s between demand and decision: 1.84 s for the leases of pool and weight store, then 0.4 s for each permit of the weight store. In guava-dev the first VM's router and administration API also had no seed and were only found by the VM that started later.

Ruled out: reports of engines (there 5 ms after the lease), the controller's rounds (woken by reports).

Change: a read that shows the lease as free allows the next call at once; the order of candidates (a delay by rank) stays. guava-dev gives a VM's own controller as a seed.

The new test failed before the change.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -361,6 +361,7 @@
                 self.attempts.clear();
             }
             self.open_since.get_or_insert(now);
+            self.next_call = now;
             return;
         };
         let own = self.attempts.iter().find(|it| it.operation == lease.operation);
@@ -379,6 +380,9 @@
         self.attempts.clear();
         self.superseded();
         self.open_since = lease.spec.released.then_some(now);
+        if lease.spec.released {
+            self.next_call = now;
+        }
         self.seen = Some(Seen { lease, since: now });
     }
 
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -442,6 +442,29 @@
     }
 }
 
+/// Guards against a fleet that starts, or loses a holder that said goodbye, and waits for the time between reads before
+/// anybody takes the lease that was read as free.
+#[test]
+fn a_lease_read_as_free_is_taken_at_once() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let held = acquire(&mut lease_of("vm0"), Millis(0), &mut rng);
+    let released = StoredLease {
+        spec: LeaseSpec {
+            released: true,
+            ..held.spec.clone()
+        },
+        ..held.clone()
+    };
+
+    for (object, takes) in [(None, true), (Some(released), true), (Some(held), false)] {
+        let mut candidate = lease_of("vm1");
+        candidate.step(first(), Millis(0), &mut rng);
+        candidate.on_read(object, Millis(10));
+        let call = candidate.step(first(), Millis(10), &mut rng);
+        assert_eq!(matches!(call, Some(LeaseCall::Write { .. })), takes, "{call:?}");
+    }
+}
+
 /// Guards against a holder that goes on to act after it has stepped down or cannot reach the platform, and against one
 /// that never competes again.
 #[test]
--- a/crates/dev/src/system.rs
+++ b/crates/dev/src/system.rs
@@ -116,11 +116,11 @@
 async fn start_vm(
     args: &Args,
     number: u16,
-    seeds: Vec<SocketAddr>,
+    mut seeds: Vec<SocketAddr>,
     platform: &StandInPlatform,
 ) -> Result<EntryVm, DevError> {
-    let start = async |role| {
-        let common = common_args(args, number, &seeds);
+    let start = async |role, seeds: &[SocketAddr]| {
+        let common = common_args(args, number, seeds);
         let store = standins::object_store(platform);
         Runtime::start(
             &common,
@@ -130,8 +130,10 @@
         )
         .await
     };
-    let controller = start(Role::Controller).await?;
+    let controller = start(Role::Controller, &seeds).await?;
     let gossip_addr = controller.node.members.me().gossip_addr;
+    // Without it, the first VM's other processes are only found by the ones that start later.
+    seeds.push(gossip_addr);
     platform
         .vms
         .set(standins::vm(&vm_name(number), &zone(number), gossip_addr));
@@ -146,11 +148,11 @@
     controller.serve_rpc(handle.rpc_module()).await?;
     let health = health_server::serve(loopback(args.health_port + number), controller.health())?;
 
-    let router = start(Role::Router).await?;
+    let router = start(Role::Router, &seeds).await?;
     let router_args = RouterArgs::new(loopback(args.router_port + number), PEPPER);
     let router_program = RouterProgram::start(router_args, &router).await?;
 
-    let admin = start(Role::Admin).await?;
+    let admin = start(Role::Admin, &seeds).await?;
     admin.serve_rpc(RpcModule::new(())).await?;
     let admin_args = AdminArgs {
         admin_addr: loopback(args.admin_port + number),
