Hold a burst of connections in the listen queue and show readable tables

Cause of the failures at half of its saturation: the listeners of router, administration API, health checks and stand-in engine had the standard library's queue of 128 connections. A stall made the open loop open hundreds of connections at once; those that found no room were tried again after a second, more arrivals opened more connections, and descriptors ran out. Ruled out: refusals by the router (none).

Change: one function opens all listeners, with room for 4,096; the client drops closed idle connections, uses 2,048 connections at most and counts failures by the side that failed; the benchmark raises its soft limit of open files or says what to do, and prints what it has measured before a failure.

--- a/crates/admin/src/http.rs
+++ b/crates/admin/src/http.rs
@@ -1,12 +1,12 @@
 //! HTTP side of the administration API on xitca-web.
 
 use std::borrow::Cow;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use guava_core::codes::Code;
-use guava_node::http::{HttpServer, response};
+use guava_node::http::{HttpServer, listen, response};
 use subtle::ConstantTimeEq;
 use xitca_web::handler::body::Limit;
 use xitca_web::handler::handler_service;
@@ -22,7 +22,7 @@
 const WORKER_THREADS: usize = 1;
 
 pub(crate) fn serve(addr: SocketAddr, admin: Arc<Admin>) -> Result<HttpServer, AdminError> {
-    let listener = TcpListener::bind(addr)?;
+    let listener = listen(addr)?;
     let addr = listener.local_addr()?;
     let server = App::new()
         .with_state(admin)
--- a/crates/bench/src/cmd/router.rs
+++ b/crates/bench/src/cmd/router.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use guava_bench::drive::{self, Latencies, Target};
+use guava_bench::drive::{self, Failures, Latencies, Target};
 use guava_bench::error::BenchError;
 use guava_bench::fit::Fit;
 use guava_bench::parts::{self, Part};
@@ -75,6 +75,7 @@
 
 /// Runs the command.
 pub(crate) fn run(args: &Args) -> Result<(), BenchError> {
+    process::allow_open_files(config::OPEN_FILES)?;
     let runtime = util::runtime(config::CLIENT_THREADS)?;
     println!(
         "router threads {}, client threads {}, engine threads {}, load {}",
@@ -84,11 +85,16 @@
         process::load()
     );
     let mut table = Table::new(&["measure", "direct", "through the router", "added"]);
-    runtime.block_on(small_requests(args, &mut table))?;
-    runtime.block_on(streams(args, &mut table))?;
-    runtime.block_on(held_streams(args, &mut table))?;
+    let measured = runtime.block_on(measure(args, &mut table));
+    // What was measured before a failure is worth its time.
     println!("{table}load at the end {}", process::load());
-    Ok(())
+    measured
+}
+
+async fn measure(args: &Args, table: &mut Table) -> Result<(), BenchError> {
+    small_requests(args, table).await?;
+    streams(args, table).await?;
+    held_streams(args, table).await
 }
 
 fn body(tokens: u64, stream: bool) -> serde_json::Value {
@@ -103,7 +109,7 @@
         drive::saturate(target, config::CONNECTIONS, config::WARM_UP).await?;
     }
     let mut rates = [Vec::new(), Vec::new()];
-    let (mut failures, mut answers, mut cpu) = (0, 0, Duration::ZERO);
+    let (mut failures, mut answers, mut cpu) = (Failures::default(), 0, Duration::ZERO);
     for _ in 0..args.rounds {
         for (way, target) in both.into_iter().enumerate() {
             let cpu_before = ways.router.cpu();
@@ -117,12 +123,11 @@
         }
     }
     let [direct, routed] = rates.map(util::median);
-    let added = format!("{failures} failures");
     table.row(vec![
         format!("requests/s at saturation, {} connections", config::CONNECTIONS),
         format!("{direct:.0}"),
         format!("{routed:.0}"),
-        added,
+        failures.to_string(),
     ]);
     let per_request = cpu.as_secs_f64() * 1e6 / (answers.max(1)) as f64;
     table.row(vec![
@@ -138,7 +143,8 @@
     const QUANTILES: [f64; 3] = [0.5, 0.9, 0.99];
     let duration = Duration::from_secs(args.seconds);
     let mut found = QUANTILES.map(|_| [Vec::new(), Vec::new()]);
-    let (mut failures, mut late) = (0, 0);
+    let mut failures = [Failures::default(); 2];
+    let mut late = 0;
     let (mut wait, mut routed) = (Duration::ZERO, 0);
     for _ in 0..args.rounds {
         for (way, target) in [&ways.direct, &ways.routed].into_iter().enumerate() {
@@ -147,7 +153,7 @@
             for (rank, quantile) in QUANTILES.into_iter().enumerate() {
                 found[rank][way].push(done.micros.value_at_quantile(quantile) as f64 / 1e3);
             }
-            failures += done.failures;
+            failures[way] += done.failures;
             late += done.late;
             if way == 1 {
                 wait += ways.router.run_queue_wait().saturating_sub(wait_before);
@@ -170,9 +176,9 @@
         String::new(),
         format!("{:.3}", wait.as_secs_f64() * 1e3 / routed.max(1) as f64),
     ]);
-    table.row(vec![format!(
-        "{failures} failures, {late} arrivals sent over 1 ms late"
-    )]);
+    let [direct, routed] = failures.map(|it| it.to_string());
+    table.row(vec!["calls without an answer".to_owned(), direct, routed]);
+    table.row(vec![format!("{late} arrivals sent over 1 ms late")]);
     Ok(())
 }
 
--- a/crates/bench/src/config.rs
+++ b/crates/bench/src/config.rs
@@ -22,3 +22,5 @@
 pub(crate) const HELD_DECODE_US: u64 = 2_000_000;
 /// Tokens of a held stream; it never reaches the end.
 pub(crate) const HELD_TOKENS: u64 = 100_000;
+/// Open files that a part needs: the router holds two connections for each held stream; the rest is for the open loop.
+pub(crate) const OPEN_FILES: u64 = 8_192;
--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -1,6 +1,8 @@
 //! Client of the data path: closed loop for saturation, open loop for latency, held streams for memory.
 
+use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
+use std::ops::AddAssign;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -16,6 +18,7 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
 
 use crate::error::BenchError;
 
@@ -23,6 +26,8 @@
 const SPIN: Duration = Duration::from_micros(120);
 /// Largest recorded latency in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
+/// Most connections of the open loop; keeps a stall from using up descriptors.
+const MAX_CONNECTIONS: usize = 2_048;
 /// Time for the last answers after the last arrival.
 const LAST_ANSWERS: Duration = Duration::from_secs(5);
 
@@ -39,13 +44,74 @@
     pub body: Bytes,
 }
 
+/// Calls without a whole answer of status 200, by the side that failed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Failures {
+    /// No connection: this process or the called one has no descriptor or port left, or does not listen.
+    pub connect: u64,
+    /// The connection broke before the end of the answer.
+    pub broken: u64,
+    /// Other statuses: the router refused or the backend server failed.
+    pub status: u64,
+    /// No answer before the end of the measurement.
+    pub unanswered: u64,
+}
+
+impl Failures {
+    /// All failures.
+    pub fn total(&self) -> u64 {
+        self.connect + self.broken + self.status + self.unanswered
+    }
+
+    fn count(&mut self, failure: Failure) {
+        match failure {
+            Failure::Connect => self.connect += 1,
+            Failure::Broken => self.broken += 1,
+            Failure::Status => self.status += 1,
+        }
+    }
+}
+
+impl AddAssign for Failures {
+    fn add_assign(&mut self, rhs: Self) {
+        self.connect += rhs.connect;
+        self.broken += rhs.broken;
+        self.status += rhs.status;
+        self.unanswered += rhs.unanswered;
+    }
+}
+
+impl Display for Failures {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{} failures", self.total())?;
+        let kinds = [
+            ("no connection", self.connect),
+            ("connection broken", self.broken),
+            ("other status", self.status),
+            ("unanswered", self.unanswered),
+        ];
+        for (kind, count) in kinds.into_iter().filter(|(_, count)| *count > 0) {
+            write!(f, ", {kind} {count}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Why a call failed.
+#[derive(Debug, Clone, Copy)]
+enum Failure {
+    Connect,
+    Broken,
+    Status,
+}
+
 /// Result of a closed loop.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Throughput {
     /// Whole answers with status 200.
     pub answers: u64,
-    /// Other answers and broken connections.
-    pub failures: u64,
+    /// Other calls.
+    pub failures: Failures,
     /// Duration.
     pub elapsed: Duration,
 }
@@ -62,8 +128,8 @@
 pub struct Latencies {
     /// From the scheduled arrival to the end of the answer, in microseconds.
     pub micros: Histogram<u64>,
-    /// Answers other than whole ones with status 200.
-    pub failures: u64,
+    /// Calls without a whole answer of status 200.
+    pub failures: Failures,
     /// Arrivals that were sent more than a millisecond late by the pacing thread.
     pub late: u64,
 }
@@ -87,16 +153,21 @@
         req.body(Full::new(self.body.clone())).expect("request parts are valid")
     }
 
-    /// Sends one request and reads the whole answer; tells whether it has status 200.
-    async fn call(&self, connection: &mut Connection) -> Result<bool, BenchError> {
-        connection.ready().await?;
-        let answer = connection.send_request(self.request()).await?;
-        let ok = answer.status() == StatusCode::OK;
+    /// Sends one request and reads the whole answer, which must have status 200.
+    async fn call(&self, connection: &mut Connection) -> Result<(), Failure> {
+        let broken = |_error: hyper::Error| Failure::Broken;
+        connection.ready().await.map_err(broken)?;
+        let answer = connection.send_request(self.request()).await.map_err(broken)?;
+        let status = answer.status();
         let mut body = answer.into_body();
         while let Some(frame) = body.frame().await {
-            frame?;
+            frame.map_err(broken)?;
+        }
+        if status == StatusCode::OK {
+            Ok(())
+        } else {
+            Err(Failure::Status)
         }
-        Ok(ok)
     }
 }
 
@@ -129,13 +200,16 @@
     let mut done = Throughput::default();
     while Instant::now() < end {
         match target.call(&mut connection).await {
-            Ok(true) => done.answers += 1,
-            Ok(false) => done.failures += 1,
-            Err(_) => {
-                done.failures += 1;
-                let Ok(next) = target.connect().await else { break };
+            Ok(()) => done.answers += 1,
+            Err(Failure::Broken) => {
+                done.failures.count(Failure::Broken);
+                let Ok(next) = target.connect().await else {
+                    done.failures.count(Failure::Connect);
+                    break;
+                };
                 connection = next;
             }
+            Err(failure) => done.failures.count(failure),
         }
     }
     done
@@ -145,36 +219,42 @@
 struct Open {
     target: Target,
     idle: Mutex<Vec<Connection>>,
+    /// Connections that may be in use; further arrivals wait, and their wait counts.
+    places: Semaphore,
     micros: Mutex<Histogram<u64>>,
-    failures: AtomicU64,
+    failures: Mutex<Failures>,
     running: AtomicU64,
 }
 
 impl Open {
     async fn arrival(self: Arc<Self>, due: Instant) {
-        let idle = self.idle.lock().pop();
-        let connection = match idle {
-            Some(it) => Ok(it),
-            None => self.target.connect().await,
-        };
-        let answered = match connection {
-            Ok(mut connection) => {
-                let answered = self.target.call(&mut connection).await.unwrap_or(false);
-                if answered {
-                    self.idle.lock().push(connection);
-                }
-                answered
+        match self.call().await {
+            Ok(()) => {
+                let micros = due.elapsed().as_micros() as u64;
+                self.micros.lock().saturating_record(micros);
             }
-            Err(_) => false,
-        };
-        if answered {
-            let micros = due.elapsed().as_micros() as u64;
-            self.micros.lock().saturating_record(micros);
-        } else {
-            self.failures.fetch_add(1, Ordering::Relaxed);
+            Err(failure) => self.failures.lock().count(failure),
         }
         self.running.fetch_sub(1, Ordering::Release);
     }
+
+    /// Idle connection that the called side has not closed meanwhile.
+    fn idle_connection(&self) -> Option<Connection> {
+        let mut idle = self.idle.lock();
+        std::iter::from_fn(|| idle.pop()).find(|it| !it.is_closed())
+    }
+
+    /// Calls on an idle connection or on a new one.
+    async fn call(&self) -> Result<(), Failure> {
+        let _place = self.places.acquire().await;
+        let mut connection = match self.idle_connection() {
+            Some(it) => it,
+            None => self.target.connect().await.map_err(|_error| Failure::Connect)?,
+        };
+        self.target.call(&mut connection).await?;
+        self.idle.lock().push(connection);
+        Ok(())
+    }
 }
 
 /// Sends requests at evenly spaced times, whatever the earlier ones do.
@@ -200,8 +280,9 @@
     let open = Arc::new(Open {
         target: target.clone(),
         idle: Mutex::new(idle),
+        places: Semaphore::new(MAX_CONNECTIONS),
         micros: Mutex::new(histogram),
-        failures: AtomicU64::new(0),
+        failures: Mutex::default(),
         running: AtomicU64::new(0),
     });
     let handle = Handle::current();
@@ -216,13 +297,10 @@
     while open.running.load(Ordering::Acquire) > 0 && Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    let unanswered = open.running.load(Ordering::Acquire);
+    let mut failures = *open.failures.lock();
+    failures.unanswered = open.running.load(Ordering::Acquire);
     let micros = open.micros.lock().clone();
-    Ok(Latencies {
-        micros,
-        failures: open.failures.load(Ordering::Relaxed) + unanswered,
-        late,
-    })
+    Ok(Latencies { micros, failures, late })
 }
 
 /// Starts the arrivals; a thread of its own keeps to times that the runtime's timers of 1 ms cannot.
@@ -266,13 +344,15 @@
 async fn hold_one(target: &Target) -> Result<HeldStream, BenchError> {
     let mut connection = target.connect().await?;
     let answer = connection.send_request(target.request()).await?;
-    if answer.status() != StatusCode::OK {
+    let status = answer.status();
+    let mut body = answer.into_body();
+    if status != StatusCode::OK {
+        let refusal = body.collect().await?.to_bytes();
+        let refusal = String::from_utf8_lossy(&refusal);
         return Err(BenchError::Part(format!(
-            "a stream was answered with {}",
-            answer.status()
+            "a stream was answered with {status}: {refusal}"
         )));
     }
-    let mut body = answer.into_body();
     let first = body.frame().await;
     first.ok_or_else(|| BenchError::Part("a stream ended at once".to_owned()))??;
     Ok(HeldStream {
--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -43,6 +43,10 @@
         Marker(marker: String) {
             display("no line {marker:?}")
         }
+        /// Fewer open files allowed than the benchmark needs.
+        OpenFiles(needed: u64, reason: String) {
+            display("{needed} open files are needed: raise the limit, for example with ulimit -n ({reason})")
+        }
         /// A part that did not do its job.
         Part(reason: String) {
             display("{reason}")
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -3,12 +3,32 @@
 use std::fs;
 use std::time::Duration;
 
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use rustix::time::{ClockId, clock_gettime};
 
+use crate::error::BenchError;
+
 /// Length of a tick in `/proc/<pid>/stat`; fixed by the kernel's interface.
 const TICK_MS: u64 = 10;
 const PAGE_BYTES: u64 = 4096;
 
+/// Raises this process's soft limit of open files to `needed`; processes that it starts inherit the limit.
+///
+/// # Errors
+///
+/// Fails when the hard limit is lower or the system does not allow it.
+pub fn allow_open_files(needed: u64) -> Result<(), BenchError> {
+    let limit = getrlimit(Resource::Nofile);
+    if limit.current.is_none_or(|it| it >= needed) {
+        return Ok(());
+    }
+    let raised = Rlimit {
+        current: Some(needed),
+        ..limit
+    };
+    setrlimit(Resource::Nofile, raised).map_err(|error| BenchError::OpenFiles(needed, error.to_string()))
+}
+
 fn clock(id: ClockId) -> Duration {
     let time = clock_gettime(id);
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
--- a/crates/ctl/src/cmd/explain.rs
+++ b/crates/ctl/src/cmd/explain.rs
@@ -1,5 +1,7 @@
 //! `guavactl explain`.
 
+use serde_json::Value;
+
 use crate::client::Call;
 use crate::config::Cli;
 use crate::error::CtlError;
@@ -12,6 +14,19 @@
 Usage:
     guavactl explain --organisation bangor --model mistral";
 
+/// Fields of an explanation, in the order of the table.
+const FIELDS: [&str; 9] = [
+    "admitted",
+    "code",
+    "reason",
+    "organisation",
+    "profile",
+    "pool",
+    "waiting",
+    "running",
+    "expected_wait_ms",
+];
+
 /// Arguments.
 #[derive(Debug, clap::Args)]
 pub struct Args {
@@ -42,6 +57,17 @@
         ("vm", args.vm.as_deref()),
     ];
     let answer = Call::get(&["explain"]).query(&pairs).send(cli)?;
-    output::print(cli, &answer, std::slice::from_ref(&answer), &["router", "explanation"]);
+    let explanation = &answer["explanation"];
+    let fields: Vec<(&str, &Value)> = std::iter::once(("router", &answer["router"]))
+        .chain(FIELDS.map(|it| (it, &explanation[it])))
+        .collect();
+    let replicas = explanation["replicas"].as_array().map_or(&[][..], Vec::as_slice);
+    output::print_fields(
+        cli,
+        &answer,
+        &fields,
+        replicas,
+        &["replica", "server", "zone", "affinity"],
+    );
     Ok(())
 }
--- a/crates/e2e/tests/ctl.rs
+++ b/crates/e2e/tests/ctl.rs
@@ -295,6 +295,23 @@
     );
 }
 
+/// Tables are read by people: times of day in place of milliseconds, no JSON inside of cells.
+fn check_tables(ctl: &Ctl, request: &str) {
+    let timeline = ctl.run(&["timeline", "--request", request]).stdout;
+    let first = timeline.lines().nth(1).unwrap_or_default();
+    assert!(first.contains("Z ") && first.contains(" +0 ms "), "{timeline}");
+    assert!(timeline.contains(" E1006 "), "{timeline}");
+
+    let explained = ctl.run(&["explain", "--organisation", "bangor", "--model", "mistral"]);
+    assert!(!explained.stdout.contains('{'), "{explained:?}");
+    let lines: Vec<&str> = explained.stdout.lines().map(str::trim).collect();
+    let admitted = lines.iter().find(|it| it.starts_with("ADMITTED"));
+    assert!(admitted.is_some_and(|it| it.ends_with("yes")), "{explained:?}");
+    let replicas = lines.iter().position(|it| it.starts_with("REPLICA"));
+    let replicas = replicas.map(|it| lines.len() - it - 1);
+    assert_eq!(replicas, Some(1), "{explained:?}");
+}
+
 /// Guards against operators' commands that do not reach the fleet, and against a timeline with gaps or out of order.
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_run_the_fleet() {
@@ -311,6 +328,7 @@
     let request = cold.headers["x-request-id"].to_str().expect("the request id is text");
 
     check_timeline(&ctl, request);
+    check_tables(&ctl, request);
     let of_model = ctl.json(&["timeline", "--model", "mistral"]);
     assert!(of_model["events"].as_array().is_some_and(|it| !it.is_empty()));
     let unknown = ctl.json(&["explain", "--organisation", "bangor", "--model", "unknown"]);
--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -100,6 +100,8 @@
 pub(crate) struct Answer {
     pub(crate) endpoint: Endpoint,
     pub(crate) request: String,
+    /// Start of the request in Unix seconds.
+    pub(crate) created: u64,
     pub(crate) model: String,
     pub(crate) prompt_tokens: usize,
     pub(crate) cached_tokens: usize,
@@ -141,7 +143,8 @@
         put_escaped(buf, &self.request);
         buf.put_slice(b"\",\"object\":\"");
         buf.put_slice(object.as_bytes());
-        buf.put_slice(b"\",\"created\":0,\"model\":\"");
+        // Writing to memory does not fail.
+        let _ = write!(buf.writer(), "\",\"created\":{},\"model\":\"", self.created);
         put_escaped(buf, &self.model);
         buf.put_slice(b"\",");
     }
--- a/crates/engine/src/engine_front.rs
+++ b/crates/engine/src/engine_front.rs
@@ -22,7 +22,7 @@
 use crate::front::{
     AnswerBody, Cut, Front, Handler, HttpAnswer, Outage, answer, json, parameter, read_body, refusal, serve,
 };
-use crate::record::{RequestSlot, RequestState};
+use crate::record::{RequestSlot, RequestState, wall_ms};
 use crate::replica::ReplicaGuard;
 use crate::settings::EngineFaults;
 use crate::standin::StandInEngine;
@@ -157,6 +157,7 @@
         let answer = Answer {
             endpoint,
             request: request.to_owned(),
+            created: wall_ms() / 1_000,
             prompt_tokens: count_tokens(&prompt),
             cached_tokens: self.prefixes.visit(&parsed.model, prompt.as_bytes()),
             model: parsed.model.clone().into_owned(),
--- a/crates/engine/src/front.rs
+++ b/crates/engine/src/front.rs
@@ -22,12 +22,14 @@
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use serde::Serialize;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 /// Largest accepted body.
 const BODY_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+/// Connections that wait to be accepted, as at the servers of `guava-node`.
+const BACKLOG: u32 = 4_096;
 /// Pause before the listener is opened again after a failure.
 const REBIND_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
 
@@ -132,7 +134,7 @@
 
 /// Serves `handler` on `addr` in the current runtime.
 pub(crate) async fn serve<H: Handler>(handler: Arc<H>, addr: SocketAddr, outage: Outage) -> io::Result<Front> {
-    let listener = TcpListener::bind(addr).await?;
+    let listener = listen(addr)?;
     let addr = listener.local_addr()?;
     let task = tokio::spawn(async move {
         let never_down = watch::Sender::new(false);
@@ -166,9 +168,17 @@
     }
 }
 
+/// Opens a listener whose queue holds the connections of a burst.
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
 async fn rebind(addr: SocketAddr) -> TcpListener {
     loop {
-        match TcpListener::bind(addr).await {
+        match listen(addr) {
             Ok(listener) => return listener,
             Err(error) => log::warn!("cannot listen on {addr} again: {error}"),
         }
--- a/crates/node/src/health_server.rs
+++ b/crates/node/src/health_server.rs
@@ -1,13 +1,13 @@
 //! HTTP server for health checks and metrics, for programs without an HTTP API of their own.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
 use xitca_web::handler::handler_service;
 use xitca_web::http::{Method, WebResponse};
 use xitca_web::{App, WebContext};
 
 use crate::health::{Health, HealthAnswer};
-use crate::http::{HttpServer, response};
+use crate::http::{HttpServer, listen, response};
 
 /// Threads that serve health checks.
 const WORKER_THREADS: usize = 1;
@@ -18,7 +18,7 @@
 ///
 /// Fails when the listener cannot be opened.
 pub fn serve(addr: SocketAddr, health: Health) -> std::io::Result<HttpServer> {
-    let listener = TcpListener::bind(addr)?;
+    let listener = listen(addr)?;
     let addr = listener.local_addr()?;
     let server = App::new()
         .with_state(health)
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,12 +1,30 @@
 //! Small HTTP servers on xitca-web: their handle and their answers.
 
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 
+use socket2::{Domain, Protocol, Socket, Type};
 use xitca_server::{ServerFuture, ServerHandle};
 use xitca_web::body::ResponseBody;
 use xitca_web::http::{WebResponse, header};
 
+/// Connections that wait to be accepted. The standard library's 128 overflow when the callers of a lost VM reconnect at
+/// once, and a connection that finds no room is only tried again after a second.
+const BACKLOG: i32 = 4_096;
+
+/// Opens a listener.
+///
+/// # Errors
+///
+/// Fails when the address is not free.
+pub fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
 /// A running HTTP server.
 pub struct HttpServer {
     /// Address it listens on.
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -30,7 +30,7 @@
 use crate::spread::SpreadMap;
 use crate::timeline::EventLog;
 use crate::watchers::KINDS;
-use crate::{Clock, MemberInfo, Node, Timeline, antientropy, bootstrap, logging, server, vms, watchers};
+use crate::{Clock, MemberInfo, Node, Timeline, antientropy, bootstrap, http, logging, server, vms, watchers};
 use guava_telemetry::Metrics;
 
 /// Differences from other members that wait to be repaired.
@@ -100,7 +100,7 @@
             logging::init(cfg.log_level, format);
         }
         let socket = Arc::new(UdpSocket::bind(cfg.gossip_addr).await?);
-        let listener = TcpListener::bind(cfg.rpc_addr)?;
+        let listener = http::listen(cfg.rpc_addr)?;
         listener.set_nonblocking(true)?;
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let seeds = other_seeds(cfg, socket.local_addr()?);
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -439,8 +439,8 @@
     }
 }
 
-/// Models and adapters in the form of the OpenAI API.
-pub(crate) fn model_list(snapshot: &Snapshot) -> WholeAnswer {
+/// Models and adapters in the form of the OpenAI API, as created when the router started: configuration has no times.
+pub(crate) fn model_list(snapshot: &Snapshot, started: u64) -> WholeAnswer {
     let models = snapshot.models.values().map(|it| (it.name.as_str(), it.pool.as_str()));
     let adapters = snapshot.adapters.values().filter_map(|it| {
         let model = snapshot.models.get(&it.model)?;
@@ -450,7 +450,7 @@
     names.sort_unstable();
     let data: Vec<serde_json::Value> = names
         .into_iter()
-        .map(|(id, pool)| json!({"id": id, "object": "model", "created": 0, "owned_by": pool}))
+        .map(|(id, pool)| json!({"id": id, "object": "model", "created": started, "owned_by": pool}))
         .collect();
     WholeAnswer::json(StatusCode::OK, &json!({"object": "list", "data": data}))
 }
--- a/crates/router/src/path.rs
+++ b/crates/router/src/path.rs
@@ -277,6 +277,11 @@
 }
 
 impl Router {
+    /// Start of this process in Unix seconds.
+    pub(crate) fn started(&self) -> u64 {
+        self.node.members.me().incarnation.0 / 1_000
+    }
+
     pub(crate) fn new(parts: Assembly) -> Self {
         let zone = parts.node.members.me().zone.clone();
         Self {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,6 +1,6 @@
 //! Start and graceful stop of the router.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -117,7 +117,7 @@
     if !faults.is_empty() {
         return Err(RouterError::Settings(faults));
     }
-    let listener = TcpListener::bind(args.listen_addr)?;
+    let listener = guava_node::http::listen(args.listen_addr)?;
     let addr = listener.local_addr()?;
     let changes = node.spread.subscribe();
     let router = Arc::new(Router::new(Assembly {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -324,7 +324,7 @@
     }
     let accepted = router.accept(head, endpoint)?;
     match &accepted.endpoint {
-        Endpoint::Models => return Ok(Answer::Whole(model_list(&accepted.snapshot))),
+        Endpoint::Models => return Ok(Answer::Whole(model_list(&accepted.snapshot, router.started()))),
         Endpoint::Job(job) => {
             let organisation = accepted.caller.organisation.clone().ok_or(Code::MissingKey)?;
             let state = router.job_state(&organisation, job).await;
