Share health between VMs, tell placement by changes, log every decision

Cause, health: each VM found out alone that a server fails, at 91 VMs with some requests each; a 5xx that a server answered counted as a success.

Cause, log: no line for admission, readiness, members that come, the store that goes away; E5001 was only used for a configuration that cannot be read; a burst was bounded by dropped lines only.

Change: reports count until the next one is overdue and are 30 ms apart per 24 VMs; the feed tells changes of placement by number, as for servers, with one type for both; loads of the 128 busiest servers are told; reports carry outcomes at servers that fail, the coordinator tells those that fail for two VMs and half of their requests, a VM's own later success outweighs it; answers with 5xx count as failures; E1001, E4002, E4005, E5001, E5002 and E5004 are written; beyond 200 lines of a kind a second, the lines of one request in sixteen, and E4020 with the count of the others.

Tests: health.rs (new behaviour), changes.rs, believed.rs, placement.rs, sampling.rs; lines.rs provokes all 35 kinds of lines in the real program and checks their fields; it failed for E1013, E2012, E4007 and E5001 before the last changes (two of them faults of the program, two of the test).

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -102,11 +102,13 @@
     SettingsRefused = 4017, Error, "The settings file has faults; the settings in force stay.";
     PeerMessageRefused = 4018, Warn, "A message of another process cannot be read.";
     SourceChanged = 4019, Info, "This process begins or ends to watch the platform itself.";
+    LinesLeftOut = 4020, Info, "Log lines of a kind were left out in the last second.";
 
     // 5xxx: platform.
     PlatformUnavailable = 5001, Warn, "The platform's object service does not answer.";
     PlatformAvailable = 5002, Info, "The platform's object service answers again.";
     WriteRecovered = 5003, Info, "A write whose answer was lost was read back.";
+    ConfigUnreadable = 5004, Warn, "A configuration in the store cannot be read; the one in force stays.";
 }
 
 impl fmt::Display for Event {
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -42,6 +42,18 @@
     }
 }
 
+fn log_admitted(inbound: &Inbound, resolved: &Resolved, spent: &Spent, quota: &str, wait_ms: u64) {
+    log_event!(
+        Event::RequestAdmitted,
+        &inbound.caller.attempt_id,
+        "route={} config_version={} organisation={} tokens={} quota={quota} wait_ms={wait_ms}",
+        resolved.route.name,
+        resolved.in_force.config.version,
+        resolved.organisation.as_ref().map_or("-", |it| &it.name),
+        spent.tokens
+    );
+}
+
 /// Takes the request's tokens from the organisation's rate: from the local part, else from the coordinator's.
 ///
 /// # Errors
@@ -50,6 +62,7 @@
 pub async fn admit(entry: &Arc<Entry>, inbound: &Inbound, resolved: &Resolved) -> Result<Spent, Failure> {
     let limited = resolved.organisation.as_ref().filter(|it| it.rate > 0.0);
     let Some(organisation) = limited else {
+        log_admitted(inbound, resolved, &Spent::default(), "none", 0);
         return Ok(Spent::default());
     };
     let tokens = match inbound.caller.tokens {
@@ -69,11 +82,13 @@
     let at = now();
     let local = reserve_local(entry, &spent, at, 0);
     if local.is_ok() {
+        log_admitted(inbound, resolved, &spent, "local", 0);
         return Ok(spent);
     }
     let (wait, central) = match take_central(entry, &organisation.name, tokens, max_wait).await {
         Ok(Ok(wait)) => {
             tokio::time::sleep(Duration::from_millis(wait)).await;
+            log_admitted(inbound, resolved, &spent, "central", wait);
             return Ok(spent);
         }
         Ok(Err(wait)) => (wait, format!("short for {wait} ms")),
@@ -82,6 +97,7 @@
     let wait_local = match reserve_local(entry, &spent, now(), max_wait) {
         Ok(wait) => {
             tokio::time::sleep(Duration::from_millis(wait)).await;
+            log_admitted(inbound, resolved, &spent, "local", wait);
             return Ok(spent);
         }
         Err(wait) => wait,
--- a/crates/entry/src/believed.rs
+++ b/crates/entry/src/believed.rs
@@ -1,6 +1,6 @@
 //! What the process believes of its deployment: configuration, backend servers, what engines hold, other processes.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use guava_core::units::Millis;
@@ -8,6 +8,7 @@
 use guava_fleet::placement::{Placed, Wait};
 use guava_fleet::routes::InForce;
 
+use crate::changes::{Changes, Numbered};
 use crate::state::{CoordinatorHint, KnownMember};
 
 /// Time after which what the coordinator told no longer goes before the servers' own entries.
@@ -18,15 +19,11 @@
 pub const LAPSE_GRACE_MS: u64 = 2_200;
 /// Silence of the store after which missing entries may have lapsed with it.
 const LAPSE_GAP_MS: u64 = 2_600;
-/// Entries of removed servers that are kept for followers; one that lacks more gets the whole list.
-const KEPT_REMOVALS: usize = 256;
 
 /// Entry of a server.
 #[derive(Debug, Clone)]
 struct KnownServer {
     server: Arc<BackendServer>,
-    /// Number of the change that brought its present form.
-    change: u64,
     /// When the entry went missing right after the store had been away.
     lapsed: Option<Millis>,
 }
@@ -44,19 +41,6 @@
     }
 }
 
-/// Changes of servers since an earlier state.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct ServerChanges {
-    /// Number of the last change.
-    pub change: u64,
-    /// Whether `present` holds all servers.
-    pub is_whole: bool,
-    /// New or changed servers.
-    pub present: Vec<BackendServer>,
-    /// Servers that are gone.
-    pub gone: Vec<String>,
-}
-
 /// Beliefs; [`crate::state::Entry`] holds them behind its lock.
 #[derive(Debug, Default)]
 pub struct Believed {
@@ -76,19 +60,18 @@
     pub has_servers: bool,
     /// Revision of the store at which the servers last changed.
     pub servers_revision: u64,
-    servers: HashMap<String, KnownServer>,
-    changes: u64,
+    servers: Numbered<KnownServer>,
     /// Counts every entry that was taken, also those that followers need not learn.
     entries_taken: u64,
-    removed: BTreeMap<u64, String>,
     store_returned: Option<Millis>,
-    placed: HashMap<String, Placed>,
+    placed: Numbered<Placed>,
     placed_version: (u64, u64),
     placed_at: Option<Millis>,
     missing: HashMap<(String, String), Millis>,
     waits: Vec<Wait>,
     waits_at: Option<Millis>,
     source: Option<ToldAge>,
+    has_fresh_source: bool,
     coordination: Option<ToldAge>,
 }
 
@@ -114,6 +97,13 @@
         was_away
     }
 
+    /// Whether the view of the store has just become fresh (true) or too old (false).
+    pub fn check_source(&mut self, now: Millis) -> Option<bool> {
+        let is_fresh = self.source_age(now) <= LAPSE_GAP_MS;
+        let was_fresh = std::mem::replace(&mut self.has_fresh_source, is_fresh);
+        (is_fresh != was_fresh).then_some(is_fresh)
+    }
+
     /// Notes how old the beliefs of the process are that this one follows.
     pub fn note_source(&mut self, age_ms: u64, now: Millis) {
         self.source = Some(ToldAge { age_ms, at: now });
@@ -142,10 +132,10 @@
 
     /// Replaces all servers; true when followers should learn it.
     pub fn put_list(&mut self, list: Vec<BackendServer>, revision: u64, now: Millis) -> bool {
-        let before = self.changes;
+        let before = self.servers.last();
         let listed: HashMap<String, BackendServer> = list.into_iter().map(|it| (it.id.clone(), it)).collect();
-        let gone = self.servers.keys().filter(|it| !listed.contains_key(*it));
-        let gone: Vec<String> = gone.cloned().collect();
+        let gone = self.servers.iter().filter(|(id, _)| !listed.contains_key(*id));
+        let gone: Vec<String> = gone.map(|(id, _)| id.clone()).collect();
         for id in gone {
             self.drop_server(&id, now);
         }
@@ -154,7 +144,7 @@
         }
         let is_first = !std::mem::replace(&mut self.has_servers, true);
         self.servers_revision = self.servers_revision.max(revision);
-        is_first || self.changes != before
+        is_first || self.servers.last() != before
     }
 
     /// Takes a server's entry; true when followers should learn it.
@@ -162,16 +152,12 @@
         self.entries_taken += 1;
         let known = self.servers.get(&server.id);
         let is_same = known.is_some_and(|it| it.lapsed.is_none() && has_same_standing(&it.server, &server));
-        if !is_same {
-            self.changes += 1;
-        }
-        let change = known.filter(|_| is_same).map_or(self.changes, |it| it.change);
+        let id = server.id.clone();
         let known = KnownServer {
             server: Arc::new(server),
-            change,
             lapsed: None,
         };
-        self.servers.insert(known.server.id.clone(), known);
+        self.servers.put(&id, known, !is_same);
         !is_same
     }
 
@@ -205,16 +191,11 @@
     fn remove(&mut self, id: &str) {
         self.entries_taken += 1;
         self.servers.remove(id);
-        self.changes += 1;
-        self.removed.insert(self.changes, id.to_owned());
-        if self.removed.len() > KEPT_REMOVALS {
-            self.removed.pop_first();
-        }
     }
 
     /// Known servers.
     pub fn servers(&self) -> impl Iterator<Item = &Arc<BackendServer>> {
-        self.servers.values().map(|it| &it.server)
+        self.servers.iter().map(|(_, it)| &it.server)
     }
 
     /// Grows with every entry of a server that was taken or removed.
@@ -224,52 +205,62 @@
 
     /// Number of the last change of servers.
     pub fn change(&self) -> u64 {
-        self.changes
+        self.servers.last()
     }
 
-    /// Server of this id.
-    pub fn server(&self, id: &str) -> Option<&Arc<BackendServer>> {
-        self.servers.get(id).map(|it| &it.server)
+    /// Changes of servers since the numbered one, or all servers when `since` is `None` or too long ago.
+    pub fn changes_since(&self, since: Option<u64>) -> Changes<BackendServer> {
+        self.servers.since(since, |it| (*it.server).clone())
     }
 
-    /// Changes since the numbered one, or all servers when `since` is `None` or too long ago.
-    pub fn changes_since(&self, since: Option<u64>) -> ServerChanges {
-        let oldest_kept = self.removed.first_key_value().map_or(0, |(change, _)| *change);
-        let is_known = |it: &u64| *it <= self.changes && (self.removed.len() < KEPT_REMOVALS || *it + 1 >= oldest_kept);
-        let since = since.filter(is_known);
-        let present = self
-            .servers
-            .values()
-            .filter(|it| since.is_none_or(|since| it.change > since));
-        let gone = since.map(|since| self.removed.range(since + 1..).map(|(_, id)| id.clone()).collect());
-        ServerChanges {
-            change: self.changes,
-            is_whole: since.is_none(),
-            present: present.map(|it| (*it.server).clone()).collect(),
-            gone: gone.unwrap_or_default(),
-        }
+    /// Takes all that engines hold from the coordinator of this term.
+    pub fn put_placement(&mut self, version: (u64, u64), placed: Vec<Placed>, now: Millis) {
+        let told: HashMap<String, Placed> = placed.into_iter().map(|it| (it.server.clone(), it)).collect();
+        let gone = self.placed.iter().filter(|(id, _)| !told.contains_key(*id));
+        let gone: Vec<String> = gone.map(|(id, _)| id.clone()).collect();
+        let changes = Changes {
+            change: self.placed.last(),
+            is_whole: false,
+            present: told.into_values().collect(),
+            gone,
+        };
+        self.put_placement_changes(version, changes, now);
     }
 
-    /// Takes what engines hold from the coordinator of this term.
-    pub fn put_placement(&mut self, version: (u64, u64), placed: Vec<Placed>, now: Millis) {
-        self.placed = placed.into_iter().map(|it| (it.server.clone(), it)).collect();
+    /// Takes changes of what engines hold.
+    pub fn put_placement_changes(&mut self, version: (u64, u64), changes: Changes<Placed>, now: Millis) {
+        for placed in changes.present {
+            let id = placed.server.clone();
+            let is_change = self.placed.get(&id) != Some(&placed);
+            self.placed.put(&id, placed, is_change);
+        }
+        for id in &changes.gone {
+            self.placed.remove(id);
+        }
         self.placed_version = version;
         self.placed_at = Some(now);
         self.missing.clear();
     }
 
-    /// Notes that the placement of this version is still current.
+    /// Notes that what engines hold is still current.
     pub fn confirm_placement(&mut self, version: (u64, u64), now: Millis) {
-        if version == self.placed_version {
-            self.placed_at = Some(now);
-        }
+        self.placed_version = version;
+        self.placed_at = Some(now);
+    }
+
+    /// Term and version of the placement; term zero for none.
+    pub fn placed_version(&self) -> (u64, u64) {
+        self.placed_version
+    }
+
+    /// Number of the last change of what engines hold.
+    pub fn placed_change(&self) -> u64 {
+        self.placed.last()
     }
 
-    /// Version of the placement, and the placement itself unless `known` is the same.
-    pub fn placement(&self, known: (u64, u64)) -> ((u64, u64), Option<Vec<Placed>>) {
-        let is_new = known != self.placed_version;
-        let placed = is_new.then(|| self.placed.values().cloned().collect());
-        (self.placed_version, placed)
+    /// Changes of what engines hold since the numbered one, or everything.
+    pub fn placed_since(&self, since: Option<u64>) -> Changes<Placed> {
+        self.placed.since(since, Placed::clone)
     }
 
     /// Takes the times until models can take requests.
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -16,6 +16,7 @@
 };
 use guava_core::rendezvous;
 use guava_core::units::Millis;
+use guava_fleet::health::SharedHealth;
 use guava_fleet::placement::{Order, OrderOutcome, Placement};
 use guava_fleet::quota::{Buckets, LOCAL_PART};
 use guava_platform::store::{Object, Written};
@@ -122,6 +123,8 @@
     quota: Mutex<Buckets>,
     tenure: Mutex<Tenure>,
     vms: Mutex<HashMap<String, VmContact>>,
+    /// Outcomes of requests as the VMs report them.
+    health: Mutex<SharedHealth>,
     farewell: Mutex<Option<Farewell>>,
     /// Term of the lease as last read, and for how long it had been held.
     last_held: Mutex<(u64, u64)>,
@@ -140,6 +143,7 @@
             quota: Mutex::default(),
             tenure: Mutex::default(),
             vms: Mutex::default(),
+            health: Mutex::default(),
             farewell: Mutex::default(),
             last_held: Mutex::default(),
             inputs: Mutex::default(),
@@ -166,17 +170,20 @@
             store_age_ms: report.store_age_ms,
         };
         self.vms.lock().insert(report.vm.clone(), contact);
+        let failures = {
+            let mut health = self.health.lock();
+            health.note(&report.vm, report.outcomes, at);
+            health.failures(at)
+        };
         let mut placement = self.placement.lock();
-        placement.note_report(&report.vm, report.demand, report.running, at);
+        placement.note_report(&report.vm, report.demand, report.running, report.next_ms, at);
         let waits = if coordinates { placement.waits(at) } else { Vec::new() };
-        let loads = placement.running_by_server(at);
+        let loads = placement.told_loads(at);
         ReportAnswer {
             coordinates,
-            loads: loads
-                .into_iter()
-                .map(|(server, count)| (server.to_owned(), count))
-                .collect(),
+            loads,
             waits,
+            failures,
         }
     }
 
@@ -490,7 +497,7 @@
             let placement = self.placement.lock();
             let version = (term, placement.version());
             let is_new = self.published.lock().replace(version) != Some(version);
-            (version, is_new.then(|| placement.placed(at)))
+            (version, is_new.then(|| placement.placed()))
         };
         self.entry.apply_placement(version, placed, at);
     }
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::believed;
+use crate::changes::Changes;
 use crate::coordinator::Coordinator;
 use crate::log_event;
 use crate::peers;
@@ -48,8 +48,8 @@
         pub change: Option<u64>,
         /// Version of the configuration.
         pub config_version: u64,
-        /// Term and version of the placement.
-        pub placed_version: (u64, u64),
+        /// Last change of what engines hold.
+        pub placed_change: Option<u64>,
     }
 
     /// What a follower lacks.
@@ -63,30 +63,30 @@
         /// Newer configuration.
         pub config: Option<Configuration>,
         /// Changes of servers.
-        pub servers: Option<FeedServers>,
+        pub servers: Option<FeedChanges<BackendServer>>,
         /// Revision of the store at which the servers last changed.
         pub revision: u64,
         /// Term and version of the placement; term zero for none.
         pub placed_version: (u64, u64),
-        /// Newer placement.
-        pub placed: Option<Vec<Placed>>,
+        /// Changes of what engines hold.
+        pub placed: Option<FeedChanges<Placed>>,
     }
 
-    /// Changes of servers.
-    pub struct FeedServers {
+    /// Changes since those that the follower knows.
+    pub struct FeedChanges<T> {
         /// Number of the last change.
         pub change: u64,
-        /// Whether `present` holds all servers.
+        /// Whether `present` holds everything.
         pub is_whole: bool,
-        /// New or changed servers.
-        pub present: Vec<BackendServer>,
-        /// Servers that are gone.
+        /// New or changed entries.
+        pub present: Vec<T>,
+        /// Identifiers of entries that are gone.
         pub gone: Vec<String>,
     }
 }
 
-impl From<believed::ServerChanges> for FeedServers {
-    fn from(changes: believed::ServerChanges) -> Self {
+impl<T> From<Changes<T>> for FeedChanges<T> {
+    fn from(changes: Changes<T>) -> Self {
         Self {
             change: changes.change,
             is_whole: changes.is_whole,
@@ -118,10 +118,12 @@
         source: 0,
         change: None,
         config_version: 0,
-        placed_version: (0, 0),
+        placed_change: None,
     };
     loop {
         let Some(address) = source(&entry).filter(|_| !coordinator.coordinates()) else {
+            // A process that has coordinated knows its own placement, on which changes of another one do not build.
+            query.placed_change = None;
             sleep(RETRY).await;
             continue;
         };
@@ -136,13 +138,17 @@
                 continue;
             }
         };
-        if let Some(servers) = &answer.servers {
-            query.change = Some(servers.change);
-        } else if answer.source != query.source {
+        if answer.source != query.source {
             query.change = None;
+            query.placed_change = None;
         }
         query.source = answer.source;
-        query.placed_version = answer.placed_version;
+        if let Some(servers) = &answer.servers {
+            query.change = Some(servers.change);
+        }
+        if let Some(placed) = &answer.placed {
+            query.placed_change = Some(placed.change);
+        }
         entry.apply_feed(answer, now());
     }
 }
--- a/crates/entry/src/logging.rs
+++ b/crates/entry/src/logging.rs
@@ -1,19 +1,25 @@
 //! Log of the process: JSON lines on standard output that never block it.
 //!
 //! Lines go through a bounded queue to a thread of their own. When the reader of standard output is slow or gone, lines
-//! are dropped and counted.
+//! are dropped and counted. Under load lines are sampled before that (see [`crate::sampling`]).
 
 use std::io::Write;
+use std::sync::LazyLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
 
+use guava_core::events::Event;
 use log::{LevelFilter, Record};
 use log4rs::Config;
 use log4rs::append::Append;
 use log4rs::config::{Appender, Logger, Root};
 use log4rs::encode::pattern::PatternEncoder;
 use log4rs::encode::{Encode, writer::simple::SimpleWriter};
+use parking_lot::Mutex;
+
+use crate::sampling::Sampler;
+use crate::state::now;
 
 /// Lines that wait for the reader; a line has some 200 bytes, so the queue stays under 1 MB.
 const QUEUED_LINES: usize = 4_096;
@@ -24,6 +30,7 @@
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 /// Lines dropped since the start.
 static DROPPED_IN_ALL: AtomicU64 = AtomicU64::new(0);
+static SAMPLER: LazyLock<Mutex<Sampler>> = LazyLock::new(Mutex::default);
 static VM: std::sync::OnceLock<String> = std::sync::OnceLock::new();
 
 /// Logs a numbered event: `log_event!(event, request, "format", arguments)`.
@@ -36,8 +43,22 @@
 }
 
 /// Writes one event.
-pub fn emit(event: guava_core::events::Event, request: &str, detail: std::fmt::Arguments<'_>) {
+pub fn emit(event: Event, request: &str, detail: std::fmt::Arguments<'_>) {
     crate::metrics::count(event);
+    let (is_written, left_out) = {
+        let mut sampler = SAMPLER.lock();
+        let left_out = sampler.roll(now());
+        (sampler.admit(event, request), left_out)
+    };
+    for (kind, count) in left_out {
+        write(Event::LinesLeftOut, "-", format_args!("kind={kind} count={count}"));
+    }
+    if is_written {
+        write(event, request, detail);
+    }
+}
+
+fn write(event: Event, request: &str, detail: std::fmt::Arguments<'_>) {
     let vm = VM.get().map_or("-", String::as_str);
     let number = event.to_string();
     log::log!(
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -137,7 +137,7 @@
     /// # Errors
     ///
     /// Fails when no server can take it in time, or when it may have run and must not be repeated.
-    pub async fn run(&mut self) -> Result<Response<Body>, Failure> {
+    pub async fn run(mut self) -> Result<Response<Body>, Failure> {
         if let Some(model) = &self.inbound.caller.model {
             let adapter = self.inbound.caller.adapter.as_deref();
             let prompt_tokens = self.inbound.caller.tokens.map_or(0, |(prompt, _)| prompt);
@@ -146,18 +146,9 @@
         loop {
             let (chosen, arriving) = self.offer(None).await?;
             if self.resolved.route.kind == RouteKind::Streaming && arriving.status.is_success() {
-                let id = self.id().to_owned();
-                let path = Self {
-                    entry: Arc::clone(&self.entry),
-                    inbound: Arc::clone(&self.inbound),
-                    resolved: self.resolved.clone(),
-                    service: self.service.clone(),
-                    ran: self.ran.clone(),
-                    refusals: self.refusals,
-                    deadline: self.deadline,
-                };
-                log_event!(Event::RequestFinished, &id, "stream begins server={}", chosen.server.id);
-                return Ok(relay::stream(path, chosen, arriving));
+                let server = &chosen.server.id;
+                log_event!(Event::RequestFinished, self.id(), "stream begins server={server}");
+                return Ok(relay::stream(self, chosen, arriving));
             }
             if let Some(answer) = self.read_whole(chosen, arriving).await? {
                 return Ok(answer);
@@ -170,6 +161,7 @@
         let server = chosen.server.id.clone();
         let is_failure = arriving.status.is_server_error();
         if is_failure && self.may_repeat() && self.entry.try_repeat(&self.service, now()) {
+            self.note_failure(&server, &format!("status {}", arriving.status.as_u16()));
             log_event!(
                 Event::RequestRetried,
                 self.id(),
@@ -184,7 +176,11 @@
             Ok(Err(e)) => return self.lost(&server, &e.to_string()).map(|()| None),
             Err(_) => return Err(Failure::unknown(Code::TimedOut)),
         };
-        self.entry.health.lock().note_success(&server);
+        if is_failure {
+            self.note_failure(&server, &format!("status {}", arriving.status.as_u16()));
+        } else {
+            self.entry.health.lock().note_success(now(), &server);
+        }
         let mut answer = Response::new(full(body));
         *answer.status_mut() = arriving.status;
         *answer.headers_mut() = headers::for_caller(&arriving.headers);
@@ -200,6 +196,12 @@
         Ok(Some(answer))
     }
 
+    fn note_failure(&self, server: &str, why: &str) {
+        if self.entry.health.lock().note_failure(now(), server) {
+            log_event!(Event::ServerAvoided, self.id(), "server={server} why={why}");
+        }
+    }
+
     /// Notes that a server may have run the request and gave no usable answer.
     ///
     /// # Errors
@@ -207,9 +209,7 @@
     /// Fails when the request must not be offered again.
     pub fn lost(&mut self, server: &str, why: &str) -> Result<(), Failure> {
         let at = now();
-        if self.entry.health.lock().note_failure(at, server) {
-            log_event!(Event::ServerAvoided, self.id(), "server={server} why={why}");
-        }
+        self.note_failure(server, why);
         let has_time = at + WAY_BACK_MS < self.deadline;
         if has_time && self.may_repeat() && self.entry.try_repeat(&self.service, at) {
             log_event!(Event::RequestRetried, self.id(), "server={server} why={why}");
@@ -267,9 +267,7 @@
             AttemptError::Unknown(why) => return self.lost(server, &why),
             AttemptError::NotSent(_) => {
                 self.ran.pop();
-                if self.entry.health.lock().note_failure(at, server) {
-                    log_event!(Event::ServerAvoided, self.id(), "server={server} why={why}");
-                }
+                self.note_failure(server, &why);
             }
             AttemptError::NotRun | AttemptError::Misdirected => {
                 self.ran.pop();
@@ -461,7 +459,7 @@
             in_flight: *in_flight,
             slots: it.slots,
             avoided: health.is_avoided(at, &it.id),
-            failing: health.failing(&it.id),
+            failing: health.failing(at, &it.id),
         });
         let best = choice::choose(candidates, caller.first_part.as_deref(), &mut rand::rng())?;
         let server = able
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use guava_core::derive_value;
 use guava_core::events::Event;
+use guava_fleet::health::{Outcomes, SharedFailure};
 use guava_fleet::model::{BackendServer, Configuration};
 use guava_fleet::placement::{Demand, Running, Wait};
 use guava_platform::CallError;
@@ -45,6 +46,8 @@
 const PACE_TIMEOUT: Duration = Duration::from_millis(60);
 /// VMs for which the time between reports grows by one step.
 const VMS_PER_REPORT_STEP: u32 = 24;
+/// Least time between two reports for each such step, also when demand changes; a small fleet reports it at once.
+const LEAST_REPORT_GAP: Duration = Duration::from_millis(30);
 /// Time between two reports to the coordinator.
 const REPORT: Duration = Duration::from_millis(250);
 
@@ -79,6 +82,10 @@
         pub running: Vec<Running>,
         /// Time since the store last answered this VM.
         pub store_age_ms: u64,
+        /// Longest time until the next report.
+        pub next_ms: u64,
+        /// Outcomes since the last report at servers that failed.
+        pub outcomes: Vec<Outcomes>,
     }
 
     /// Announcement of a coordinator that it has stopped.
@@ -97,6 +104,8 @@
         pub loads: Vec<(String, u32)>,
         /// Times until the models that requests of any VM wait for can take them.
         pub waits: Vec<Wait>,
+        /// Servers that fail for several VMs.
+        pub failures: Vec<SharedFailure>,
     }
 
     /// Prompt to be sent to an engine.
@@ -291,12 +300,17 @@
 /// Reports to the coordinator, at once when a request begins to wait.
 pub async fn report(entry: Arc<Entry>, coordinator: Arc<Coordinator>) {
     loop {
+        // In a large fleet each VM reports less often, so that the coordinator's work stays bounded.
+        let steps = entry.vms() as u32 / VMS_PER_REPORT_STEP;
+        let pause = REPORT * (1 + steps);
         let (demand, running) = entry.take_report();
         let report = Report {
             vm: entry.settings.vm.clone(),
             demand,
             running,
             store_age_ms: entry.store_age_ms(now()),
+            next_ms: pause.as_millis() as u64,
+            outcomes: entry.health.lock().take_outcomes(),
         };
         let answer = if coordinator.coordinates() {
             Some(coordinator.take_report(report))
@@ -312,11 +326,12 @@
         if let Some(answer) = answer.filter(|it| it.coordinates) {
             entry.apply_loads(answer.loads);
             entry.apply_waits(answer.waits, now());
+            entry.apply_failures(answer.failures, now());
         }
-        // In a large fleet each VM reports less often, so that the coordinator's work stays bounded.
-        let pause = REPORT * (1 + entry.vms() as u32 / VMS_PER_REPORT_STEP);
+        let started = tokio::time::Instant::now();
+        sleep(LEAST_REPORT_GAP * steps).await;
         // The time-out stands for an unchanged demand.
-        let _ = tokio::time::timeout(pause, entry.demand_changed.notified()).await;
+        let _ = tokio::time::timeout_at(started + pause, entry.demand_changed.notified()).await;
     }
 }
 
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -102,6 +102,8 @@
     tokio::spawn(Arc::clone(&coordinator).keep_lease());
     tokio::spawn(coordinator.place());
 
+    tokio::spawn(log_ready(Arc::clone(&entry)));
+
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -112,6 +114,24 @@
     Ok(())
 }
 
+/// Logs the moment from which on requests can be served.
+async fn log_ready(entry: Arc<Entry>) {
+    let mut changes = entry.subscribe();
+    while !entry.is_ready() {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+    log_event!(
+        Event::ProcessReady,
+        "-",
+        "config_version={} servers={} source_age_ms={}",
+        entry.config().map_or(0, |it| it.config.version),
+        entry.servers().len(),
+        entry.source_age_ms(now())
+    );
+}
+
 /// Checks the changed settings file. What it holds takes effect at the next start; the addresses stay until then.
 fn reload() {
     match Settings::load() {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -79,7 +79,7 @@
         drop(chosen);
         match end {
             PartEnd::Complete => {
-                path.entry().health.lock().note_success(&server);
+                path.entry().health.lock().note_success(now(), &server);
                 log_event!(
                     Event::RequestFinished,
                     path.id(),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -135,7 +135,7 @@
     let service = draw_service(&resolved.route, &mut rand::rng()).to_owned();
     let spent = admit(entry, &inbound, &resolved).await?;
     entry.note_request(&service, now());
-    let mut path = Path::new(Arc::clone(entry), Arc::clone(&inbound), resolved, service);
+    let path = Path::new(Arc::clone(entry), Arc::clone(&inbound), resolved, service);
     let answer = path.run().await;
     if let Err(failure) = &answer
         && failure.run == Run::NotRun
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,7 +11,7 @@
 use guava_core::rendezvous;
 use guava_core::units::Millis;
 use guava_fleet::budget::{BudgetLimits, RetryBudget};
-use guava_fleet::health::Health;
+use guava_fleet::health::{Health, SharedFailure};
 use guava_fleet::model::{BackendServer, Configuration, ServerState};
 use guava_fleet::pacing::Pacer;
 use guava_fleet::placement::{Demand, Placed, Running, Wait};
@@ -25,7 +25,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::believed::{Believed, LAPSE_GRACE_MS};
-use crate::feed::{FeedAnswer, FeedQuery};
+use crate::changes::Changes;
+use crate::feed::{FeedAnswer, FeedChanges, FeedQuery};
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{PaceAnswer, PaceTake};
@@ -200,22 +201,52 @@
     pub fn apply_config(&self, config: Configuration, source: &str) -> bool {
         let version = config.version;
         let in_force = InForce::new(Arc::new(config));
-        if !self.believed.lock().put_config(in_force) {
-            return false;
-        }
-        log_event!(Event::ConfigApplied, "-", "version={version} source={source}");
+        let (before, after) = {
+            let mut believed = self.believed.lock();
+            let before = believed.config.clone();
+            if !believed.put_config(in_force) {
+                return false;
+            }
+            (before, believed.config.clone())
+        };
+        let withdrawn = match (&before, &after) {
+            (Some(before), Some(after)) => before.keys_missing_in(after),
+            _ => 0,
+        };
+        let before = before.map_or(0, |it| it.config.version);
+        log_event!(
+            Event::ConfigApplied,
+            "-",
+            "version={version} before={before} source={source} keys_withdrawn={withdrawn}"
+        );
         self.wake();
         true
     }
 
     /// Notes an answer of the store.
     pub fn note_store_contact(&self, now: Millis) {
-        if self.believed.lock().note_store_contact(now) {
-            log_event!(
+        self.believed.lock().note_store_contact(now);
+    }
+
+    /// Logs when what this process knows of the store has become old, and when it is fresh again.
+    pub fn check_source(&self, now: Millis) {
+        let (change, source_age, store_age) = {
+            let mut believed = self.believed.lock();
+            let store_age = believed.store_contact.map_or(u64::MAX, |it| now.since(it));
+            (believed.check_source(now), believed.source_age(now), store_age)
+        };
+        match change {
+            Some(false) => log_event!(
+                Event::PlatformUnavailable,
+                "-",
+                "source_age_ms={source_age} store_age_ms={store_age}"
+            ),
+            Some(true) => log_event!(
                 Event::PlatformAvailable,
                 "-",
-                "entries that lapsed are kept for {LAPSE_GRACE_MS} ms"
-            );
+                "source_age_ms={source_age} store_age_ms={store_age} lapsed_entries_kept_ms={LAPSE_GRACE_MS}"
+            ),
+            None => {}
         }
     }
 
@@ -297,11 +328,6 @@
         self.believed.lock().entries_taken()
     }
 
-    /// Server of this id.
-    pub fn server(&self, id: &str) -> Option<Arc<BackendServer>> {
-        self.believed.lock().server(id).map(Arc::clone)
-    }
-
     /// Revision at which the servers last changed.
     pub fn servers_revision(&self) -> u64 {
         let believed = self.believed.lock();
@@ -326,12 +352,28 @@
         self.wake();
     }
 
+    /// Takes what other VMs saw of servers that fail.
+    pub fn apply_failures(&self, failures: Vec<SharedFailure>, now: Millis) {
+        let unknown = self.health.lock().put_shared(now, failures);
+        for it in unknown {
+            log_event!(
+                Event::ServerAvoided,
+                "-",
+                "server={} why=fails for other VMs vms={} failing={:.2} age_ms={}",
+                it.server,
+                it.vms,
+                it.failing,
+                it.age_ms
+            );
+        }
+    }
+
     /// Least time until a model can take requests; `None` when nobody has told it of late.
     pub fn wait_ms(&self, service: &str, model: &str, now: Millis) -> Option<u64> {
         self.believed.lock().wait_ms(service, model, now)
     }
 
-    /// Takes what engines hold, or that it has not changed.
+    /// Takes all that engines hold, or that it has not changed.
     pub fn apply_placement(&self, version: (u64, u64), placed: Option<Vec<Placed>>, now: Millis) {
         match placed {
             Some(placed) => {
@@ -356,7 +398,9 @@
         let config = config.filter(|it| it.config.version > query.config_version);
         let known = query.change.filter(|_| query.source == self.incarnation);
         let has_changed = known != Some(believed.change()) && believed.has_servers;
-        let (placed_version, placed) = believed.placement(query.placed_version);
+        let known_placed = query.placed_change.filter(|_| query.source == self.incarnation);
+        let placed_version = believed.placed_version();
+        let has_placed = placed_version.0 > 0 && known_placed != Some(believed.placed_change());
         FeedAnswer {
             source: self.incarnation,
             age_ms: believed.source_age(now()),
@@ -365,7 +409,7 @@
             servers: has_changed.then(|| believed.changes_since(known).into()),
             revision: believed.servers_revision,
             placed_version,
-            placed: placed.filter(|_| placed_version.0 > 0),
+            placed: has_placed.then(|| believed.placed_since(known_placed).into()),
         }
     }
 
@@ -398,10 +442,27 @@
             self.wake();
         }
         if answer.placed_version.0 > 0 {
-            self.apply_placement(answer.placed_version, answer.placed, now);
+            self.apply_placement_changes(answer.placed_version, answer.placed, now);
         }
     }
 
+    fn apply_placement_changes(&self, version: (u64, u64), changes: Option<FeedChanges<Placed>>, now: Millis) {
+        let Some(changes) = changes else {
+            return self.believed.lock().confirm_placement(version, now);
+        };
+        if changes.is_whole {
+            return self.apply_placement(version, Some(changes.present), now);
+        }
+        let changes = Changes {
+            change: changes.change,
+            is_whole: false,
+            present: changes.present,
+            gone: changes.gone,
+        };
+        self.believed.lock().put_placement_changes(version, changes, now);
+        self.wake();
+    }
+
     /// Notes that a server turned out not to hold a model.
     pub fn note_missing(&self, server: &str, model: &str, now: Millis) {
         self.believed.lock().note_missing(server, model, now);
@@ -480,6 +541,7 @@
         if member.vm == self.settings.vm {
             return;
         }
+        let at = now();
         let mut believed = self.believed.lock();
         let known = believed
             .members
@@ -489,6 +551,7 @@
                 heard: None,
                 failed: None,
             });
+        let was_live = known.is_live(at);
         if member.incarnation > known.member.incarnation {
             known.member = member;
             known.failed = None;
@@ -497,6 +560,15 @@
         if known.failed.is_some_and(|it| heard.is_some_and(|heard| heard > it)) {
             known.failed = None;
         }
+        if !was_live && known.is_live(at) {
+            let (vm, incarnation) = (&known.member.vm, known.member.incarnation);
+            let heard_ms = known.heard.map_or(0, |it| at.since(it));
+            log_event!(
+                Event::MemberUp,
+                "-",
+                "member={vm} incarnation={incarnation} heard_ms_ago={heard_ms}"
+            );
+        }
     }
 
     /// Notes that a call to a member failed.
@@ -539,7 +611,13 @@
         if hint.term < known || believed.coordinator.as_ref() == Some(&hint) {
             return;
         }
-        log_event!(Event::CoordinatorChanged, "-", "vm={} term={}", hint.vm, hint.term);
+        log_event!(
+            Event::CoordinatorChanged,
+            "-",
+            "coordinator={} term={}",
+            hint.vm,
+            hint.term
+        );
         believed.coordinator = Some(hint);
         drop(believed);
         self.demand_changed.notify_one();
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -65,6 +65,7 @@
     loop {
         sleep(Duration::from_millis(RETRY_MS)).await;
         entry.drop_lapsed(now());
+        entry.check_source(now());
     }
 }
 
@@ -113,7 +114,7 @@
         Ok(config) => {
             entry.apply_config(config, "store");
         }
-        Err(e) => log_event!(Event::PlatformUnavailable, "-", "revision={} why={e}", object.revision),
+        Err(e) => log_event!(Event::ConfigUnreadable, "-", "revision={} why={e}", object.revision),
     }
 }
 
@@ -201,7 +202,7 @@
             it.failed.is_none() || at.since(silent_since) < MEMBER_GONE_MS
         });
         for vm in gone {
-            log_event!(Event::MemberDown, "-", "vm={vm} silent_ms={MEMBER_GONE_MS}");
+            log_event!(Event::MemberDown, "-", "member={vm} silent_ms={MEMBER_GONE_MS}");
             if let Err(e) = entry.store.remove(MEMBER_KIND, &vm).await {
                 log::debug!("removal of {vm}: {e}");
             }
--- a/crates/entry/tests/believed.rs
+++ b/crates/entry/tests/believed.rs
@@ -98,6 +98,28 @@
     assert!(none.present.is_empty() && none.gone.is_empty());
 }
 
+/// Guards against a placement that goes to each follower whole whenever one engine changes.
+#[test]
+fn followers_get_the_engines_that_changed() {
+    let placed = |server: &str, model: &str| Placed {
+        server: server.to_owned(),
+        born_ms: 1,
+        held: vec![held(model)],
+    };
+    let mut believed = Believed::default();
+    believed.put_placement((1, 1), vec![placed("a", "m1"), placed("b", "m1")], Millis(0));
+    let known = believed.placed_change();
+
+    believed.put_placement((1, 2), vec![placed("a", "m1"), placed("b", "m2")], Millis(20));
+    let changes = believed.placed_since(Some(known));
+    believed.put_placement((1, 3), vec![placed("b", "m2")], Millis(40));
+    let without = believed.placed_since(Some(changes.change));
+
+    assert_eq!(changes.present, [placed("b", "m2")]);
+    assert_eq!((without.present.len(), without.gone), (0, vec!["a".to_owned()]));
+    assert!(believed.placed_since(None).is_whole);
+}
+
 /// Guards against a placement of an earlier life of a server, and against one that is out of date.
 #[test]
 fn the_placement_goes_before_the_entry_while_it_is_fresh() {
@@ -108,7 +130,6 @@
         server: "a".to_owned(),
         born_ms: 1,
         held: vec![held("m2")],
-        in_flight: 0,
     };
 
     believed.put_placement((1, 1), vec![placed], Millis(0));
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -27,7 +27,10 @@
 const AHEAD_AT_ONCE: usize = 2;
 /// Window in which the weight store counts loads.
 const STORE_WINDOW_MS: u64 = 5_000;
-/// Time after which a VM's report no longer counts.
+/// Servers whose load is told to the VMs: all in a fleet of the present sizes. In a larger one the answers to reports
+/// would grow with VMs x servers; a server with less load than those told is as good as an idle one.
+const TOLD_LOADS: usize = 128;
+/// Least time after which a VM's report no longer counts; reports of a large fleet count until one more could be lost.
 const REPORT_VALID_MS: u64 = 1_500;
 /// Half-life of the average of arrivals that tells what a model is worth.
 const RATE_HALF_LIFE_MS: f64 = 6_000.0;
@@ -85,8 +88,6 @@
         pub born_ms: u64,
         /// Models that take requests.
         pub held: Vec<HeldModel>,
-        /// Requests from all VMs that run there.
-        pub in_flight: u32,
     }
 
     /// State that an engine reports.
@@ -114,7 +115,7 @@
 /// What must be known of a VM's report to weigh it.
 #[derive(Debug, Default)]
 struct VmReport {
-    at: Millis,
+    valid_until: Millis,
     demand: Vec<Demand>,
     running: Vec<Running>,
 }
@@ -267,8 +268,8 @@
         engine.on_disk.extend(server.on_disk.iter().cloned());
     }
 
-    /// Takes a VM's report.
-    pub fn note_report(&mut self, vm: &str, demand: Vec<Demand>, running: Vec<Running>, now: Millis) {
+    /// Takes a VM's report; the next one comes after `next_ms` at the latest.
+    pub fn note_report(&mut self, vm: &str, demand: Vec<Demand>, running: Vec<Running>, next_ms: u64, now: Millis) {
         for it in demand.iter().filter(|it| it.arrived > 0) {
             let key = (it.service.clone(), it.model.clone());
             let rate = self.rates.entry(key).or_default();
@@ -283,7 +284,7 @@
             }
         }
         let report = VmReport {
-            at: now,
+            valid_until: now + REPORT_VALID_MS.max(2 * next_ms),
             demand,
             running,
         };
@@ -320,13 +321,11 @@
     }
 
     /// What each engine holds for requests.
-    pub fn placed(&self, now: Millis) -> Vec<Placed> {
-        let running = self.running_by_server(now);
+    pub fn placed(&self) -> Vec<Placed> {
         let placed = self.engines.values().map(|engine| Placed {
             server: engine.server.id.clone(),
             born_ms: engine.server.born_ms,
             held: engine.ready_models(),
-            in_flight: running.get(engine.server.id.as_str()).copied().unwrap_or(0),
         });
         placed.collect()
     }
@@ -340,6 +339,19 @@
         counts
     }
 
+    /// Requests that run at the backend servers, for all VMs: in a large fleet only those with most.
+    pub fn told_loads(&self, now: Millis) -> Vec<(String, u32)> {
+        let mut loads: Vec<(&str, u32)> = self.running_by_server(now).into_iter().collect();
+        if loads.len() > TOLD_LOADS {
+            loads.select_nth_unstable_by_key(TOLD_LOADS, |(_, count)| std::cmp::Reverse(*count));
+            loads.truncate(TOLD_LOADS);
+        }
+        loads
+            .into_iter()
+            .map(|(server, count)| (server.to_owned(), count))
+            .collect()
+    }
+
     /// Engines whose state should be asked for now.
     pub fn polls(&mut self, now: Millis) -> Vec<BackendServer> {
         let mut due = Vec::new();
@@ -355,7 +367,7 @@
     }
 
     fn live_reports(&self, now: Millis) -> impl Iterator<Item = &VmReport> {
-        self.vms.values().filter(move |it| now.since(it.at) < REPORT_VALID_MS)
+        self.vms.values().filter(move |it| now < it.valid_until)
     }
 }
 
--- a/crates/fleet/src/routes.rs
+++ b/crates/fleet/src/routes.rs
@@ -52,6 +52,11 @@
         !self.config.organisations.is_empty()
     }
 
+    /// Number of keys that `next` does not accept any more.
+    pub fn keys_missing_in(&self, next: &Self) -> usize {
+        self.by_key.keys().filter(|it| !next.by_key.contains_key(*it)).count()
+    }
+
     /// Organisation that holds `key`.
     pub fn organisation(&self, key: &str) -> Option<&Organisation> {
         self.by_key.get(key).map(|it| &self.config.organisations[*it])
--- /dev/null
+++ b/crates/fleet/tests/health.rs
@@ -0,0 +1,110 @@
+//! Health of backend servers from outcomes, and how VMs share it.
+
+use guava_core::units::Millis;
+use guava_fleet::health::{Health, Outcomes, SharedFailure, SharedHealth};
+
+const SERVER: &str = "i-1";
+/// Age from which on shared outcomes do not count any more.
+const OLD_MS: u64 = 3_000;
+
+fn outcomes(answered: u32, failed: u32) -> Vec<Outcomes> {
+    vec![Outcomes {
+        server: SERVER.to_owned(),
+        answered,
+        failed,
+    }]
+}
+
+fn shared(age_ms: u64) -> Vec<SharedFailure> {
+    vec![SharedFailure {
+        server: SERVER.to_owned(),
+        vms: 2,
+        failing: 1.0,
+        age_ms,
+    }]
+}
+
+/// Coordinator that has heard these answered and failed requests, each pair from another VM.
+fn coordinator(at: Millis, reports: &[(u32, u32)]) -> SharedHealth {
+    let mut health = SharedHealth::default();
+    for (vm, (answered, failed)) in reports.iter().enumerate() {
+        health.note(&format!("vm-{vm}"), outcomes(*answered, *failed), at);
+    }
+    health
+}
+
+/// Guards against a fleet of a hundred in which each VM sends its own requests to a dead server before it avoids it.
+#[test]
+fn a_server_that_fails_for_two_vms_is_avoided_by_the_others() {
+    let now = Millis(10_000);
+    let mut third = Health::default();
+
+    let unknown = third.put_shared(now, coordinator(now, &[(0, 2), (0, 1)]).failures(now));
+
+    assert_eq!(unknown.len(), 1, "{unknown:?}");
+    assert!(third.is_avoided(now, SERVER));
+    assert!(third.failing(now, SERVER) > 0.9);
+    assert!(third.put_shared(now, shared(0)).is_empty(), "it is told once");
+}
+
+/// Guards against one VM whose own link is broken and that takes a sound server from all others.
+#[test]
+fn one_vm_convinces_nobody() {
+    let now = Millis(10_000);
+
+    assert!(coordinator(now, &[(0, 20)]).failures(now).is_empty());
+    assert!(coordinator(now, &[(0, 3), (0, 3), (20, 0)]).failures(now).is_empty());
+}
+
+/// Guards against a server that stays avoided on old reports after it has recovered.
+#[test]
+fn shared_failures_end_with_their_age() {
+    let now = Millis(10_000);
+    let coordinator = coordinator(now, &[(0, 2), (0, 1)]);
+    let mut health = Health::default();
+    health.put_shared(now, shared(1_000));
+
+    assert!(coordinator.failures(now + OLD_MS).is_empty());
+    assert!(health.is_avoided(now, SERVER));
+    assert!(!health.is_avoided(now + (OLD_MS - 1_000), SERVER));
+    assert!(health.put_shared(now, shared(OLD_MS)).is_empty());
+}
+
+/// Guards against a VM that believes others more than its own later answers.
+#[test]
+fn own_success_outweighs_older_reports() {
+    let now = Millis(10_000);
+    let mut health = Health::default();
+    health.put_shared(now, shared(500));
+
+    health.note_success(now, SERVER);
+
+    assert!(!health.is_avoided(now, SERVER));
+    health.put_shared(now + 100, shared(400));
+    assert!(
+        !health.is_avoided(now + 100, SERVER),
+        "the failure was before the success"
+    );
+    health.put_shared(now + 500, shared(100));
+    assert!(
+        health.is_avoided(now + 500, SERVER),
+        "the failure was after the success"
+    );
+}
+
+/// Guards against reports that grow with all servers of a large fleet.
+#[test]
+fn only_servers_that_fail_are_reported() {
+    let now = Millis(10_000);
+    let mut health = Health::default();
+    health.note_success(now, "i-2");
+    health.note_success(now, SERVER);
+    health.note_failure(now, SERVER);
+
+    let reported = health.take_outcomes();
+
+    assert_eq!(reported, outcomes(1, 1));
+    health.note_success(now, SERVER);
+    assert_eq!(health.take_outcomes(), outcomes(1, 0), "the way back is reported too");
+    assert!(health.take_outcomes().is_empty());
+}
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -174,7 +174,7 @@
     assert!(!first && second);
     assert!(health.is_avoided(Millis(20), "i-1"));
     assert!(!health.is_avoided(Millis(20_000), "i-1"));
-    health.note_success("i-1");
+    health.note_success(Millis(30), "i-1");
     assert!(!health.is_avoided(Millis(30), "i-1"));
 }
 
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -11,6 +11,8 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
+/// Time between the reports of a VM in a small fleet.
+const NEXT_REPORT_MS: u64 = 250;
 const SERVICE: &str = "advice";
 const STEP_MS: u64 = 20;
 const REPORT_LAG_MS: u64 = 100;
@@ -277,7 +279,7 @@
             engine.step(self.now, &mut self.rng);
         }
         self.placement.set_servers(&self.servers, at);
-        self.placement.note_report("vm", demand, running, at);
+        self.placement.note_report("vm", demand, running, NEXT_REPORT_MS, at);
         let (due, waiting) = std::mem::take(&mut self.answers)
             .into_iter()
             .partition(|(when, ..)| *when <= self.now);
@@ -560,3 +562,38 @@
     assert!(fleet.now > decided);
     assert_eq!(ages, [("i-0".to_owned(), 0)]);
 }
+
+/// Guards against loads and waits that are forgotten between two reports of a VM: in a fleet of 300 they are 3.3 s apart.
+#[test]
+fn a_report_counts_until_the_next_one_is_overdue() {
+    let running = vec![Running {
+        server: "i-1".to_owned(),
+        model: String::new(),
+        count: 3,
+    }];
+    let mut placement = Placement::default();
+
+    placement.note_report("vm-1", Vec::new(), running, 3_300, Millis(1_000));
+
+    assert_eq!(placement.told_loads(Millis(4_400)), [("i-1".to_owned(), 3)]);
+    assert!(placement.told_loads(Millis(8_000)).is_empty());
+}
+
+/// Guards against answers to reports that grow with the servers of a large fleet.
+#[test]
+fn only_the_largest_loads_are_told_in_a_large_fleet() {
+    let running = (1..=1_000).map(|count| Running {
+        server: format!("i-{count}"),
+        model: String::new(),
+        count,
+    });
+    let mut placement = Placement::default();
+    placement.note_report("vm-1", Vec::new(), running.collect(), NEXT_REPORT_MS, Millis(0));
+
+    let loads = placement.told_loads(Millis(100));
+
+    assert!(
+        loads.len() < 200 && loads.iter().all(|(_, count)| *count > 800),
+        "{loads:?}"
+    );
+}
--- a/crates/soak/tests/regressions.rs
+++ b/crates/soak/tests/regressions.rs
@@ -1,55 +1,22 @@
 //! Seeds that once failed, a fresh fixed one, and single faults, with the real program.
 
-use std::path::PathBuf;
+mod support;
+
 use std::process::Stdio;
 use std::time::Duration;
 
-use guava_platform_standin::caller::{Call, Outcome, is_ready, send};
+use guava_platform_standin::caller::{Outcome, is_ready, send};
 use guava_platform_standin::settings::{BOOKING_PATH, STREAM_PATH};
 use guava_soak::cmd::{Args, play};
 use guava_soak::fleet::Fleet;
 use rstest::rstest;
 use rustix::process::Signal;
+use support::{call, dir, keys, program};
 use tokio::io::AsyncReadExt;
 
 /// Streams that are under way when a process is told to stop.
 const STREAMS: usize = 3;
 
-/// The program, which `cargo build --bins` places beside the tests.
-fn program() -> PathBuf {
-    let test = std::env::current_exe().expect("the test has a path");
-    let dir = test
-        .parent()
-        .and_then(|it| it.parent())
-        .expect("tests lie two folders below the programs");
-    let program = dir.join("guava-entry");
-    assert!(
-        program.exists(),
-        "build the programs first: cargo build --workspace --bins"
-    );
-    program
-}
-
-fn dir(name: &str) -> PathBuf {
-    let dir = std::env::temp_dir().join(format!("guava-soak-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).expect("a writable folder");
-    dir
-}
-
-fn keys() -> Vec<(String, Vec<String>)> {
-    vec![("bangor".to_owned(), vec!["key-1".to_owned()])]
-}
-
-fn call(attempt: &str, path: &'static str) -> Call {
-    Call {
-        attempt: attempt.to_owned(),
-        path,
-        key: "key-1".to_owned(),
-        model: (path == STREAM_PATH).then(|| "m1".to_owned()),
-        deadline: Duration::from_secs(10),
-    }
-}
-
 /// Guards against each cause in REGRESSIONS.txt, and with seed 77 against new ones.
 #[rstest]
 #[case(1, 8)]
