Compute answers to reports at intervals in a large fleet

By reading: each of 93 reports a second computed the wait for every waiting model over all engines, and told all of them; calls to the central part of the rates that timed out lost their connections, and the next ones opened new ones, up to the limit of descriptors.

Change: beyond 24 VMs the waits and loads for all are computed ten times a second, aged when told; when more than 64 models wait, a VM is told those that it asks for; a VM makes eight calls to the central part at once.

--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -4,7 +4,7 @@
 //! A process that takes over from another VM waits before its first order until the last order that its predecessor
 //! could have sent is old enough.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 use guava_core::rendezvous;
 use guava_core::units::Millis;
 use guava_fleet::health::SharedHealth;
-use guava_fleet::placement::{Order, OrderOutcome, Placement};
+use guava_fleet::placement::{Order, OrderOutcome, Placement, Wait};
 use guava_fleet::quota::{Buckets, LOCAL_PART};
 use guava_platform::store::{Object, Written};
 use guava_platform::{CallError, engine};
@@ -65,6 +65,14 @@
 /// Time that an order may still have been on its way when its sender told its age: the time after which the call for an
 /// order is given up, and a little for bytes that were sent before.
 const ORDER_TRAVEL_MS: u64 = 500;
+/// VMs from which on the parts of answers to reports that are the same for all are computed at intervals: their cost is
+/// that of all engines for each model that waits, and the reports of a large fleet come 90 times a second.
+const LARGE_FLEET: usize = 24;
+/// Such an interval.
+const TOLD_MS: u64 = 100;
+/// Models up to which the waits for all are told to every VM.
+const TOLD_WAITS: usize = 64;
+
 derive_value! {
     /// Value of the lease's object.
     struct LeaseObject {
@@ -115,6 +123,28 @@
     order_ages: Vec<(String, u64)>,
 }
 
+/// Part of the answer to a report that is the same for all VMs.
+#[derive(Debug, Default)]
+struct Told {
+    at: Millis,
+    waits: Vec<Wait>,
+    loads: Vec<(String, u32)>,
+}
+
+impl Told {
+    /// Waits for models; when many models wait, only those of the models that the VM asks for.
+    fn waits_for(&self, asked: &HashSet<String>, now: Millis) -> Vec<Wait> {
+        let is_short = self.waits.len() <= TOLD_WAITS;
+        let waits = self.waits.iter().filter(|it| is_short || asked.contains(&it.model));
+        let mut waits: Vec<Wait> = waits.cloned().collect();
+        let age = now.since(self.at);
+        for wait in &mut waits {
+            wait.ms = wait.ms.saturating_sub(age);
+        }
+        waits
+    }
+}
+
 /// Coordinator's part of the process; idle while another process coordinates.
 #[derive(Debug)]
 pub struct Coordinator {
@@ -123,6 +153,7 @@
     quota: Mutex<Buckets>,
     tenure: Mutex<Tenure>,
     vms: Mutex<HashMap<String, VmContact>>,
+    told: Mutex<Told>,
     /// Outcomes of requests as the VMs report them.
     health: Mutex<SharedHealth>,
     farewell: Mutex<Option<Farewell>>,
@@ -143,6 +174,7 @@
             quota: Mutex::default(),
             tenure: Mutex::default(),
             vms: Mutex::default(),
+            told: Mutex::default(),
             health: Mutex::default(),
             farewell: Mutex::default(),
             last_held: Mutex::default(),
@@ -175,13 +207,26 @@
             health.note(&report.vm, report.outcomes, at);
             health.failures(at)
         };
+        let asked: HashSet<String> = report.demand.iter().map(|it| it.model.clone()).collect();
         let mut placement = self.placement.lock();
         placement.note_report(&report.vm, report.demand, report.running, report.next_ms, at);
-        let waits = if coordinates { placement.waits(at) } else { Vec::new() };
-        let loads = placement.told_loads(at);
+        let is_large = self.vms.lock().len() > LARGE_FLEET;
+        let mut told = self.told.lock();
+        if !is_large || at.since(told.at) >= TOLD_MS {
+            *told = Told {
+                at,
+                waits: placement.waits(at),
+                loads: placement.told_loads(at),
+            };
+        }
+        let waits = if coordinates {
+            told.waits_for(&asked, at)
+        } else {
+            Vec::new()
+        };
         ReportAnswer {
             coordinates,
-            loads,
+            loads: told.loads.clone(),
             waits,
             failures,
         }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -21,7 +21,7 @@
 use rand::seq::IteratorRandom;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::coordinator::Coordinator;
 use crate::feed::{self, FeedQuery};
@@ -370,7 +370,13 @@
         tokens,
         max_wait_ms,
     };
-    let answer: QuotaAnswer = call(entry, hint.address, "quota", &take, QUOTA_TIMEOUT).await?;
+    let asking = async {
+        let _place = entry.quota_calls.acquire().await;
+        call(entry, hint.address, "quota", &take, QUOTA_TIMEOUT).await
+    };
+    let answer: QuotaAnswer = timeout(QUOTA_TIMEOUT, asking)
+        .await
+        .map_err(|_| CallError::NotRun("too many calls wait for the coordinator".to_owned()))??;
     if !answer.coordinates {
         return Err(CallError::NotRun("the process does not coordinate any more".to_owned()));
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -22,7 +22,7 @@
 use guava_platform::store::Store;
 use parking_lot::Mutex;
 use rustix::time::{ClockId, clock_gettime};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::believed::{Believed, LAPSE_GRACE_MS};
 use crate::changes::Changes;
@@ -35,6 +35,10 @@
 /// within about five seconds.
 const MEMBER_SILENT_MS: u64 = 8_000;
 
+/// Calls of this VM to the central part of the rates at the same time. Each needs a connection of its own, and a slow
+/// coordinator before 300 VMs ran out of descriptors, which made it slower.
+const QUOTA_CALLS_AT_ONCE: usize = 8;
+
 derive_value! {
     /// Another entry process.
     pub struct Member {
@@ -107,6 +111,8 @@
     pub http: Arc<dyn Http>,
     /// Platform's store.
     pub store: Store,
+    /// Places for calls to the central part of the organisations' rates.
+    pub quota_calls: Semaphore,
     /// Local part of the organisations' rates.
     pub quota: Mutex<Buckets>,
     /// Pace of prompts at the engines that this VM paces.
@@ -131,6 +137,7 @@
             incarnation: wall_ms(),
             store,
             http,
+            quota_calls: Semaphore::new(QUOTA_CALLS_AT_ONCE),
             quota: Mutex::default(),
             pacer: Mutex::default(),
             health: Mutex::default(),
