Hand over the order gaps that a coordinator still has to keep

A resigning coordinator told the ages of its own orders only; those of the holder before, which it still kept a gap after, were lost. By reading, the same held for a coordinator that had waited for a silent predecessor, and for one whose VM had restarted and whose earlier life had sent orders.

Change: the ages told count what is left of inherited gaps as orders, tell the same for engines that are not named, and count the orders of an earlier life up to the start of the term. The three values that start a term have a type.

--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -17,7 +17,7 @@
 use guava_core::rendezvous;
 use guava_core::units::Millis;
 use guava_fleet::health::SharedHealth;
-use guava_fleet::placement::{Order, OrderOutcome, Placement, Wait};
+use guava_fleet::placement::{Order, OrderAges, OrderOutcome, Placement, Quiet, Wait};
 use guava_fleet::quota::{Buckets, LOCAL_PART};
 use guava_platform::store::{Object, Written};
 use guava_platform::{CallError, engine};
@@ -82,8 +82,10 @@
         /// Milliseconds for which this term has been held; tells a later life of the VM whether engines may still have
         /// orders of an earlier holder.
         held_ms: u64,
-        /// Milliseconds since the holder's last order, by engine, in an object that gives the lease back.
+        /// Milliseconds since engines may last have had an order, in an object that gives the lease back.
         order_ages: Vec<(String, u64)>,
+        /// The same for all other engines; absent when that is long ago.
+        others_age_ms: Option<u64>,
     }
 }
 
@@ -120,7 +122,7 @@
 struct Farewell {
     term: u64,
     at: Millis,
-    order_ages: Vec<(String, u64)>,
+    order_ages: OrderAges,
 }
 
 /// Part of the answer to a report that is the same for all VMs.
@@ -341,16 +343,18 @@
                 expect,
                 operation,
             } => {
+                let told_ages = spec.released.then(|| self.order_ages());
+                let told_ages = told_ages.unwrap_or(OrderAges {
+                    by_engine: Vec::new(),
+                    others_ms: None,
+                });
                 let object = LeaseObject {
                     lease: spec.clone(),
                     operation: operation.clone(),
                     address: self.entry.settings.advertised,
                     held_ms: self.tenure.lock().held_ms(spec.term.0, now()),
-                    order_ages: if spec.released {
-                        self.placement.lock().order_ages(now())
-                    } else {
-                        Vec::new()
-                    },
+                    order_ages: told_ages.by_engine,
+                    others_age_ms: told_ages.others_ms,
                 };
                 let value = json!(object);
                 let written = match expect {
@@ -411,11 +415,16 @@
         }
     }
 
+    fn order_ages(&self) -> OrderAges {
+        let gap = self.entry.settings.order_gap_ms + ORDER_TRAVEL_MS;
+        self.placement.lock().order_ages(gap, now())
+    }
+
     /// Tells all other processes that this one's tenure has ended, so that one takes the lease at once.
     fn announce_end(&self, term: u64) {
         let resign = Resign {
             term,
-            order_ages: self.placement.lock().order_ages(now()),
+            order_ages: self.order_ages(),
         };
         for member in self.entry.members() {
             let entry = Arc::clone(&self.entry);
@@ -448,7 +457,10 @@
             let farewell = Farewell {
                 term: value.lease.term.0,
                 at: now(),
-                order_ages: value.order_ages.clone(),
+                order_ages: OrderAges {
+                    by_engine: value.order_ages.clone(),
+                    others_ms: value.others_age_ms,
+                },
             };
             self.farewell.lock().get_or_insert(farewell);
         } else {
@@ -495,7 +507,7 @@
         self.tenure.lock().begin(term.0, at);
         self.quota.lock().clear();
         self.vms.lock().clear();
-        let (quiet_until, others_from) = match &farewell {
+        let quiet = match &farewell {
             // This VM's own orders need no gap, but those of the holder before its earlier life may be recent.
             _ if !is_other => {
                 let (last_term, held_ms) = *self.last_held.lock();
@@ -505,19 +517,28 @@
                 } else {
                     (gap + ORDER_TRAVEL_MS).saturating_sub(held_ms)
                 };
-                (HashMap::new(), at + wait)
+                Quiet {
+                    others_from: at + wait,
+                    own_until: (term.0 > 1).then_some(at),
+                    ..Quiet::default()
+                }
             }
-            None => (HashMap::new(), at + gap),
+            None => Quiet {
+                others_from: at + gap,
+                ..Quiet::default()
+            },
             Some(farewell) => {
                 let quiet_from = farewell.at + gap + ORDER_TRAVEL_MS;
-                let ages = farewell.order_ages.iter();
-                (
-                    ages.map(|(engine, age)| (engine.clone(), quiet_from - *age)).collect(),
-                    at,
-                )
+                let ages = farewell.order_ages.by_engine.iter();
+                let others_ms = farewell.order_ages.others_ms;
+                Quiet {
+                    until: ages.map(|(engine, age)| (engine.clone(), quiet_from - *age)).collect(),
+                    others_from: others_ms.map_or(at, |age| quiet_from - age),
+                    own_until: None,
+                }
             }
         };
-        self.placement.lock().start_term(at, quiet_until, others_from);
+        self.placement.lock().start_term(at, quiet);
         self.entry.note_coordinator(CoordinatorHint {
             vm: self.entry.settings.vm.clone(),
             address: self.entry.settings.advertised,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -15,7 +15,7 @@
 use guava_core::events::Event;
 use guava_fleet::health::{Outcomes, SharedFailure};
 use guava_fleet::model::{BackendServer, Configuration};
-use guava_fleet::placement::{Demand, Running, Wait};
+use guava_fleet::placement::{Demand, OrderAges, Running, Wait};
 use guava_platform::CallError;
 use http::Request;
 use rand::seq::IteratorRandom;
@@ -92,8 +92,8 @@
     pub struct Resign {
         /// Term that has ended.
         pub term: u64,
-        /// Milliseconds since its last order, by engine.
-        pub order_ages: Vec<(String, u64)>,
+        /// Milliseconds since engines may last have had an order.
+        pub order_ages: OrderAges,
     }
 
     /// Answer to a report.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -90,6 +90,14 @@
         pub held: Vec<HeldModel>,
     }
 
+    /// Times since engines may last have had an order, in milliseconds, as a holder tells them to its successor.
+    pub struct OrderAges {
+        /// By engine.
+        pub by_engine: Vec<(String, u64)>,
+        /// For all other engines; `None` when that is long ago.
+        pub others_ms: Option<u64>,
+    }
+
     /// State that an engine reports.
     pub struct EngineReport {
         /// Orders accepted since its start.
@@ -197,6 +205,8 @@
     quiet_until: HashMap<String, Millis>,
     /// All other engines.
     others_from: Millis,
+    /// Time until which an earlier life of this VM may have sent orders; this process needs no gap after them.
+    own_until: Option<Millis>,
     last: HashMap<String, Millis>,
 }
 
@@ -206,6 +216,17 @@
     }
 }
 
+/// What a new coordinator knows of the orders before its own.
+#[derive(Debug, Default)]
+pub struct Quiet {
+    /// Engines to which another process has sent orders of late, and the first time for an order to each.
+    pub until: HashMap<String, Millis>,
+    /// First time for an order to any other engine.
+    pub others_from: Millis,
+    /// Time until which an earlier life of this VM may have sent orders, if it has.
+    pub own_until: Option<Millis>,
+}
+
 /// Decisions of the coordinator.
 #[derive(Debug, Default)]
 pub struct Placement {
@@ -292,13 +313,11 @@
     }
 
     /// Forgets the order under way and asks each engine for its state, after this process became coordinator.
-    ///
-    /// `quiet_until` holds the engines to which another process has sent orders of late, and `others_from` is the first
-    /// time for an order to any other engine.
-    pub fn start_term(&mut self, now: Millis, quiet_until: HashMap<String, Millis>, others_from: Millis) {
+    pub fn start_term(&mut self, now: Millis, quiet: Quiet) {
         self.order_times = OrderTimes {
-            quiet_until,
-            others_from,
+            quiet_until: quiet.until,
+            others_from: quiet.others_from,
+            own_until: quiet.own_until,
             last: HashMap::new(),
         };
         for engine in self.engines.values_mut() {
@@ -309,10 +328,27 @@
         }
     }
 
-    /// Time since the last order of this process, by engine.
-    pub fn order_ages(&self, now: Millis) -> Vec<(String, u64)> {
-        let last = self.order_times.last.iter();
-        last.map(|(id, at)| (id.clone(), now.since(*at))).collect()
+    /// Ages of the last orders of this process and of the ones before it whose gap has not passed, for a successor that
+    /// keeps `gap_ms` after each.
+    pub fn order_ages(&self, gap_ms: u64, now: Millis) -> OrderAges {
+        // An engine that is kept quiet until a time counts as ordered a gap before it.
+        let inherited = |until: Millis| gap_ms.saturating_sub(until.since(now));
+        let times = &self.order_times;
+        let mut by_engine: BTreeMap<&String, u64> = times.last.iter().map(|(id, at)| (id, now.since(*at))).collect();
+        for (id, until) in times.quiet_until.iter().filter(|(_, until)| now < **until) {
+            let age = by_engine.entry(id).or_insert(u64::MAX);
+            *age = (*age).min(inherited(*until));
+        }
+        OrderAges {
+            by_engine: by_engine.into_iter().map(|(id, age)| (id.clone(), age)).collect(),
+            others_ms: [
+                inherited(times.others_from),
+                times.own_until.map_or(gap_ms, |it| now.since(it)),
+            ]
+            .into_iter()
+            .min()
+            .filter(|it| *it < gap_ms),
+        }
     }
 
     /// Version of what [`Self::placed`] tells.
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -6,13 +6,15 @@
 
 use guava_core::units::Millis;
 use guava_fleet::model::{BackendServer, EngineSpec, HeldModel, ModelSpec, ServerState};
-use guava_fleet::placement::{Demand, EngineReport, Order, OrderKind, OrderOutcome, Placement, Running};
+use guava_fleet::placement::{Demand, EngineReport, Order, OrderKind, OrderOutcome, Placement, Quiet, Running};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 /// Time between the reports of a VM in a small fleet.
 const NEXT_REPORT_MS: u64 = 250;
+/// Time that a successor keeps after the orders of others.
+const GAP_MS: u64 = 3_500;
 const SERVICE: &str = "advice";
 const STEP_MS: u64 = 20;
 const REPORT_LAG_MS: u64 = 100;
@@ -484,7 +486,13 @@
     }
     let from = Millis(fleet.now + 3_000);
     let quiet = HashMap::from([("i-0".to_owned(), from)]);
-    fleet.placement.start_term(Millis(fleet.now), quiet, Millis(fleet.now));
+    let others_from = Millis(fleet.now);
+    let quiet = Quiet {
+        until: quiet,
+        others_from,
+        own_until: None,
+    };
+    fleet.placement.start_term(others_from, quiet);
 
     let first = fleet.first_orders(1_500);
 
@@ -501,7 +509,11 @@
     let spec = spec(24);
     let mut fleet = Fleet::new(4, &spec, CALM, 1);
     let from = Millis(fleet.now + 3_000);
-    fleet.placement.start_term(Millis(fleet.now), HashMap::new(), from);
+    let quiet = Quiet {
+        others_from: from,
+        ..Quiet::default()
+    };
+    fleet.placement.start_term(Millis(fleet.now), quiet);
 
     let first = fleet.first_orders(1_500);
 
@@ -557,7 +569,7 @@
     let decided = fleet.now;
 
     fleet.step(Vec::new(), Vec::new());
-    let ages = fleet.placement.order_ages(Millis(fleet.now));
+    let ages = fleet.placement.order_ages(GAP_MS, Millis(fleet.now)).by_engine;
 
     assert!(fleet.now > decided);
     assert_eq!(ages, [("i-0".to_owned(), 0)]);
@@ -597,3 +609,39 @@
         "{loads:?}"
     );
 }
+
+/// Guards against a holder that resigns soon after it took over and tells its successor only of its own orders (soak seed
+/// 39): the orders of the holder before it are as recent.
+#[test]
+fn a_holder_tells_the_gaps_that_it_still_had_to_keep() {
+    let mut placement = Placement::default();
+    let quiet = HashMap::from([("i-0".to_owned(), Millis(3_000)), ("i-1".to_owned(), Millis(1_200))]);
+    let quiet = Quiet {
+        until: quiet,
+        others_from: Millis(2_000),
+        own_until: None,
+    };
+    placement.start_term(Millis(1_000), quiet);
+
+    let soon = placement.order_ages(GAP_MS, Millis(1_500));
+    let late = placement.order_ages(GAP_MS, Millis(5_000));
+
+    assert_eq!(soon.by_engine, [("i-0".to_owned(), GAP_MS - 1_500)]);
+    assert_eq!(soon.others_ms, Some(GAP_MS - 500));
+    assert_eq!((late.by_engine, late.others_ms), (Vec::new(), None));
+}
+
+/// Guards against a VM that restarts, coordinates again at once and hands over within the gap: the orders of its earlier
+/// life count for the successor.
+#[test]
+fn a_holder_tells_of_its_earlier_life() {
+    let mut placement = Placement::default();
+    let quiet = Quiet {
+        own_until: Some(Millis(1_000)),
+        ..Quiet::default()
+    };
+    placement.start_term(Millis(1_000), quiet);
+
+    assert_eq!(placement.order_ages(GAP_MS, Millis(1_800)).others_ms, Some(800));
+    assert_eq!(placement.order_ages(GAP_MS, Millis(9_000)).others_ms, None);
+}
--- a/crates/soak/tests/regressions.rs
+++ b/crates/soak/tests/regressions.rs
@@ -21,6 +21,7 @@
 #[rstest]
 #[case(1, 8)]
 #[case(32, 8)]
+#[case(39, 8)]
 #[case(77, 5)]
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_are_kept(#[case] seed: u64, #[case] faults: usize) {
