--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -376,7 +376,7 @@
     };
     let answer: QuotaAnswer = timeout(QUOTA_TIMEOUT, asking)
         .await
-        .map_err(|_| CallError::NotRun("too many calls wait for the coordinator".to_owned()))??;
+        .map_err(|_elapsed| CallError::NotRun("too many calls wait for the coordinator".to_owned()))??;
     if !answer.coordinates {
         return Err(CallError::NotRun("the process does not coordinate any more".to_owned()));
     }
