--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -7,9 +7,9 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use guava_platform_standin::caller::{Call, send};
+use guava_platform_standin::caller::{Call, send, send_and_leave};
 use guava_platform_standin::server::ServerFaults;
-use guava_platform_standin::settings::{BOOKING_PATH, HOST, LOOKUP_PATH, STREAM_PATH, configuration};
+use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH, configuration};
 use guava_platform_standin::store::StoreFaults;
 use guava_soak::fleet::{ENGINE_COUNT, Fleet, MODELS, RATE, VMS};
 use guava_soak::proxy::Link;
@@ -155,17 +155,12 @@
         send(address, call(&format!("repeated-{at}"), LOOKUP_PATH)).await;
     }
     set_desks(fleet, ServerFaults::default());
-    let mut leaving = TcpStream::connect(address).await.expect("the process listens");
-    let head = format!(
-        "POST {STREAM_PATH}1 HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: left\r\nauthorization: Bearer key-1\r\n\
-         x-model: m13\r\nx-token-count: 300,60\r\ncontent-length: 0\r\n\r\n"
-    );
-    leaving
-        .write_all(head.as_bytes())
-        .await
-        .expect("the connection is open");
-    sleep(Duration::from_millis(50)).await;
-    drop(leaving);
+    let leaving = Call {
+        model: Some("m13".to_owned()),
+        ..call("left", STREAM_PATH)
+    };
+    let left = send_and_leave(address, &leaving, Duration::from_millis(50)).await;
+    left.expect("the process listens");
 }
 
 /// Engines that answer no orders, servers that leave and end.
