--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -16,6 +16,7 @@
 mod gossip;
 mod leases;
 mod membership;
+mod placement;
 mod plan;
 mod quota;
 mod routing;
@@ -81,7 +82,7 @@
 /// Names of the parts in the order in which they are measured.
 ///
 /// Memory of real runtimes is taken from the whole process, so they come before anything else has grown it.
-pub const PARTS: [&str; 9] = [
+pub const PARTS: [&str; 10] = [
     "runtimes",
     "membership",
     "gossip",
@@ -90,6 +91,7 @@
     "quota",
     "routing",
     "plan",
+    "placement",
     "configuration",
 ];
 
@@ -134,6 +136,7 @@
             "quota" => quota::measure(),
             "routing" => routing::measure(),
             "plan" => plan::measure(),
+            "placement" => placement::measure(),
             _ => configuration::measure(),
         };
         for it in &series {
--- a/crates/entry/src/believed.rs
+++ b/crates/entry/src/believed.rs
@@ -9,7 +9,7 @@
 use guava_fleet::routes::InForce;
 
 use crate::changes::{Changes, Numbered};
-use crate::state::{CoordinatorHint, KnownMember};
+use crate::state::{CoordinatorHint, KnownMember, MEMBER_SILENT_MS, SIGN_AGE_MS, Sign};
 
 /// Time after which what the coordinator told no longer goes before the servers' own entries.
 const PLACED_VALID_MS: u64 = 3_000;
@@ -60,6 +60,8 @@
     pub has_servers: bool,
     /// Revision of the store at which the servers last changed.
     pub servers_revision: u64,
+    /// Revision of the store up to which all changes of servers were taken or told; zero when that is not known.
+    complete_to: u64,
     servers: Numbered<KnownServer>,
     /// Counts every entry that was taken, also those that followers need not learn.
     entries_taken: u64,
@@ -134,6 +136,21 @@
         self.store_age(now).min(self.feed_age(now))
     }
 
+    /// Notes up to which revision of the store all changes of servers are known; zero for unknown.
+    pub fn note_complete(&mut self, revision: u64) {
+        self.complete_to = revision;
+    }
+
+    /// Revision of the store up to which all changes of servers are known and in force here; zero when there is none. A
+    /// server whose removal waits for the store's return is a change that is not in force.
+    pub fn complete_to(&self) -> u64 {
+        let has_lapsed = self.servers.iter().any(|(_, it)| it.lapsed.is_some());
+        if has_lapsed || !self.has_servers {
+            return 0;
+        }
+        self.complete_to
+    }
+
     /// Replaces all servers; true when followers should learn it.
     pub fn put_list(&mut self, list: Vec<BackendServer>, revision: u64, now: Millis) -> bool {
         let before = self.servers.last();
@@ -230,7 +247,7 @@
 
     /// Changes of servers since the numbered one, or all servers when `since` is `None` or too long ago.
     pub fn changes_since(&self, since: Option<u64>) -> Changes<BackendServer> {
-        self.servers.since(since, |it| (*it.server).clone())
+        self.servers.since(since, |it| it.server.without_copies())
     }
 
     /// Takes all that engines hold from the coordinator of this term.
@@ -281,6 +298,29 @@
         self.placed.since(since, Placed::clone)
     }
 
+    /// Takes signs of life of members; those of unknown members are passed over.
+    pub fn note_signs(&mut self, signs: &[Sign], now: Millis) {
+        let ages: HashMap<u32, u8> = signs.iter().map(|it| (it.key, it.age)).collect();
+        for known in self.members.values_mut() {
+            if let Some(age) = ages.get(&known.member.key()) {
+                known.hear(Some(now - u64::from(*age) * SIGN_AGE_MS), now);
+            }
+        }
+    }
+
+    /// Signs of life of the members that were heard of late.
+    pub fn signs(&self, now: Millis) -> Vec<Sign> {
+        let signs = self.members.values().filter_map(|it| {
+            let age = now.since(it.heard?);
+            let age = (age < MEMBER_SILENT_MS).then_some(age / SIGN_AGE_MS)?;
+            Some(Sign {
+                key: it.member.key(),
+                age: u8::try_from(age).unwrap_or(u8::MAX),
+            })
+        });
+        signs.collect()
+    }
+
     /// Takes the times until models can take requests.
     pub fn put_waits(&mut self, waits: Vec<Wait>, now: Millis) {
         self.waits = waits;
@@ -303,10 +343,18 @@
         self.missing.insert(key, now);
     }
 
+    fn is_missing(&self, server: &str, model: &str, now: Millis) -> bool {
+        // Few models are missing, and each request asks for all servers; a key is a copy of two names.
+        if self.missing.is_empty() {
+            return false;
+        }
+        let key = (server.to_owned(), model.to_owned());
+        self.missing.get(&key).is_some_and(|it| now.since(*it) < MISSING_MS)
+    }
+
     /// Whether a server takes requests for the model and adapter.
     pub fn holds(&self, server: &BackendServer, model: &str, adapter: Option<&str>, now: Millis) -> bool {
-        let key = (server.id.clone(), model.to_owned());
-        if self.missing.get(&key).is_some_and(|it| now.since(*it) < MISSING_MS) {
+        if self.is_missing(&server.id, model, now) {
             return false;
         }
         let is_fresh = self.placed_at.is_some_and(|it| now.since(it) < PLACED_VALID_MS);
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -1,17 +1,21 @@
 //! HTTP client for calls with small answers: to the store, to engines' control and to other entry processes.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use guava_platform::{CallError, Http};
-use http::{Request, Response, Uri};
+use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use crate::metrics;
+use crate::state::now;
+
 /// Largest answer that is read; a page of the store's list has about 1 MB.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Time for a connection; the round trip within a deployment takes about 3 ms.
@@ -19,6 +23,35 @@
 /// Time for which an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Client of the store that measures its calls.
+#[derive(Debug)]
+pub struct StoreClient(pub Arc<dyn Http>);
+
+#[async_trait]
+impl Http for StoreClient {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        req: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let method = req.method().clone();
+        let at = now();
+        let answer = self.0.call(address, req, timeout).await;
+        let result = match answer.as_ref().map(Response::status) {
+            Ok(status) if status.is_success() => "success",
+            Ok(StatusCode::CONFLICT) => "conflict",
+            Ok(StatusCode::GONE) => "history_gone",
+            Ok(StatusCode::TOO_MANY_REQUESTS) => "over_rate",
+            Ok(StatusCode::SERVICE_UNAVAILABLE) => "unavailable",
+            Ok(_) => "refused",
+            Err(_) => "unanswered",
+        };
+        metrics::store_call(method.as_str(), result, now().since(at));
+        answer
+    }
+}
+
 /// Client with kept connections.
 #[derive(Debug)]
 pub struct PooledClient {
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -17,19 +17,20 @@
 use guava_core::rendezvous;
 use guava_core::units::Millis;
 use guava_fleet::health::SharedHealth;
-use guava_fleet::placement::{Order, OrderAges, OrderOutcome, Placement, Quiet, Wait};
+use guava_fleet::placement::{Order, OrderAges, OrderKind, OrderOutcome, Placement, Quiet, Tier, Wait};
 use guava_fleet::quota::{Buckets, LOCAL_PART};
 use guava_platform::store::{Object, Written};
 use guava_platform::{CallError, engine};
 use parking_lot::Mutex;
 use serde_json::json;
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use crate::changes::Changes;
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{self, QuotaAnswer, QuotaTake, Report, ReportAnswer, Resign};
-use crate::state::{CoordinatorHint, Entry, Member, now};
+use crate::state::{CoordinatorHint, Entry, LARGE_FLEET, Member, now};
 
 /// Kind of the lease's object in the store.
 const LEASE_KIND: &str = "guava-leases";
@@ -47,8 +48,14 @@
 };
 /// Time since a process was known to coordinate, as the feed tells it, from which on the lease is read.
 const CONTACT_MS: u64 = 1_400;
-/// Time between two rounds of decisions.
+/// Time between two rounds of decisions in a small fleet.
 const ROUND: Duration = Duration::from_millis(20);
+/// Engines for which a round comes a millisecond later and changes are told a millisecond later: a round looks at every
+/// engine, which takes 1 µs each, and each change is sent to every follower.
+const ENGINES_PER_MS: usize = 50;
+/// Questions for the state of engines under way at once. A new coordinator asks all engines; each question takes a
+/// connection.
+const POLLS_AT_ONCE: usize = 64;
 /// Age of the store's last answer from which on the coordinator gives up its tenure if another VM reaches the store.
 const STORE_LOST_MS: u64 = 1_300;
 /// Age of the store's last answer up to which another VM counts as reaching it; its watches wait for 2 s.
@@ -66,10 +73,8 @@
 /// Time that an order may still have been on its way when its sender told its age: the time after which the call for an
 /// order is given up, and a little for bytes that were sent before.
 const ORDER_TRAVEL_MS: u64 = 500;
-/// VMs from which on the parts of answers to reports that are the same for all are computed at intervals: their cost is
-/// that of all engines for each model that waits, and the reports of a large fleet come 90 times a second.
-const LARGE_FLEET: usize = 24;
-/// Such an interval.
+/// Interval at which the parts of answers to reports that are the same for all are computed in a large fleet: their cost
+/// is that of all engines, and its reports come 90 times a second.
 const TOLD_MS: u64 = 100;
 /// Models up to which the waits for all are told to every VM.
 const TOLD_WAITS: usize = 64;
@@ -164,8 +169,17 @@
     last_held: Mutex<(u64, u64)>,
     /// Version of the configuration and count of server entries that the placement has seen.
     inputs: Mutex<(u64, u64)>,
-    /// Term and version of the placement that was told last.
-    published: Mutex<Option<(u64, u64)>>,
+    /// What was told of the placement.
+    published: Mutex<Published>,
+    polls: Semaphore,
+}
+
+/// What was told of the placement.
+#[derive(Debug, Default)]
+struct Published {
+    /// Term and version.
+    version: (u64, u64),
+    at: Millis,
 }
 
 impl Coordinator {
@@ -183,6 +197,7 @@
             last_held: Mutex::default(),
             inputs: Mutex::default(),
             published: Mutex::default(),
+            polls: Semaphore::new(POLLS_AT_ONCE),
         }
     }
 
@@ -560,13 +575,26 @@
         };
         let at = now();
         self.entry.note_coordinates(at);
-        let (version, placed) = {
-            let placement = self.placement.lock();
+        // Held until the changes are applied, so that they are applied in their order.
+        let mut published = self.published.lock();
+        let changes = {
+            let mut placement = self.placement.lock();
             let version = (term, placement.version());
-            let is_new = self.published.lock().replace(version) != Some(version);
-            (version, is_new.then(|| Changes::whole(placement.placed())))
+            let gather_ms = (placement.engine_count() / ENGINES_PER_MS) as u64;
+            let is_whole = published.version.0 != term;
+            let is_due = is_whole || at.since(published.at) >= gather_ms;
+            (is_due && published.version != version).then(|| {
+                *published = Published { version, at };
+                let (present, gone) = placement.take_changes();
+                Changes {
+                    change: 0,
+                    is_whole,
+                    present,
+                    gone,
+                }
+            })
         };
-        self.entry.apply_placement(version, placed, at);
+        self.entry.apply_placement(published.version, changes, at);
     }
 
     /// Decides and sends orders while this process coordinates.
@@ -575,7 +603,8 @@
             if self.coordinates() {
                 self.round();
             }
-            sleep(ROUND).await;
+            let engines = self.placement.lock().engine_count();
+            sleep(ROUND + Duration::from_millis((engines / ENGINES_PER_MS) as u64)).await;
         }
     }
 
@@ -585,7 +614,7 @@
             let mut placement = self.placement.lock();
             self.update_inputs(&mut placement, at);
             let orders = placement.next_orders(at);
-            (placement.polls(at), orders)
+            (placement.polls(self.polls.available_permits(), at), orders)
         };
         for order in orders {
             tokio::spawn(Arc::clone(self).send(order));
@@ -630,6 +659,10 @@
             OrderOutcome::Unanswered => (Event::OrderFailed, "unanswered"),
         };
         metrics::order(now().since(at), label);
+        if order.kind == OrderKind::Load && outcome == OrderOutcome::Accepted {
+            let tier = self.placement.lock().tier(&order.server, &order.model);
+            metrics::load(tier.map_or("unknown", Tier::name));
+        }
         log_event!(
             event,
             "-",
@@ -645,6 +678,7 @@
     }
 
     async fn poll(self: Arc<Self>, server: guava_fleet::model::BackendServer) {
+        let _place = self.polls.acquire().await;
         match engine::report(&*self.entry.http, &server).await {
             Ok(report) => {
                 let changed = self.placement.lock().note_state(&server.id, &report, now());
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -34,8 +34,16 @@
 const STALE_FOLLOWER_MS: u64 = 350;
 /// Time for which the feed must have been fresh before a process stops watching the store.
 const STEADY_MS: u64 = 1_500;
-/// Followers of one process.
-const FAN_OUT: usize = 12;
+/// Followers of one process. With the VMs of most processor time first, those in the middle of the tree have the links
+/// for it: each follower gets all servers and what they hold, about 200 bytes a server, after a start.
+const FAN_OUT: usize = 20;
+/// Time at the start of a process for the list of members, which takes the store some milliseconds.
+const MEMBERS_WAIT: Duration = Duration::from_millis(200);
+/// Time at the start of a process of a large fleet in which it waits for the feed. After all processes were killed, 300
+/// lists of 3,000 servers at once took the store's link for 8 s; one list and the feed take less than one.
+const START_WAIT_MS: u64 = 300;
+/// Such time for each VM.
+const START_WAIT_PER_VM_MS: u64 = 10;
 /// Pause after a question that failed or could not be asked.
 const RETRY: Duration = Duration::from_millis(150);
 
@@ -66,6 +74,8 @@
         pub servers: Option<Changes<BackendServer>>,
         /// Revision of the store at which the servers last changed.
         pub revision: u64,
+        /// Revision of the store up to which the answer makes the servers complete; zero when that is not known.
+        pub complete_to: u64,
         /// Term and version of the placement; term zero for none.
         pub placed_version: (u64, u64),
         /// Changes of what engines hold.
@@ -154,29 +164,34 @@
     ranked.iter().take(FAN_OUT).any(|it| *it == entry.settings.vm)
 }
 
-/// Live processes other than the coordinator, in the order in which they follow it.
+/// Live processes other than the coordinator, in the order in which they follow it: those with most processor time
+/// first.
 fn ranked_followers<'a>(entry: &'a Entry, members: &'a [KnownMember]) -> Vec<&'a str> {
     let at = now();
     let coordinator = entry.coordinator();
     let is_coordinator = |vm: &str| coordinator.as_ref().is_some_and(|it| it.vm == vm);
-    let live = members
-        .iter()
-        .filter(|it| it.is_live(at))
-        .map(|it| it.member.vm.as_str());
-    let names = live
-        .chain([entry.settings.vm.as_str()])
-        .filter(|it| !is_coordinator(it));
-    rendezvous::rank("feed", names, |it| *it)
+    let live = members.iter().filter(|it| it.is_live(at));
+    let live = live.map(|it| (it.member.vm.as_str(), it.member.processor));
+    let own = (entry.settings.vm.as_str(), entry.settings.processor);
+    let followers = live.chain([own]).filter(|(vm, _)| !is_coordinator(vm));
+    let mut ranked = rendezvous::rank("feed", followers, |(vm, _)| *vm);
+    ranked.sort_by_key(|(_, processor)| std::cmp::Reverse(*processor));
+    ranked.into_iter().map(|(vm, _)| vm).collect()
 }
 
 /// Decides whether this process watches the store itself, for as long as it runs.
 pub async fn choose_source(entry: Arc<Entry>, coordinator: Arc<Coordinator>, direct: watch::Sender<bool>) {
     let mut fresh_since = None;
+    // Tells whether the fleet is large; without an answer of the store the process finds that out from it itself.
+    let _ = timeout(MEMBERS_WAIT, entry.members_listed.notified()).await;
+    let started = now();
     loop {
         let at = now();
         let age = entry.feed_age_ms(at);
+        let start_wait = START_WAIT_MS + START_WAIT_PER_VM_MS * entry.vms() as u64;
+        let is_starting = entry.is_large_fleet() && at.since(started) < start_wait;
         let is_stale = age > STALE_MS + STALE_FOLLOWER_MS || age > STALE_MS && is_first_follower(&entry);
-        let is_needed = coordinator.coordinates() || is_stale;
+        let is_needed = coordinator.coordinates() || is_stale && !is_starting;
         if is_needed {
             fresh_since = None;
         } else {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -10,7 +10,7 @@
 use guava_fleet::model::RouteKind;
 use guava_telemetry::Metrics;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::{Counter, Histogram};
 
 use crate::logging;
 use crate::state::{Entry, now};
@@ -19,13 +19,16 @@
 const BOUNDS_S: [f64; 13] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0];
 
 static EVENTS: [AtomicU64; Event::ALL.len()] = [const { AtomicU64::new(0) }; Event::ALL.len()];
-static LATENCIES: OnceLock<Latencies> = OnceLock::new();
+static INSTRUMENTS: OnceLock<Instruments> = OnceLock::new();
 
 #[derive(Debug)]
-struct Latencies {
+struct Instruments {
     first_byte: Histogram<f64>,
     model_wait: Histogram<f64>,
     order: Histogram<f64>,
+    store_call: Histogram<f64>,
+    loads: Counter<u64>,
+    peer_bytes: Counter<u64>,
 }
 
 /// Counts an event.
@@ -56,9 +59,39 @@
     record(|it| &it.order, ms, &[KeyValue::new("outcome", outcome)]);
 }
 
-fn record(of: impl Fn(&Latencies) -> &Histogram<f64>, ms: u64, labels: &[KeyValue]) {
-    if let Some(latencies) = LATENCIES.get() {
-        of(latencies).record(ms as f64 / 1_000.0, labels);
+/// Notes the time that a call to the store took.
+pub fn store_call(method: &str, result: &'static str, ms: u64) {
+    let labels = [
+        KeyValue::new("method", method.to_owned()),
+        KeyValue::new("result", result),
+    ];
+    record(|it| &it.store_call, ms, &labels);
+}
+
+/// Counts a load that an engine accepted, by where it finds the weights.
+pub fn load(tier: &'static str) {
+    if let Some(instruments) = INSTRUMENTS.get() {
+        instruments.loads.add(1, &[KeyValue::new("tier", tier)]);
+    }
+}
+
+/// Counts the bytes of messages between entry processes.
+pub fn peer_bytes(message: &str, sent: usize, received: usize) {
+    let Some(instruments) = INSTRUMENTS.get() else {
+        return;
+    };
+    for (direction, bytes) in [("sent", sent), ("received", received)] {
+        let labels = [
+            KeyValue::new("message", message.to_owned()),
+            KeyValue::new("direction", direction),
+        ];
+        instruments.peer_bytes.add(bytes as u64, &labels);
+    }
+}
+
+fn record(of: impl Fn(&Instruments) -> &Histogram<f64>, ms: u64, labels: &[KeyValue]) {
+    if let Some(instruments) = INSTRUMENTS.get() {
+        of(instruments).record(ms as f64 / 1_000.0, labels);
     }
 }
 
@@ -119,11 +152,15 @@
         let built = meter.f64_histogram(name).with_description(text).with_unit("s");
         built.with_boundaries(BOUNDS_S.to_vec()).build()
     };
+    let counter = |name: &'static str, text: &'static str| meter.u64_counter(name).with_description(text).build();
     // A second registration, as in tests, keeps the first instruments.
-    let _ = LATENCIES.set(Latencies {
+    let _ = INSTRUMENTS.set(Instruments {
         first_byte: histogram("guava_first_byte", "Time from arrival to the first byte of the answer"),
         model_wait: histogram("guava_model_wait", "Time for which requests waited for a model"),
         order: histogram("guava_order", "Time that engines took to answer orders"),
+        store_call: histogram("guava_store_call", "Time that calls to the store took"),
+        loads: counter("guava_loads", "Loads that engines accepted, by where the weights lie"),
+        peer_bytes: counter("guava_peer_bytes", "Bytes of messages between entry processes"),
     });
     metrics
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -6,6 +6,7 @@
 //! prompt from an engine's pace, and `resign` ends a tenure. All are repeated safely: they replace what was known, and a
 //! lost answer of `quota` or `pace` only loses tokens. Bodies are postcard.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,9 +25,10 @@
 use tokio::time::{sleep, timeout};
 
 use crate::coordinator::Coordinator;
-use crate::feed::{self, FeedQuery};
+use crate::feed;
 use crate::log_event;
-use crate::state::{CoordinatorHint, Entry, Member, now};
+use crate::metrics;
+use crate::state::{CoordinatorHint, Entry, Member, Sign, now};
 
 /// Time between two exchanges while the store answers.
 const EXCHANGE_MS: u64 = 1_000;
@@ -34,10 +36,11 @@
 const EXCHANGE_ALONE_MS: u64 = 300;
 /// Age of the last answer of the store from which on the servers of others are asked for.
 const STORE_AWAY_MS: u64 = 2_500;
-/// Members told in one exchange.
-const TOLD_MEMBERS: usize = 16;
-/// Age up to which a member's sign of life is worth telling.
-const TOLD_AGE_MS: u64 = 6_000;
+/// Members told in one exchange to a process that does not know them.
+const TOLD_MEMBERS: usize = 32;
+/// Signs of life told in one exchange, 6 bytes each. All of a fleet of this size are told, so each reaches all others
+/// within a few exchanges.
+const TOLD_SIGNS: usize = 512;
 /// Time for a message between entry processes.
 const TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for tokens from the coordinator; a request that waits longer would miss its objective.
@@ -56,8 +59,10 @@
     pub struct Exchange {
         /// Sender.
         pub from: Member,
-        /// Some members, with the milliseconds since they were heard.
-        pub members: Vec<(Member, u64)>,
+        /// Signs of life of members.
+        pub signs: Vec<Sign>,
+        /// Some members of which the other has told no sign of life.
+        pub members: Vec<Member>,
         /// Version of its configuration; zero for none.
         pub config_version: u64,
         /// Revision at which its servers last changed; zero for none.
@@ -162,10 +167,12 @@
     timeout: Duration,
 ) -> Result<A, CallError> {
     let body = postcard::to_stdvec(message).map_err(|e| CallError::NotRun(e.to_string()))?;
+    let sent = body.len();
     let req = Request::post(format!("/{name}"))
         .body(Bytes::from(body))
         .map_err(|e| CallError::NotRun(e.to_string()))?;
     let answer = entry.http.call(address, req, timeout).await?;
+    metrics::peer_bytes(name, sent, answer.body().len());
     if !answer.status().is_success() {
         return Err(CallError::NotRun(format!("status {}", answer.status())));
     }
@@ -174,34 +181,21 @@
 
 /// Answers a message; `None` when it cannot be read or its name is not known.
 pub async fn answer(entry: &Arc<Entry>, coordinator: &Arc<Coordinator>, name: &str, body: &[u8]) -> Option<Vec<u8>> {
-    match name {
-        "exchange" => {
-            let heard: Exchange = read(body)?;
-            let own = take_exchange(entry, heard);
-            postcard::to_stdvec(&own).ok()
-        }
-        "report" => {
-            let report: Report = read(body)?;
-            postcard::to_stdvec(&coordinator.take_report(report)).ok()
-        }
-        "feed" => {
-            let query: FeedQuery = read(body)?;
-            postcard::to_stdvec(&feed::answer(entry, &query).await).ok()
-        }
-        "resign" => {
-            let resign: Resign = read(body)?;
-            postcard::to_stdvec(&coordinator.take_resignation(resign)).ok()
-        }
-        "pace" => {
-            let take: PaceTake = read(body)?;
-            postcard::to_stdvec(&entry.pace(&take)).ok()
-        }
-        "quota" => {
-            let take: QuotaTake = read(body)?;
-            postcard::to_stdvec(&coordinator.take_quota(&take)).ok()
-        }
-        _ => None,
-    }
+    let answer = match name {
+        "exchange" => written(&take_exchange(entry, read(body)?)),
+        "report" => written(&coordinator.take_report(read(body)?)),
+        "feed" => written(&feed::answer(entry, &read(body)?).await),
+        "resign" => written(&coordinator.take_resignation(read(body)?)),
+        "pace" => written(&entry.pace(&read(body)?)),
+        "quota" => written(&coordinator.take_quota(&read(body)?)),
+        _ => return None,
+    };
+    metrics::peer_bytes(name, answer.as_ref().map_or(0, Vec::len), body.len());
+    answer
+}
+
+fn written<M: Serialize>(message: &M) -> Option<Vec<u8>> {
+    postcard::to_stdvec(message).ok()
 }
 
 fn read<M: DeserializeOwned>(body: &[u8]) -> Option<M> {
@@ -214,13 +208,13 @@
 
 fn own_exchange(entry: &Entry) -> Exchange {
     let at = now();
-    let members = entry.members().into_iter().filter_map(|it| {
-        let age = at.since(it.heard?);
-        (age < TOLD_AGE_MS).then_some((it.member, age))
-    });
     Exchange {
         from: entry.me(),
-        members: members.choose_multiple(&mut rand::rng(), TOLD_MEMBERS),
+        signs: entry
+            .signs(at)
+            .into_iter()
+            .choose_multiple(&mut rand::rng(), TOLD_SIGNS),
+        members: Vec::new(),
         config_version: entry.config().map_or(0, |it| it.config.version),
         servers_revision: entry.servers_revision(),
         coordinator: entry.coordinator(),
@@ -234,16 +228,21 @@
 fn take_exchange(entry: &Entry, heard: Exchange) -> Exchange {
     let at = now();
     let mut own = own_exchange(entry);
+    let known: HashSet<u32> = heard.signs.iter().map(|it| it.key).collect();
+    let members = entry.members().into_iter().filter(|it| it.is_live(at));
+    let unknown = members.map(|it| it.member).filter(|it| !known.contains(&it.key()));
+    own.members = unknown.choose_multiple(&mut rand::rng(), TOLD_MEMBERS);
     if heard.config_version < own.config_version {
         own.config = entry.config().map(|it| (*it.config).clone());
     }
     if heard.wants_servers && heard.servers_revision < own.servers_revision {
-        own.servers = Some(entry.servers().iter().map(|it| (**it).clone()).collect());
+        own.servers = Some(entry.servers().iter().map(|it| it.without_copies()).collect());
     }
     entry.note_member(heard.from.clone(), Some(at));
-    for (member, age) in heard.members {
-        entry.note_member(member, Some(at - age));
+    for member in heard.members {
+        entry.note_member(member, None);
     }
+    entry.note_signs(&heard.signs, at);
     if let Some(hint) = heard.coordinator {
         entry.note_coordinator(hint);
     }
@@ -300,9 +299,10 @@
 /// Reports to the coordinator, at once when a request begins to wait.
 pub async fn report(entry: Arc<Entry>, coordinator: Arc<Coordinator>) {
     loop {
-        // In a large fleet each VM reports less often, so that the coordinator's work stays bounded.
+        // In a large fleet each VM reports less often, so that the coordinator's work stays bounded, and not all at the
+        // same time after they learnt of it together.
         let steps = entry.vms() as u32 / VMS_PER_REPORT_STEP;
-        let pause = REPORT * (1 + steps);
+        let pause = REPORT + (REPORT * steps).mul_f64(rand::random_range(0.5..1.5));
         let (demand, running) = entry.take_report();
         let report = Report {
             vm: entry.settings.vm.clone(),
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -86,9 +86,13 @@
         Arc::clone(&connections),
         closing.subscribe(),
     ));
-    let direct = watch::Sender::new(true);
+    let direct = watch::Sender::new(false);
     tokio::spawn(store_watch::follow_config(Arc::clone(&entry), direct.subscribe()));
-    tokio::spawn(store_watch::follow_servers(Arc::clone(&entry), direct.subscribe()));
+    tokio::spawn(store_watch::follow_servers(
+        Arc::clone(&entry),
+        Arc::clone(&coordinator),
+        direct.subscribe(),
+    ));
     tokio::spawn(store_watch::drop_lapsed(Arc::clone(&entry)));
     tokio::spawn(feed::choose_source(
         Arc::clone(&entry),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -26,14 +26,21 @@
 
 use crate::believed::{Believed, LAPSE_GRACE_MS};
 use crate::changes::Changes;
+use crate::client::StoreClient;
 use crate::feed::{FeedAnswer, FeedQuery};
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{PaceAnswer, PaceTake};
 
-/// Silence of a member from which on it does not count as live. In a fleet of a hundred, signs of life reach all others
-/// within about five seconds.
-const MEMBER_SILENT_MS: u64 = 8_000;
+/// Silence of a member from which on it does not count as live. In a fleet of 300, signs of life reach all others within
+/// about six seconds.
+pub(crate) const MEMBER_SILENT_MS: u64 = 8_000;
+
+/// VMs from which on a fleet counts as large.
+pub const LARGE_FLEET: usize = 24;
+
+/// Unit of the age in signs of life.
+pub(crate) const SIGN_AGE_MS: u64 = 100;
 
 /// Calls of this VM to the central part of the rates at the same time. Each needs a connection of its own, and a slow
 /// coordinator before 300 VMs ran out of descriptors, which made it slower.
@@ -52,6 +59,14 @@
         pub processor: u32,
     }
 
+    /// Sign of life of a process, in few bytes: each exchange tells hundreds.
+    pub struct Sign {
+        /// [`Member::key`] of the process.
+        pub key: u32,
+        /// Time since then in tenths of a second.
+        pub age: u8,
+    }
+
     /// Who coordinates, as far as is known.
     pub struct CoordinatorHint {
         /// VM.
@@ -63,6 +78,14 @@
     }
 }
 
+impl Member {
+    /// Stands for this life of the process in signs of life. Two of 1,500 members share one once in 4,000 fleets; a
+    /// dead one of them then counts as live until a call to it fails.
+    pub fn key(&self) -> u32 {
+        rendezvous::weight(&self.vm, &self.incarnation.to_string()) as u32
+    }
+}
+
 /// Member and when it was last heard.
 #[derive(Debug, Clone)]
 pub struct KnownMember {
@@ -75,6 +98,24 @@
 }
 
 impl KnownMember {
+    /// Takes a sign of life from the given time.
+    pub(crate) fn hear(&mut self, heard: Option<Millis>, now: Millis) {
+        let was_live = self.is_live(now);
+        self.heard = self.heard.max(heard);
+        if self.failed.is_some_and(|it| heard.is_some_and(|heard| heard > it)) {
+            self.failed = None;
+        }
+        if !was_live && self.is_live(now) {
+            let (vm, incarnation) = (&self.member.vm, self.member.incarnation);
+            let heard_ms = self.heard.map_or(0, |it| now.since(it));
+            log_event!(
+                Event::MemberUp,
+                "-",
+                "member={vm} incarnation={incarnation} heard_ms_ago={heard_ms}"
+            );
+        }
+    }
+
     /// Whether the member has been heard of lately and answers.
     pub fn is_live(&self, now: Millis) -> bool {
         let is_heard = self.heard.is_some_and(|it| now.since(it) < MEMBER_SILENT_MS);
@@ -121,6 +162,8 @@
     pub health: Mutex<Health>,
     /// Wakes the task that reports demand.
     pub demand_changed: Notify,
+    /// Signalled when the store has told the members.
+    pub members_listed: Notify,
     budgets: Mutex<HashMap<String, RetryBudget>>,
     believed: Mutex<Believed>,
     in_hand: Mutex<InHand>,
@@ -132,7 +175,7 @@
 impl Entry {
     /// State at the start of the process.
     pub fn new(settings: Settings, http: Arc<dyn Http>) -> Self {
-        let store = Store::new(Arc::clone(&http), settings.store);
+        let store = Store::new(Arc::new(StoreClient(Arc::clone(&http))), settings.store);
         Self {
             incarnation: wall_ms(),
             store,
@@ -142,6 +185,7 @@
             pacer: Mutex::default(),
             health: Mutex::default(),
             demand_changed: Notify::new(),
+            members_listed: Notify::new(),
             budgets: Mutex::default(),
             believed: Mutex::default(),
             in_hand: Mutex::default(),
@@ -292,6 +336,21 @@
         }
     }
 
+    /// Notes that all changes of servers up to a revision of the store were applied.
+    pub fn note_complete(&self, revision: u64) {
+        self.believed.lock().note_complete(revision);
+    }
+
+    /// Revision from which on this process need only learn changes of servers.
+    pub fn complete_to(&self) -> Option<u64> {
+        Some(self.believed.lock().complete_to()).filter(|it| *it > 0)
+    }
+
+    /// Whether whole lists for every VM at once would take the store's link or a VM's link for seconds.
+    pub fn is_large_fleet(&self) -> bool {
+        self.vms() > LARGE_FLEET
+    }
+
     /// Applies one changed entry; `None` when it was removed or names no usable server.
     pub fn apply_server(&self, id: &str, server: Option<BackendServer>, revision: u64, now: Millis) {
         let state = server.as_ref().map(|it| it.state);
@@ -417,6 +476,7 @@
             config: config.map(|it| (*it.config).clone()),
             servers: has_changed.then(|| believed.changes_since(known)),
             revision: believed.servers_revision,
+            complete_to: believed.complete_to(),
             placed_version,
             placed: has_placed.then(|| believed.placed_since(known_placed)),
         }
@@ -432,7 +492,9 @@
             believed.note_source(answer.age_ms, now);
             believed.note_coordination(answer.coordination_age_ms, now);
             let servers = answer.servers;
-            servers.is_some_and(|it| believed.put_changes(it, answer.revision, now))
+            let is_change = servers.is_some_and(|it| believed.put_changes(it, answer.revision, now));
+            believed.note_complete(answer.complete_to);
+            is_change
         };
         if is_change {
             self.wake();
@@ -530,24 +592,26 @@
                 heard: None,
                 failed: None,
             });
-        let was_live = known.is_live(at);
         if member.incarnation > known.member.incarnation {
             known.member = member;
             known.failed = None;
         }
-        known.heard = known.heard.max(heard);
-        if known.failed.is_some_and(|it| heard.is_some_and(|heard| heard > it)) {
-            known.failed = None;
-        }
-        if !was_live && known.is_live(at) {
-            let (vm, incarnation) = (&known.member.vm, known.member.incarnation);
-            let heard_ms = known.heard.map_or(0, |it| at.since(it));
-            log_event!(
-                Event::MemberUp,
-                "-",
-                "member={vm} incarnation={incarnation} heard_ms_ago={heard_ms}"
-            );
-        }
+        known.hear(heard, at);
+    }
+
+    /// Takes signs of life of members; those of unknown members are passed over.
+    pub fn note_signs(&self, signs: &[Sign], now: Millis) {
+        self.believed.lock().note_signs(signs, now);
+    }
+
+    /// Signs of life of the members that were heard of late and of this process.
+    pub fn signs(&self, now: Millis) -> Vec<Sign> {
+        let mut signs = self.believed.lock().signs(now);
+        signs.push(Sign {
+            key: self.me().key(),
+            age: 0,
+        });
+        signs
     }
 
     /// Notes that a call to a member failed.
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::coordinator::Coordinator;
 use crate::log_event;
 use crate::state::{Entry, Member, now};
 
@@ -76,24 +77,58 @@
     Since(Vec<(String, Option<Object>)>, u64),
 }
 
-/// Lists a kind and then watches it, for as long as the process runs. `take` returns for how long changes should gather
-/// before they are asked for again.
-async fn follow(entry: &Entry, kind: &str, mut direct: watch::Receiver<bool>, take: impl Fn(&Entry, News) -> Duration) {
+/// Whether a watch may begin at the revision up to which the feed has told all changes.
+enum Resume {
+    Never,
+    UnlessCoordinating(Arc<Coordinator>),
+}
+
+impl Resume {
+    fn is_allowed(&self) -> bool {
+        match self {
+            Self::Never => false,
+            Self::UnlessCoordinating(coordinator) => !coordinator.coordinates(),
+        }
+    }
+
+    fn revision(&self, entry: &Entry) -> Option<u64> {
+        let may_resume = self.is_allowed() && entry.is_large_fleet();
+        entry.complete_to().filter(|_| may_resume)
+    }
+}
+
+/// Lists a kind, unless all changes up to a revision are known already, and then watches it, for as long as the process
+/// runs. `take` returns for how long changes should gather before they are asked for again.
+async fn follow(
+    entry: &Entry,
+    kind: &str,
+    mut direct: watch::Receiver<bool>,
+    resume: Resume,
+    take: impl Fn(&Entry, News) -> Duration,
+) {
     let mut backoff = Backoff::new();
+    let mut must_list = false;
     loop {
         wait_for_turn(&mut direct).await;
-        let listing = match entry.store.list(kind).await {
-            Ok(listing) => listing,
-            Err(e) => {
-                backoff.pause_after(&format!("list of {kind}"), &e).await;
-                continue;
-            }
+        let known = resume.revision(entry).filter(|_| !must_list);
+        must_list = false;
+        let mut revision = match known {
+            Some(revision) => revision,
+            None => match entry.store.list(kind).await {
+                Ok(listing) => {
+                    backoff.reset();
+                    entry.note_store_contact(now());
+                    let revision = listing.revision;
+                    take(entry, News::All(listing));
+                    revision
+                }
+                Err(e) => {
+                    backoff.pause_after(&format!("list of {kind}"), &e).await;
+                    continue;
+                }
+            },
         };
-        backoff.reset();
-        entry.note_store_contact(now());
-        let mut revision = listing.revision;
-        take(entry, News::All(listing));
-        while *direct.borrow() {
+        while *direct.borrow() && (known.is_none() || resume.is_allowed()) {
             match entry.store.watch(kind, revision, WATCH_WAIT).await {
                 Ok(Changes::Since { events, revision: next }) => {
                     backoff.reset();
@@ -104,7 +139,10 @@
                         sleep(gathering).await;
                     }
                 }
-                Ok(Changes::HistoryGone) => break,
+                Ok(Changes::HistoryGone) => {
+                    must_list = true;
+                    break;
+                }
                 Err(e) => backoff.pause_after(&format!("watch of {kind}"), &e).await,
             }
         }
@@ -113,7 +151,7 @@
 
 /// Follows the operators' configuration.
 pub async fn follow_config(entry: Arc<Entry>, direct: watch::Receiver<bool>) {
-    follow(&entry, config::KIND, direct, |entry, news| {
+    follow(&entry, config::KIND, direct, Resume::Never, |entry, news| {
         let objects = match news {
             News::All(listing) => listing.objects,
             News::Since(events, _) => events.into_iter().filter_map(|(_, object)| object).collect(),
@@ -145,23 +183,36 @@
 }
 
 /// Follows the entries of backend servers.
-pub async fn follow_servers(entry: Arc<Entry>, direct: watch::Receiver<bool>) {
-    follow(&entry, servers::KIND, direct, |entry, news| match news {
+///
+/// In a large fleet only a coordinator lists them: when its feed ends, hundreds of lists of all servers at once would take
+/// the store's link for seconds. In a small one a list costs no more than a watch.
+pub async fn follow_servers(entry: Arc<Entry>, coordinator: Arc<Coordinator>, direct: watch::Receiver<bool>) {
+    let resume = Resume::UnlessCoordinating(coordinator);
+    follow(&entry, servers::KIND, direct, resume, take_servers).await;
+}
+
+fn take_servers(entry: &Entry, news: News) -> Duration {
+    let (has_changed, revision) = match news {
         News::All(listing) => {
             let list = listing.objects.iter().filter_map(servers::decode).collect();
             entry.apply_server_list(list, listing.revision, now());
-            Duration::ZERO
+            (false, listing.revision)
         }
-        News::Since(events, _) if events.is_empty() => Duration::ZERO,
         News::Since(events, revision) => {
+            let has_changed = !events.is_empty();
             for (id, object) in events {
                 let server = object.as_ref().and_then(servers::decode);
                 entry.apply_server(&id, server, revision, now());
             }
-            gather_time(entry)
+            (has_changed, revision)
         }
-    })
-    .await;
+    };
+    entry.note_complete(revision);
+    if has_changed {
+        gather_time(entry)
+    } else {
+        Duration::ZERO
+    }
 }
 
 /// Registers this process, learns the others once, and removes registrations of VMs that are gone.
@@ -187,6 +238,7 @@
                 for member in members {
                     entry.note_member(member, None);
                 }
+                entry.members_listed.notify_one();
                 break;
             }
             Err(e) => backoff.pause_after("list of members", &e).await,
--- a/crates/entry/tests/believed.rs
+++ b/crates/entry/tests/believed.rs
@@ -140,3 +140,38 @@
     assert!(believed.holds(&reborn, "m1", None, Millis(100)) && !believed.holds(&reborn, "m2", None, Millis(100)));
     assert!(believed.holds(&entry, "m1", None, Millis(60_000)));
 }
+
+/// Guards against a process that goes on from a revision whose changes it does not know or has not put in force: a server
+/// that is gone would get requests for as long as the process runs.
+#[test]
+fn a_revision_is_complete_only_when_all_changes_are_in_force() {
+    let mut believed = Believed::default();
+    believed.note_store_contact(Millis(1_000));
+    believed.note_complete(7);
+    let without_servers = believed.complete_to();
+    believed.put_list(vec![server("a", ServerState::Ready)], 7, Millis(1_000));
+    let listed = believed.complete_to();
+
+    believed.note_store_contact(Millis(6_000));
+    believed.drop_server("a", Millis(6_000));
+    believed.note_complete(9);
+    let lapsed = believed.complete_to();
+    believed.drop_lapsed(Millis(6_000 + LAPSE_GRACE_MS));
+
+    assert_eq!((without_servers, listed, lapsed), (0, 7, 0));
+    assert_eq!(believed.complete_to(), 9);
+}
+
+/// Guards against lists of servers that grow with every copy of weights on every engine, which followers never use.
+#[test]
+fn followers_are_told_no_copies() {
+    let mut believed = Believed::default();
+    let mut told = server("a", ServerState::Ready);
+    told.on_disk = vec!["m2".to_owned()];
+    told.in_memory = vec!["m3".to_owned()];
+    believed.put_list(vec![told], 1, Millis(1_000));
+
+    let changes = believed.changes_since(None);
+
+    assert_eq!(changes.present, [server("a", ServerState::Ready)]);
+}
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -183,6 +183,20 @@
 }
 
 impl BackendServer {
+    /// All but the copies of weights in memory and on disk, which only a coordinator needs.
+    #[must_use]
+    pub fn without_copies(&self) -> Self {
+        Self {
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+            id: self.id.clone(),
+            service: self.service.clone(),
+            zone: self.zone.clone(),
+            held: self.held.clone(),
+            ..*self
+        }
+    }
+
     /// Whether it holds `model` and, if given, `adapter`.
     pub fn holds(&self, model: &str, adapter: Option<&str>) -> bool {
         self.held
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -38,6 +38,13 @@
 const RISE_HALF_LIFE_MS: f64 = 1_500.0;
 /// Part of an engine's slots beyond which its models get another replica.
 const FULL_PART: f64 = 0.4;
+/// Engines from which on the models that no engine has at hand are looked for at intervals: that takes a look at every
+/// copy on every engine, and a load ahead of demand can wait.
+const MANY_ENGINES: usize = 200;
+/// Such an interval.
+const ABSENT_MS: u64 = 500;
+/// Time after which a question for an engine's state counts as lost; its answer ends the wait.
+const POLL_LOST_MS: u64 = 500;
 /// Time for which a model stays after its load, so that the requests that waited for it can start.
 const DWELL_MS: u64 = 1_000;
 
@@ -183,6 +190,28 @@
     poll_at: Millis,
 }
 
+/// Where an engine finds the weights of a model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tier {
+    /// In its host memory.
+    Memory,
+    /// On its disk.
+    Disk,
+    /// In the weight store.
+    Store,
+}
+
+impl Tier {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::Disk => "disk",
+            Self::Store => "store",
+        }
+    }
+}
+
 /// Engine and what it holds.
 #[derive(Debug)]
 struct Engine {
@@ -196,6 +225,8 @@
     /// Whether its state was confirmed by a report since this process became coordinator.
     is_known: bool,
     next_poll: Millis,
+    /// Time of a question for its state that is not answered yet.
+    asked: Option<Millis>,
     failures: u32,
 }
 
@@ -228,6 +259,28 @@
     pub own_until: Option<Millis>,
 }
 
+/// Changes of what engines hold for requests.
+#[derive(Debug, Default)]
+struct Untold {
+    version: u64,
+    /// Engines whose models or adapters changed, or that are gone, since the changes were last taken.
+    engines: BTreeSet<String>,
+}
+
+impl Untold {
+    fn note(&mut self, engine: &str) {
+        self.version += 1;
+        self.engines.insert(engine.to_owned());
+    }
+}
+
+/// Models of a service that no engine has at hand.
+#[derive(Debug)]
+struct Absent {
+    models: Vec<String>,
+    at: Millis,
+}
+
 /// Decisions of the coordinator.
 #[derive(Debug, Default)]
 pub struct Placement {
@@ -238,7 +291,8 @@
     adapter_use: HashMap<(String, String, String), Millis>,
     store_loads: Vec<Millis>,
     order_times: OrderTimes,
-    version: u64,
+    untold: Untold,
+    absent: HashMap<String, Absent>,
 }
 
 impl Placement {
@@ -254,14 +308,17 @@
             if !self.specs.contains_key(&server.service) {
                 continue;
             }
-            listed.insert(server.id.clone());
+            listed.insert(server.id.as_str());
             self.set_server(server, now);
         }
-        let before = self.engines.len();
-        self.engines.retain(|id, _| listed.contains(id));
-        if self.engines.len() != before {
-            self.version += 1;
-        }
+        let untold = &mut self.untold;
+        self.engines.retain(|id, _| {
+            let is_listed = listed.contains(id.as_str());
+            if !is_listed {
+                untold.note(id);
+            }
+            is_listed
+        });
     }
 
     fn set_server(&mut self, server: &BackendServer, now: Millis) {
@@ -271,14 +328,14 @@
             .is_some_and(|it| it.server.born_ms == server.born_ms);
         if !same_life {
             self.engines.insert(server.id.clone(), Engine::new(server.clone(), now));
-            self.version += 1;
+            self.untold.note(&server.id);
             return;
         }
-        let Some(engine) = self.engines.get_mut(&server.id) else {
+        let Some(engine) = self.engines.get_mut(&server.id).filter(|it| it.server != *server) else {
             return;
         };
         if engine.server.state != server.state {
-            self.version += 1;
+            self.untold.note(&server.id);
         }
         let has_changed = engine.server.held != server.held;
         engine.server = server.clone();
@@ -321,11 +378,13 @@
             own_until: quiet.own_until,
             last: HashMap::new(),
         };
-        for engine in self.engines.values_mut() {
+        for (id, engine) in &mut self.engines {
             engine.plan = None;
             engine.pending = None;
             engine.is_known = false;
             engine.next_poll = now;
+            engine.asked = None;
+            self.untold.note(id);
         }
     }
 
@@ -352,19 +411,28 @@
         }
     }
 
-    /// Version of what [`Self::placed`] tells.
+    /// Where an engine finds the weights of a model, as far as it has told.
+    pub fn tier(&self, server: &str, model: &str) -> Option<Tier> {
+        self.engines.get(server).map(|it| it.tier(model))
+    }
+
+    /// Engines that are known.
+    pub fn engine_count(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Grows with each change of what engines hold for requests.
     pub fn version(&self) -> u64 {
-        self.version
+        self.untold.version
     }
 
-    /// What each engine holds for requests.
-    pub fn placed(&self) -> Vec<Placed> {
-        let placed = self.engines.values().map(|engine| Placed {
-            server: engine.server.id.clone(),
-            born_ms: engine.server.born_ms,
-            held: engine.ready_models(),
-        });
-        placed.collect()
+    /// What engines hold for requests, as far as it changed since the last call, and the engines that are gone.
+    pub fn take_changes(&mut self) -> (Vec<Placed>, Vec<String>) {
+        let changed = std::mem::take(&mut self.untold.engines);
+        let (there, gone): (Vec<String>, Vec<String>) =
+            changed.into_iter().partition(|id| self.engines.contains_key(id));
+        let there = there.iter().filter_map(|id| self.engines.get(id));
+        (there.map(Engine::placed).collect(), gone)
     }
 
     /// Requests that run at each backend server, from the reports of all VMs.
@@ -389,14 +457,19 @@
             .collect()
     }
 
-    /// Engines whose state should be asked for now.
-    pub fn polls(&mut self, now: Millis) -> Vec<BackendServer> {
+    /// Engines whose state should be asked for now, at most so many.
+    pub fn polls(&mut self, most: usize, now: Millis) -> Vec<BackendServer> {
         let mut due = Vec::new();
         for engine in self.engines.values_mut() {
+            if due.len() >= most {
+                break;
+            }
             let at = engine.pending.as_ref().map_or(engine.next_poll, |it| it.poll_at);
             let is_wanted = !engine.is_known || engine.pending.as_ref().is_some_and(|it| !it.sent || it.accepted);
-            if is_wanted && now >= at {
+            let is_asked = engine.asked.is_some_and(|it| now.since(it) < POLL_LOST_MS);
+            if is_wanted && !is_asked && now >= at {
                 engine.delay_poll(now, orders::POLL_MS);
+                engine.asked = Some(now);
                 due.push(engine.server.clone());
             }
         }
@@ -419,6 +492,7 @@
             pending: None,
             is_known: false,
             next_poll: now,
+            asked: None,
             failures: 0,
             server,
         };
@@ -449,13 +523,27 @@
         }
     }
 
-    fn ready_models(&self) -> Vec<HeldModel> {
+    fn placed(&self) -> Placed {
         let ready = self.held.iter().filter(|(_, it)| it.is_ready);
         let models = ready.map(|(name, it)| HeldModel {
             name: name.clone(),
             adapters: it.adapters.keys().cloned().collect(),
         });
-        models.collect()
+        Placed {
+            server: self.server.id.clone(),
+            born_ms: self.server.born_ms,
+            held: models.collect(),
+        }
+    }
+
+    fn tier(&self, model: &str) -> Tier {
+        if self.in_memory.contains(model) {
+            Tier::Memory
+        } else if self.on_disk.contains(model) {
+            Tier::Disk
+        } else {
+            Tier::Store
+        }
     }
 
     fn delay_poll(&mut self, now: Millis, ms: u64) {
--- a/crates/fleet/src/placement/orders.rs
+++ b/crates/fleet/src/placement/orders.rs
@@ -84,7 +84,7 @@
                 if let Some(held) = engine.held.get_mut(&order.model) {
                     held.adapters.insert(adapter.clone(), now);
                 }
-                self.version += 1;
+                self.untold.note(&order.server);
             }
             (OrderOutcome::Accepted, kind) => {
                 pending.accepted = true;
@@ -125,6 +125,7 @@
     pub fn note_poll_failed(&mut self, server: &str, now: Millis) {
         if let Some(engine) = self.engines.get_mut(server) {
             engine.failures += 1;
+            engine.asked = None;
             engine.delay_poll(now, FAILED_POLL_MS);
         }
     }
@@ -135,6 +136,7 @@
             return false;
         };
         engine.failures = 0;
+        engine.asked = None;
         engine.in_memory = report.in_memory.iter().cloned().collect();
         engine.on_disk.extend(report.on_disk.iter().cloned());
         // The report may be older than the last order.
@@ -166,7 +168,7 @@
         engine.pending = None;
         engine.is_known = true;
         engine.adopt(report.orders, &report.held, now);
-        self.version += 1;
+        self.untold.note(server);
         true
     }
 
@@ -191,13 +193,13 @@
                 if let Some(held) = engine.held.get_mut(&order.model) {
                     held.is_ready = false;
                 }
-                self.version += 1;
+                self.untold.note(&order.server);
             }
             OrderKind::UnloadAdapter(adapter) => {
                 if let Some(held) = engine.held.get_mut(&order.model) {
                     held.adapters.remove(adapter);
                 }
-                self.version += 1;
+                self.untold.note(&order.server);
             }
             OrderKind::LoadAdapter(_) => {}
         }
--- a/crates/fleet/src/placement/rank.rs
+++ b/crates/fleet/src/placement/rank.rs
@@ -5,8 +5,8 @@
 use guava_core::units::Millis;
 
 use super::{
-    AHEAD_AT_ONCE, DWELL_MS, Engine, FULL_PART, Held, LoadPlan, Order, OrderKind, Placement, STORE_LOADS_AT_ONCE,
-    STORE_WINDOW_MS, WAITING_AT_ONCE, Wait,
+    ABSENT_MS, AHEAD_AT_ONCE, Absent, DWELL_MS, Engine, FULL_PART, Held, LoadPlan, MANY_ENGINES, Order, OrderKind,
+    Placement, STORE_LOADS_AT_ONCE, STORE_WINDOW_MS, Tier, WAITING_AT_ONCE, Wait,
 };
 use crate::model::{EngineSpec, ServerState};
 
@@ -59,15 +59,17 @@
         let services: Vec<String> = self.specs.keys().cloned().collect();
         let running = self.running(now);
         for service in services {
-            let round = Round {
+            let mut round = Round {
                 wanted: self.wanted(&service, now),
+                counts: self.counts(&service),
+                store: self.store_use(),
                 running: &running,
                 now,
             };
             self.plan_adapters(&service, &round, &mut orders);
-            self.plan_full(&service, &round);
-            self.plan_waiting(&service, &round);
-            self.plan_ahead(&service, &round);
+            self.plan_full(&service, &mut round);
+            self.plan_waiting(&service, &mut round);
+            self.plan_ahead(&service, &mut round);
         }
         self.send_plans(now, &mut orders);
         orders
@@ -90,6 +92,7 @@
         let mut waits = Vec::new();
         for (service, spec) in &self.specs {
             let wanted = self.wanted(service, now);
+            let counts = self.counts(service);
             let mut waiting: Vec<(&String, &Wanted)> = wanted.iter().filter(|(_, it)| it.waiting > 0).collect();
             waiting.sort_by_key(|(_, it)| std::cmp::Reverse(it.oldest_ms));
             let mut queued = 0;
@@ -97,14 +100,14 @@
                 let Some(size) = spec.models.get(model) else {
                     continue;
                 };
+                let count = counts.get(model).copied().unwrap_or_default();
                 let engines = || self.engines_of(service);
-                let loading = engines().filter_map(|it| it.load_left_ms(spec, model, now)).min();
-                let is_held = engines().any(|it| it.serves(model));
-                let ms = match loading {
-                    _ if is_held => 0,
-                    Some(left) => left,
-                    None if engines().any(|it| it.has_at_hand(model)) => size.host_ms,
-                    None => {
+                let left = || engines().filter_map(|it| it.load_left_ms(spec, model, now)).min();
+                let ms = match count {
+                    _ if count.held > 0 => 0,
+                    _ if count.loads > 0 => left().unwrap_or(0),
+                    _ if engines().any(|it| it.has_at_hand(model)) => size.host_ms,
+                    _ => {
                         let rounds_before = queued / STORE_LOADS_AT_ONCE as u64;
                         queued += 1;
                         size.store_ms * (rounds_before + 1)
@@ -162,10 +165,17 @@
             .iter()
             .flat_map(|(model, it)| it.adapters.iter().map(move |adapter| (model, adapter)));
         let asked: HashSet<(&String, &String)> = asked.collect();
+        let mut holders: HashMap<&String, Vec<String>> = asked.iter().map(|(model, _)| (*model, Vec::new())).collect();
+        for engine in self.engines_of(service).filter(|_| !asked.is_empty()) {
+            for model in engine.held.keys().filter(|it| engine.serves(it)) {
+                if let Some(holders) = holders.get_mut(model) {
+                    holders.push(engine.server.id.clone());
+                }
+            }
+        }
         for (model, adapter) in asked {
-            let holders = self.engines_of(service);
-            let holders = holders.filter(|it| it.takes_orders(&self.order_times, now) && it.serves(model));
-            let holders: Vec<&Engine> = holders.collect();
+            let holders = holders[model].iter().filter_map(|id| self.engines.get(id));
+            let holders: Vec<&Engine> = holders.filter(|it| it.takes_orders(&self.order_times, now)).collect();
             if holders.iter().any(|it| it.held[model].adapters.contains_key(adapter)) {
                 continue;
             }
@@ -204,34 +214,30 @@
     }
 
     /// Plans loads for models that requests wait for and that no engine holds.
-    fn plan_waiting(&mut self, service: &str, round: &Round<'_>) {
-        let mut missing: Vec<(&String, &Wanted)> = round
-            .wanted
-            .iter()
-            .filter(|(model, it)| it.waiting > 0 && !self.is_placed(service, model))
+    fn plan_waiting(&mut self, service: &str, round: &mut Round<'_>) {
+        let missing = round.wanted.iter();
+        let missing = missing.filter(|(model, it)| it.waiting > 0 && !round.count(model).is_placed());
+        let mut missing: Vec<(u32, f64, String)> = missing
+            .map(|(model, it)| (it.waiting, it.rate, model.clone()))
             .collect();
-        missing.sort_by(|a, b| {
-            (b.1.waiting, b.1.rate)
-                .partial_cmp(&(a.1.waiting, a.1.rate))
-                .expect("finite")
-        });
-        for (model, _) in missing {
-            self.plan_load(service, model, round, WAITING_AT_ONCE, true);
+        missing.sort_by(|a, b| (b.0, b.1).partial_cmp(&(a.0, a.1)).expect("finite"));
+        for (_, _, model) in missing {
+            self.plan_load(service, &model, round, WAITING_AT_ONCE, true);
         }
     }
 
     /// Plans another replica for models that get more requests than their replicas answer in time.
-    fn plan_full(&mut self, service: &str, round: &Round<'_>) {
+    fn plan_full(&mut self, service: &str, round: &mut Round<'_>) {
         let Some(slots) = self.specs.get(service).map(|it| f64::from(it.slots)) else {
             return;
         };
         let mut full: Vec<(f64, usize, String)> = Vec::new();
         for (model, it) in &round.wanted {
-            let replicas = self.replicas(service, model);
+            let count = round.count(model);
+            let (replicas, coming) = (count.replicas, count.loads);
             let by_rate = it.tokens_per_s / TOKENS_PER_REPLICA;
             let by_running = f64::from(it.running + it.waiting) / (FULL_PART * slots);
             let wished = by_rate.max(by_running).ceil() as usize;
-            let coming = self.loads_of(service, model);
             if replicas > 0 && wished > replicas + coming {
                 let excess = wished as f64 / (replicas + coming) as f64;
                 full.push((excess, (wished - replicas - coming).min(LOADS_PER_ROUND), model.clone()));
@@ -246,58 +252,94 @@
     }
 
     /// Plans loads of models that no engine has at hand.
-    fn plan_ahead(&mut self, service: &str, round: &Round<'_>) {
-        if self.store_loads_running() >= AHEAD_AT_ONCE {
-            return;
-        }
+    fn plan_ahead(&mut self, service: &str, round: &mut Round<'_>) {
         let Some(spec) = self.specs.get(service) else {
             return;
         };
-        let models = spec.models.keys();
-        let absent = models.filter(|model| !self.engines_of(service).any(|it| it.has_at_hand(model)));
-        let mut absent: Vec<String> = absent.cloned().collect();
+        if !self.may_use_store(spec, round, AHEAD_AT_ONCE) {
+            return;
+        }
+        let mut absent = self.absent_models(service, round.now);
         let rate = |model: &String| round.wanted.get(model).map_or(0.0, |it| it.rate);
         absent.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
+        // No engine has room for a model as large as one for which none had room.
+        let mut too_large = f64::INFINITY;
         for model in absent {
-            if self.store_loads_running() >= AHEAD_AT_ONCE {
+            let Some(spec) = self.specs.get(service) else {
                 return;
+            };
+            if !self.may_use_store(spec, round, AHEAD_AT_ONCE) {
+                return;
+            }
+            let mb = spec.models.get(&model).map_or(f64::INFINITY, |it| it.mb);
+            let is_absent = || !self.engines_of(service).any(|it| it.has_at_hand(&model));
+            if mb < too_large && is_absent() && !self.plan_load(service, &model, round, AHEAD_AT_ONCE, false) {
+                too_large = mb;
             }
-            self.plan_load(service, &model, round, AHEAD_AT_ONCE, false);
         }
     }
 
-    fn plan_load(&mut self, service: &str, model: &str, round: &Round<'_>, at_once: usize, is_urgent: bool) {
+    /// Models that no engine of a service has at hand; in a large fleet as found a moment ago.
+    fn absent_models(&mut self, service: &str, now: Millis) -> Vec<String> {
+        let is_large = self.engines.len() > MANY_ENGINES;
+        let known = self.absent.get(service);
+        if let Some(known) = known.filter(|it| is_large && now.since(it.at) < ABSENT_MS) {
+            return known.models.clone();
+        }
+        let engines = self.engines_of(service);
+        let at_hand: HashSet<&String> = engines
+            .flat_map(|it| it.held.keys().chain(&it.in_memory).chain(&it.on_disk))
+            .collect();
+        let models = self.specs.get(service).into_iter().flat_map(|it| it.models.keys());
+        let models: Vec<String> = models.filter(|it| !at_hand.contains(it)).cloned().collect();
+        let absent = Absent {
+            models: models.clone(),
+            at: now,
+        };
+        self.absent.insert(service.to_owned(), absent);
+        models
+    }
+
+    /// Plans a load where it costs least; false when no engine can take it now.
+    fn plan_load(
+        &mut self,
+        service: &str,
+        model: &str,
+        round: &mut Round<'_>,
+        at_once: usize,
+        is_urgent: bool,
+    ) -> bool {
         let now = round.now;
-        let Some(spec) = self.specs.get(service) else {
-            return;
+        let Some(spec) = self.specs.get(service).filter(|it| it.models.contains_key(model)) else {
+            return false;
         };
-        if !spec.models.contains_key(model) {
-            return;
-        }
-        let may_use_store = self.store_loads_running() < at_once && self.is_within_ceiling(spec);
+        let may_use_store = self.may_use_store(spec, round, at_once);
         let outlook = Outlook {
             spec,
             round,
-            replicas: self.replica_counts(service),
+            room_mb: spec.memory_mb - adapter_room_mb(spec),
         };
         let choices = self.engines_of(service).filter(|it| {
-            it.takes_orders(&self.order_times, now)
-                && it.pending.is_none()
+            it.pending.is_none()
                 && it.plan.is_none()
                 && !it.held.contains_key(model)
+                && (may_use_store || it.has_at_hand(model))
+                && it.takes_orders(&self.order_times, now)
         });
         let choices = choices.filter_map(|it| weigh(it, &outlook, model, is_urgent));
-        let allowed = choices.filter(|it| may_use_store || !it.from_store);
-        let Some(best) = allowed.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
-            return;
+        let Some(best) = choices.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
+            return false;
         };
-        if let Some(engine) = self.engines.get_mut(&best.engine) {
-            engine.plan = Some(LoadPlan {
-                model: model.to_owned(),
-                victims: best.victims,
-                from_store: best.from_store,
-            });
-        }
+        let Some(engine) = self.engines.get_mut(&best.engine) else {
+            return false;
+        };
+        round.note_plan(model, best.from_store);
+        engine.plan = Some(LoadPlan {
+            model: model.to_owned(),
+            victims: best.victims,
+            from_store: best.from_store,
+        });
+        true
     }
 
     fn send_plans(&mut self, now: Millis, orders: &mut Vec<Order>) {
@@ -319,7 +361,7 @@
                 continue;
             };
             let need = spec.models.get(&plan.model).map_or(f64::MAX, |it| it.mb);
-            if engine.used_mb(spec) + need <= spec.memory_mb {
+            if engine.weights_mb(spec) + adapter_room_mb(spec) + need <= spec.memory_mb {
                 next.push((engine.order(OrderKind::Load, &plan.model), plan.from_store));
             }
         }
@@ -337,71 +379,116 @@
             .map_or(0, |(engine, spec)| load_ms(engine, spec, model))
     }
 
-    fn store_loads_running(&self) -> usize {
-        let is_running = |it: &&Engine| it.pending.as_ref().is_some_and(|p| p.from_store) || it.plans_store_load();
-        self.engines.values().filter(is_running).count()
+    /// Loads from the weight store that run or are planned.
+    fn store_use(&self) -> StoreUse {
+        let mut store = StoreUse::default();
+        for engine in self.engines.values() {
+            store.planned += usize::from(engine.plans_store_load());
+            store.pending += usize::from(engine.pending.as_ref().is_some_and(|it| it.from_store));
+        }
+        store
     }
 
-    fn is_within_ceiling(&self, spec: &EngineSpec) -> bool {
-        let planned = self.engines.values().filter(|it| it.plans_store_load());
+    /// Whether one more load from the weight store may be planned beside at most `at_once`.
+    fn may_use_store(&self, spec: &EngineSpec, round: &Round<'_>, at_once: usize) -> bool {
         let allowed = spec.loads_per_s * STORE_WINDOW_MS as f64 / 1_000.0;
-        ((self.store_loads.len() + planned.count() + 1) as f64) <= allowed
+        let in_window = self.store_loads.len() + round.store.planned + 1;
+        round.store.planned + round.store.pending < at_once && in_window as f64 <= allowed
     }
 
     fn engines_of(&self, service: &str) -> impl Iterator<Item = &Engine> {
         self.engines.values().filter(move |it| it.server.service == service)
     }
 
-    /// Whether an engine that takes requests holds the model or is about to.
-    fn is_placed(&self, service: &str, model: &str) -> bool {
-        let is_coming = |it: &Engine| it.held.contains_key(model) && it.is_loading(model) || it.plans(model);
-        self.engines_of(service)
-            .any(|it| it.server.state == ServerState::Ready && (it.serves(model) || is_coming(it)))
+    /// Engines that hold or load each model of a service.
+    fn counts(&self, service: &str) -> HashMap<String, ModelCount> {
+        let mut counts: HashMap<String, ModelCount> = HashMap::new();
+        for engine in self.engines_of(service) {
+            let takes_requests = usize::from(engine.server.state == ServerState::Ready);
+            for (model, _) in engine.held.iter().filter(|(_, held)| held.is_ready) {
+                let count = count_of(&mut counts, model);
+                count.held += 1;
+                count.replicas += takes_requests;
+            }
+            for model in engine.coming() {
+                let count = count_of(&mut counts, model);
+                count.loads += 1;
+                count.coming += takes_requests;
+            }
+        }
+        counts
     }
+}
 
-    /// Loads of a model that are planned or under way.
-    fn loads_of(&self, service: &str, model: &str) -> usize {
-        let loading = self.engines_of(service);
-        loading.filter(|it| it.is_loading(model) || it.plans(model)).count()
+/// Entry of a model; most are there already, and a look-up needs no copy of the name.
+fn count_of<'a>(counts: &'a mut HashMap<String, ModelCount>, model: &str) -> &'a mut ModelCount {
+    if !counts.contains_key(model) {
+        counts.insert(model.to_owned(), ModelCount::default());
     }
+    counts.get_mut(model).expect("inserted above")
+}
 
-    fn replicas(&self, service: &str, model: &str) -> usize {
-        let holders = self.engines_of(service);
-        holders
-            .filter(|it| it.server.state == ServerState::Ready && it.serves(model))
-            .count()
-    }
+/// Engines that hold or load a model.
+#[derive(Debug, Default, Clone, Copy)]
+struct ModelCount {
+    /// Engines that hold it.
+    held: usize,
+    /// Those of them that take requests.
+    replicas: usize,
+    /// Loads that are planned or under way.
+    loads: usize,
+    /// Those of them at engines that take requests.
+    coming: usize,
+}
 
-    fn replica_counts(&self, service: &str) -> HashMap<String, usize> {
-        let mut counts = HashMap::new();
-        for (model, _) in self
-            .engines_of(service)
-            .flat_map(|it| it.held.iter().filter(|(_, held)| held.is_ready))
-        {
-            *counts.entry(model.clone()).or_default() += 1;
-        }
-        counts
+impl ModelCount {
+    /// Whether an engine that takes requests holds the model or is about to.
+    fn is_placed(self) -> bool {
+        self.replicas + self.coming > 0
     }
 }
 
+/// Loads from the weight store.
+#[derive(Debug, Default)]
+struct StoreUse {
+    planned: usize,
+    pending: usize,
+}
+
 /// What holds for all decisions of one round about a service.
 struct Round<'a> {
     wanted: BTreeMap<String, Wanted>,
+    counts: HashMap<String, ModelCount>,
+    store: StoreUse,
     running: &'a RunningCounts,
     now: Millis,
 }
 
+impl Round<'_> {
+    fn count(&self, model: &str) -> ModelCount {
+        self.counts.get(model).copied().unwrap_or_default()
+    }
+
+    /// Counts a load that was planned at an engine that takes requests.
+    fn note_plan(&mut self, model: &str, from_store: bool) {
+        let count = count_of(&mut self.counts, model);
+        count.loads += 1;
+        count.coming += 1;
+        self.store.planned += usize::from(from_store);
+    }
+}
+
 /// What decides between the engines for one load.
 struct Outlook<'a> {
     spec: &'a EngineSpec,
     round: &'a Round<'a>,
-    /// Replicas by model.
-    replicas: HashMap<String, usize>,
+    /// Memory of an engine for weights.
+    room_mb: f64,
 }
 
 impl Outlook<'_> {
     fn copies(&self, model: &str) -> f64 {
-        self.replicas.get(model).copied().unwrap_or(1).max(1) as f64
+        self.round.count(model).held.max(1) as f64
     }
 
     /// Arrivals per second at an engine, if the replicas of each model share them evenly.
@@ -415,12 +502,14 @@
 
     /// What the presence of a model at an engine is worth, in seconds of load time that it saves.
     fn worth(&self, engine: &Engine, model: &str) -> f64 {
-        let demand = self.round.wanted.get(model).cloned().unwrap_or_default();
+        let demand = self.round.wanted.get(model);
+        let (rate, running) = demand.map_or((0.0, 0), |it| (it.rate, it.running));
+        let tokens_per_s = demand.map_or(0.0, |it| it.tokens_per_s);
         let copies = self.copies(model);
         let reload_s = load_ms(engine, self.spec, model) as f64 / 1_000.0;
-        let use_per_copy = (demand.rate + f64::from(demand.running) / RUNNING_VALUE) / copies;
+        let use_per_copy = (rate + f64::from(running) / RUNNING_VALUE) / copies;
         // A model with one replica sends its next request into a load; with more, the others may be enough.
-        let is_spare = copies > 1.0 && demand.tokens_per_s < TOKENS_PER_REPLICA * (copies - 1.0);
+        let is_spare = copies > 1.0 && tokens_per_s < TOKENS_PER_REPLICA * (copies - 1.0);
         let part = if is_spare { SPARE_PART } else { 1.0 };
         use_per_copy * reload_s * part * WAITING_COST
     }
@@ -438,7 +527,7 @@
 fn weigh(engine: &Engine, outlook: &Outlook<'_>, model: &str, is_urgent: bool) -> Option<Choice> {
     let spec = outlook.spec;
     let need = spec.models.get(model)?.mb;
-    let mut free = spec.memory_mb - engine.used_mb(spec);
+    let mut free = outlook.room_mb - engine.weights_mb(spec);
     let mut cost = load_ms(engine, spec, model) as f64 / 1_000.0;
     let movable = engine
         .held
@@ -476,12 +565,17 @@
         }
     }
 
-    /// Memory in use, with room for every adapter that may be loaded.
-    fn used_mb(&self, spec: &EngineSpec) -> f64 {
+    fn weights_mb(&self, spec: &EngineSpec) -> f64 {
         let models = self.held.keys().filter_map(|it| spec.models.get(it));
-        let weights: f64 = models.map(|it| it.mb).sum();
-        let largest = spec.models.values().map(|it| it.adapter_mb).fold(0.0, f64::max);
-        weights + largest * f64::from(spec.adapter_slots)
+        models.map(|it| it.mb).sum()
+    }
+
+    /// Models whose load is planned or under way.
+    fn coming(&self) -> impl Iterator<Item = &String> {
+        let loading = self.pending.as_ref().map(|it| &it.order);
+        let loading = loading.filter(|it| it.kind == OrderKind::Load).map(|it| &it.model);
+        let planned = self.plan.as_ref().map(|it| &it.model);
+        loading.into_iter().chain(planned)
     }
 
     /// Time until a load that is under way or planned has ended, if all goes well.
@@ -517,6 +611,12 @@
     }
 }
 
+/// Memory that every adapter slot may take, so that adapters never need a model to make way.
+fn adapter_room_mb(spec: &EngineSpec) -> f64 {
+    let largest = spec.models.values().map(|it| it.adapter_mb).fold(0.0, f64::max);
+    largest * f64::from(spec.adapter_slots)
+}
+
 fn adapter_count(engine: &Engine) -> usize {
     engine.held.values().map(|it| it.adapters.len()).sum()
 }
@@ -525,11 +625,9 @@
     let Some(size) = spec.models.get(model) else {
         return 0;
     };
-    if engine.in_memory.contains(model) {
-        return size.host_ms;
-    }
-    if engine.on_disk.contains(model) {
-        return size.disk_ms;
+    match engine.tier(model) {
+        Tier::Memory => size.host_ms,
+        Tier::Disk => size.disk_ms,
+        Tier::Store => size.store_ms,
     }
-    size.store_ms
 }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -293,7 +293,7 @@
         for order in self.placement.next_orders(at) {
             self.send(order);
         }
-        for server in self.placement.polls(at) {
+        for server in self.placement.polls(usize::MAX, at) {
             if self.rng.random_bool(self.faults.lost_reports) {
                 self.placement.note_poll_failed(&server.id, at);
             } else {
@@ -621,3 +621,71 @@
     assert_eq!(placement.order_ages(GAP_MS, Millis(1_800)).others_ms, Some(800));
     assert_eq!(placement.order_ages(GAP_MS, Millis(9_000)).others_ms, None);
 }
+
+/// Guards against a new coordinator that asks all engines at once and again before they could answer: before 3,000
+/// engines it ran out of descriptors.
+#[test]
+fn engines_are_asked_for_their_state_once_and_a_few_at_a_time() {
+    let spec = spec(24);
+    let mut placement = Placement::default();
+    placement.set_specs(HashMap::from([(SERVICE.to_owned(), spec)]));
+    let servers: Vec<BackendServer> = (0..100).map(|at| server(at, &[])).collect();
+    placement.set_servers(&servers, Millis(1_000));
+    placement.start_term(Millis(1_000), Quiet::default());
+
+    let first = placement.polls(64, Millis(1_000));
+    let second = placement.polls(64, Millis(1_100));
+    let none = placement.polls(64, Millis(1_200));
+    placement.note_poll_failed("i-3", Millis(1_200));
+    let lost = placement.polls(64, Millis(1_500));
+    let all_lost = placement.polls(usize::MAX, Millis(1_800));
+
+    assert_eq!((first.len(), second.len(), none.len()), (64, 36, 0));
+    assert_eq!(lost.len(), 63, "all of the first but the one that failed");
+    assert!(lost.iter().all(|it| it.id != "i-3"), "{lost:?}");
+    assert_eq!(all_lost.len(), 37, "the others and the one that failed");
+}
+
+/// Guards against what all engines hold being told for each change: with 3,000 engines that took the coordinator more
+/// time than it has.
+#[test]
+fn only_changes_of_what_engines_hold_are_told() {
+    let spec = spec(24);
+    let mut placement = Placement::default();
+    placement.set_specs(HashMap::from([(SERVICE.to_owned(), spec)]));
+    let mut servers: Vec<BackendServer> = (0..5).map(|at| server(at, &["m1"])).collect();
+    placement.set_servers(&servers, Millis(1_000));
+    let (first, _) = placement.take_changes();
+
+    servers.remove(4);
+    servers[2].state = ServerState::Draining;
+    placement.set_servers(&servers, Millis(2_000));
+    let (changed, gone) = placement.take_changes();
+    let nothing = placement.take_changes();
+    placement.start_term(Millis(3_000), Quiet::default());
+    let (all, _) = placement.take_changes();
+
+    let ids: Vec<&str> = changed.iter().map(|it| it.server.as_str()).collect();
+    assert_eq!((first.len(), ids, gone), (5, vec!["i-2"], vec!["i-4".to_owned()]));
+    assert_eq!(nothing, (Vec::new(), Vec::new()));
+    assert_eq!(all.len(), 4, "a new term tells everything");
+}
+
+/// Guards against a burst on many cold models for which one that fits nowhere keeps the others from being loaded ahead.
+#[test]
+fn a_model_without_room_does_not_hold_up_loads_ahead_of_demand() {
+    let mut spec = spec(10);
+    if let Some(huge) = spec.models.get_mut("m9") {
+        huge.mb = 2.0 * spec.memory_mb;
+    }
+    let mut fleet = Fleet::new(2, &spec, CALM, 1);
+
+    for _ in 0..3_000 {
+        fleet.step(Vec::new(), Vec::new());
+    }
+
+    let on_disk = |model: &str| fleet.engines.values().any(|it| it.on_disk.contains(model));
+    for model in spec.models.keys() {
+        assert_eq!(on_disk(model), model != "m9", "{model}");
+    }
+}
