Let VMs with most processor time coordinate a mixed fleet, also after a start

Ruled out: the rates themselves, as 429 ended with a strong coordinator.

Change: a coordinator steps down when three or more VMs with more processor time are live; with fewer of them any VM may coordinate, since they could be cut off together; the VM of the last holder goes first only if it is a candidate.

--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -68,6 +68,10 @@
 const ALONE_MS: u64 = 1_500;
 /// Silence after which the other VMs count as stopped rather than cut off, and the coordinator keeps its tenure.
 const ALONE_FORGET_MS: u64 = 4_000;
+/// VMs with most processor time from which on only they coordinate.
+const LEAST_CANDIDATES: usize = 3;
+/// Time after which a coordinator looks whether VMs with more processor time are live; within it, it learns of most.
+const SETTLED_MS: u64 = 1_000;
 /// Time for the announcement of a resignation.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that an order may still have been on its way when its sender told its age: the time after which the call for an
@@ -297,6 +301,7 @@
                 is_released = true;
             }
             self.hand_over_if_cut(&mut lease, at);
+            self.hand_over_if_weak(&mut lease, at);
             let has_contact = self.entry.coordination_age_ms(at) < CONTACT_MS;
             let current = self.entry.coordinator().map_or(0, |it| it.term);
             let has_resigned = self.farewell.lock().as_ref().is_some_and(|it| it.term >= current);
@@ -318,31 +323,54 @@
     fn standing(&self, lease: &Lease) -> Standing {
         let at = now();
         let me = self.entry.settings.vm.as_str();
-        let members = self.entry.members();
-        let live = members.iter().filter(|it| it.is_live(at));
-        // The coordinator does the most work, so it is one of the VMs with most processor time.
-        let live: Vec<&Member> = live.map(|it| &it.member).collect();
-        let own = self.entry.settings.processor;
-        let most = live.iter().map(|it| it.processor).max().unwrap_or(0).max(own);
-        let strong = live.iter().filter(|it| it.processor >= most).map(|it| it.vm.as_str());
-        let candidates = strong.chain((own >= most).then_some(me));
+        let candidates = self.candidates(at);
         // The same VM with an earlier process: that process has ended.
         let farewell = self.farewell.lock();
         let holder_ended = lease.seen().is_some_and(|it| {
             let is_earlier_life = it.holder.vm.as_str() == me && it.incarnation.0 < self.entry.incarnation;
             is_earlier_life || farewell.as_ref().is_some_and(|farewell| farewell.term == it.term.0)
         });
-        let rank = rendezvous::position(LEASE_NAME, candidates, me);
+        let rank = rendezvous::position(LEASE_NAME, candidates.iter().map(String::as_str), me);
         let rank = match lease.seen() {
             // Whether this VM held it last shows at the first read.
             None => rank.map(|it| it.min(ACTIVE_CANDIDATES - 1)),
             // The VM of the last holder needs no gap between orders, so it goes first.
-            Some(seen) if seen.holder.vm.as_str() == me => Some(0),
+            Some(seen) if seen.holder.vm.as_str() == me => rank.map(|_| 0),
             Some(_) => rank,
         };
         Standing { rank, holder_ended }
     }
 
+    /// VMs that may coordinate. The coordinator does the most work, so they are the ones with most processor time, unless
+    /// these are so few that they could be cut off together.
+    fn candidates(&self, at: Millis) -> Vec<String> {
+        let live = self.entry.members().into_iter().filter(|it| it.is_live(at));
+        let live: Vec<Member> = live.map(|it| it.member).chain([self.entry.me()]).collect();
+        let most = live.iter().map(|it| it.processor).max().unwrap_or(0);
+        let strong = live.iter().filter(|it| it.processor >= most).count();
+        let least = if strong < LEAST_CANDIDATES { 0 } else { most };
+        let able = live.into_iter().filter(|it| it.processor >= least);
+        able.map(|it| it.vm).collect()
+    }
+
+    /// Steps down after a start at which this process did not know the VMs with more processor time yet.
+    fn hand_over_if_weak(&self, lease: &mut Lease, at: Millis) {
+        let Some(term) = self.term() else {
+            return;
+        };
+        let is_settled = at.since(self.tenure.lock().began) > SETTLED_MS;
+        if !is_settled || self.candidates(at).contains(&self.entry.settings.vm) {
+            return;
+        }
+        log_event!(
+            Event::LeaseReleased,
+            "-",
+            "term={term} reason=VMs with more processor time are live"
+        );
+        self.tenure.lock().term = 0;
+        lease.step_down(at, REST_MS);
+    }
+
     async fn carry_out(&self, lease: &mut Lease, call: LeaseCall) {
         let store = &self.entry.store;
         match &call {
