--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -11,8 +11,7 @@
 use guava_platform_standin::server::ServerFaults;
 use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH, configuration};
 use guava_platform_standin::store::StoreFaults;
-use guava_soak::fleet::{ENGINE_COUNT, Fleet, MODELS, RATE, VMS};
-use guava_soak::proxy::Link;
+use guava_soak::fleet::{Backend, ENGINE_COUNT, Fleet, MODELS, RATE, VMS};
 use rustix::process::Signal;
 use support::{call, dir, keys, program};
 use tokio::io::AsyncWriteExt;
@@ -129,9 +128,9 @@
         .expect("it is one of the fleet")
 }
 
-fn set_desks(fleet: &Fleet, faults: ServerFaults) {
-    for desk in &fleet.backends[ENGINE_COUNT..] {
-        desk.server.as_ref().expect("it runs").set_faults(faults);
+fn set_faults(backends: &[Backend], faults: ServerFaults) {
+    for backend in backends {
+        backend.server.as_ref().expect("it runs").set_faults(faults);
     }
 }
 
@@ -145,18 +144,16 @@
         ..call("unknown-key", BOOKING_PATH)
     };
     send(address, unknown).await;
-    set_desks(
-        fleet,
-        ServerFaults {
-            cut: 1.0,
-            ..ServerFaults::default()
-        },
-    );
+    let cutting = ServerFaults {
+        cut: 1.0,
+        ..ServerFaults::default()
+    };
+    set_faults(&fleet.backends[ENGINE_COUNT..], cutting);
     for at in 0..4 {
         send(address, call(&format!("lost-{at}"), BOOKING_PATH)).await;
         send(address, call(&format!("repeated-{at}"), LOOKUP_PATH)).await;
     }
-    set_desks(fleet, ServerFaults::default());
+    set_faults(&fleet.backends[ENGINE_COUNT..], ServerFaults::default());
     let leaving = Call {
         model: Some("m13".to_owned()),
         ..call("left", STREAM_PATH)
@@ -165,14 +162,16 @@
     left.expect("the process listens");
 }
 
-/// Engines that answer no orders, servers that leave and end.
+/// Engines that refuse orders, servers that leave and end.
 async fn provoke_server_lines(fleet: &mut Fleet, dir: &Path) {
     let address = fleet.processes[0].vm.callers;
-    for engine in &fleet.backends[..ENGINE_COUNT] {
-        engine.link.set(Link::Reset);
-    }
-    // Which models are loaded ahead differs between runs, so several are asked for until an order is needed.
-    for model in (MODELS / 2..MODELS).cycle().take(4 * MODELS) {
+    let refusing = ServerFaults {
+        refuses_orders: true,
+        ..ServerFaults::default()
+    };
+    set_faults(&fleet.backends[..ENGINE_COUNT], refusing);
+    // The engines have room for a part of the models, so that some need an order whatever was loaded ahead.
+    for model in (0..MODELS).rev().cycle().take(4 * MODELS) {
         if is_written(dir, "E2015") {
             break;
         }
@@ -183,9 +182,7 @@
         };
         send(address, waiting).await;
     }
-    for engine in &fleet.backends[..ENGINE_COUNT] {
-        engine.link.set(Link::Open);
-    }
+    set_faults(&fleet.backends[..ENGINE_COUNT], ServerFaults::default());
     wait_for(dir, "E2014").await;
     let desk = fleet.backends[ENGINE_COUNT].server.take().expect("it runs");
     desk.drain();
