Keep one way to take what engines hold

put_placement and Changes::whole were left for tests only; the tests build the whole list themselves, and put_placement_changes takes the shorter name.

--- a/crates/bench/src/slopes/placement.rs
+++ b/crates/bench/src/slopes/placement.rs
@@ -189,7 +189,7 @@
         present,
         gone,
     };
-    believed.put_placement_changes(version, changes, scene.now);
+    believed.put_placement(version, changes, scene.now);
 }
 
 /// Processor time of a round.
--- a/crates/entry/src/believed.rs
+++ b/crates/entry/src/believed.rs
@@ -250,13 +250,8 @@
         self.servers.since(since, |it| it.server.without_copies())
     }
 
-    /// Takes all that engines hold from the coordinator of this term.
-    pub fn put_placement(&mut self, version: (u64, u64), placed: Vec<Placed>, now: Millis) {
-        self.put_placement_changes(version, Changes::whole(placed), now);
-    }
-
     /// Takes changes of what engines hold.
-    pub fn put_placement_changes(&mut self, version: (u64, u64), changes: Changes<Placed>, now: Millis) {
+    pub fn put_placement(&mut self, version: (u64, u64), changes: Changes<Placed>, now: Millis) {
         let gone: Vec<String> = if changes.is_whole {
             let told: HashSet<&str> = changes.present.iter().map(|it| it.server.as_str()).collect();
             let missing = self.placed.iter().filter(|(id, _)| !told.contains(id.as_str()));
--- a/crates/entry/src/changes.rs
+++ b/crates/entry/src/changes.rs
@@ -21,18 +21,6 @@
     }
 }
 
-impl<T> Changes<T> {
-    /// Everything, from a source that does not number its changes.
-    pub fn whole(present: Vec<T>) -> Self {
-        Self {
-            change: 0,
-            is_whole: true,
-            present,
-            gone: Vec::new(),
-        }
-    }
-}
-
 /// Entries by identifier, with the number of the change that brought their present form.
 #[derive(Debug)]
 pub struct Numbered<T> {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -445,7 +445,7 @@
     pub fn apply_placement(&self, version: (u64, u64), placed: Option<Changes<Placed>>, now: Millis) {
         match placed {
             Some(changes) => {
-                self.believed.lock().put_placement_changes(version, changes, now);
+                self.believed.lock().put_placement(version, changes, now);
                 self.wake();
             }
             None => self.believed.lock().confirm_placement(version, now),
--- a/crates/entry/tests/believed.rs
+++ b/crates/entry/tests/believed.rs
@@ -2,6 +2,7 @@
 
 use guava_core::units::Millis;
 use guava_entry::believed::{Believed, LAPSE_GRACE_MS};
+use guava_entry::changes::Changes;
 use guava_fleet::model::{BackendServer, HeldModel, ServerState};
 use guava_fleet::placement::Placed;
 
@@ -28,6 +29,16 @@
     }
 }
 
+/// All that engines hold, as a coordinator tells it at the start of its term.
+fn whole(present: Vec<Placed>) -> Changes<Placed> {
+    Changes {
+        change: 0,
+        is_whole: true,
+        present,
+        gone: Vec::new(),
+    }
+}
+
 fn ids(believed: &Believed) -> Vec<String> {
     let mut ids: Vec<String> = believed.servers().map(|it| it.id.clone()).collect();
     ids.sort();
@@ -107,12 +118,12 @@
         held: vec![held(model)],
     };
     let mut believed = Believed::default();
-    believed.put_placement((1, 1), vec![placed("a", "m1"), placed("b", "m1")], Millis(0));
+    believed.put_placement((1, 1), whole(vec![placed("a", "m1"), placed("b", "m1")]), Millis(0));
     let known = believed.placed_change();
 
-    believed.put_placement((1, 2), vec![placed("a", "m1"), placed("b", "m2")], Millis(20));
+    believed.put_placement((1, 2), whole(vec![placed("a", "m1"), placed("b", "m2")]), Millis(20));
     let changes = believed.placed_since(Some(known));
-    believed.put_placement((1, 3), vec![placed("b", "m2")], Millis(40));
+    believed.put_placement((1, 3), whole(vec![placed("b", "m2")]), Millis(40));
     let without = believed.placed_since(Some(changes.change));
 
     assert_eq!(changes.present, [placed("b", "m2")]);
@@ -132,7 +143,7 @@
         held: vec![held("m2")],
     };
 
-    believed.put_placement((1, 1), vec![placed], Millis(0));
+    believed.put_placement((1, 1), whole(vec![placed]), Millis(0));
     let mut reborn = entry.clone();
     reborn.born_ms = 2;
 
