Serve callers sooner after a restart of all processes

The VM of the last holder retook the lease 0.41 s after it had read it, because a candidate decided again only at its next read. Then 1,029 requests were refused with G1201: the coordinator's share of each rate starts empty, 490 calls for tokens got no answer in 150 ms, and the share of one VM is smaller than one request.

Change: a request waits for the first configuration for up to 2 s, at most half of its deadline. A candidate decides right after each read. The coordinator's buckets refill from the end of the term before, where that is known.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -168,6 +168,8 @@
     /// Whether the outcome of the last write is unknown and the object must be read.
     outcome_unknown: bool,
     next_call: Millis,
+    /// Earliest time of the next read by a candidate.
+    next_read: Millis,
     releasing: Option<Release>,
     /// Time until which this process does not compete.
     backoff_until: Millis,
@@ -201,6 +203,7 @@
             attempts: Vec::new(),
             outcome_unknown: false,
             next_call: Millis(0),
+            next_read: Millis(0),
             releasing: None,
             backoff_until: Millis(0),
             events: Vec::new(),
@@ -304,7 +307,7 @@
             self.free_since = Some(now);
         }
         let Some(free_since) = self.free_since else {
-            return Some(LeaseCall::Read);
+            return (now >= self.next_read).then_some(LeaseCall::Read);
         };
         if now < free_since + rank_delay {
             self.next_call = (free_since + rank_delay).min(now + self.timing.retry_ms);
@@ -360,7 +363,9 @@
         } else {
             self.timing.candidate_read_ms
         };
-        self.next_call = now + read_interval;
+        // The lease may be free by what has just been read, so only the next read is delayed.
+        self.next_call = now;
+        self.next_read = now + read_interval;
         let Some(lease) = object else {
             self.superseded();
             // A create without an answer may still take effect; a replacement of a deleted object cannot.
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -535,3 +535,39 @@
         assert!(lease.held(now).is_some(), "does not compete again, abandons={abandons}");
     }
 }
+
+/// Guards against a restarted process that waits for the next read of the lease although the first one has shown that an
+/// earlier process of its VM held it.
+#[test]
+fn lease_of_a_holder_that_ended_is_taken_right_after_the_first_read() {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let me = MemberId::new("vm-0", Role::Controller);
+    let mut lease = Lease::new(me.clone(), Incarnation(2));
+    let before = StoredLease {
+        version: 7,
+        operation: OperationId::new("before"),
+        spec: LeaseSpec {
+            holder: me,
+            incarnation: Incarnation(1),
+            term: Term(3),
+            duration_ms: DURATION_MS,
+            released: false,
+        },
+    };
+    let candidacy = |holder_ended| Candidacy {
+        rank: Some(0),
+        holder_ended,
+    };
+
+    let first = lease.step(candidacy(false), Millis(1_000), &mut rng);
+    lease.on_read(Some(before), Millis(1_010));
+    let waits = lease.step(candidacy(false), Millis(1_020), &mut rng);
+    let second = lease.step(candidacy(true), Millis(1_030), &mut rng);
+
+    assert_eq!(first, Some(LeaseCall::Read));
+    assert_eq!(
+        waits, None,
+        "a lease that is held is read again after the interval only"
+    );
+    assert!(matches!(second, Some(LeaseCall::Write { ref spec, .. }) if spec.term == Term(4)));
+}
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -52,6 +52,8 @@
     pub members: HashMap<String, KnownMember>,
     /// Last known coordinator.
     pub coordinator: Option<CoordinatorHint>,
+    /// When it became known.
+    pub coordinator_since: Millis,
     /// When the store last answered this process; `None` before the first answer.
     pub store_contact: Option<Millis>,
     /// Running requests of all VMs by server, as last received from the coordinator.
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -121,6 +121,8 @@
     until: Millis,
     /// Start of the term.
     started: Millis,
+    /// End of the time in which the predecessor may have granted tokens.
+    granted_until: Millis,
     /// Whether the lease was free for so long that VMs competed which are not preferred.
     is_substitute: bool,
     /// When it was last checked whether this VM is preferred.
@@ -176,9 +178,10 @@
         if self.term == term { at.since(self.started) } else { 0 }
     }
 
-    fn start(&mut self, term: u64, at: Millis, is_substitute: bool) {
+    fn start(&mut self, term: u64, at: Millis, granted_until: Millis, is_substitute: bool) {
         self.term = term;
         self.started = at;
+        self.granted_until = granted_until;
         self.is_substitute = is_substitute;
     }
 }
@@ -342,14 +345,14 @@
         let central_share = 1.0 - LOCAL_PART;
         let (rate, burst) = (organisation.rate * central_share, organisation.burst * central_share);
         let mut quota = self.quota.lock();
-        // A new coordinator does not know what its predecessor granted, so its buckets start empty. The first term has
-        // no predecessor, so its buckets start full.
-        let (term, started) = {
+        // A new coordinator does not know what its predecessor granted, so its buckets were empty at the end of that
+        // term. The first term has no predecessor, so its buckets start full.
+        let (term, granted_until) = {
             let lease_state = self.lease_state.lock();
-            (lease_state.term, lease_state.started)
+            (lease_state.term, lease_state.granted_until)
         };
         let initial_level = if term == 1 { 1.0 } else { 0.0 };
-        let bucket = quota.bucket(started, &organisation.name, rate, burst, initial_level);
+        let bucket = quota.bucket(granted_until, &organisation.name, rate, burst, initial_level);
         let reserved = bucket.reserve(at, request.tokens, request.max_wait_ms);
         QuotaAnswer {
             coordinates: true,
@@ -683,7 +686,14 @@
             .is_some_and(|it| it.vm != self.state.settings.vm);
         let is_substitute = self.vacant_ms(at) >= WIDENING_MS || self.is_named_successor(term);
         let resignation = self.resignation.lock().take().filter(|it| it.term + 1 == term.0);
-        self.lease_state.lock().start(term.0, at, is_substitute);
+        let is_first_term = self.lease_state.lock().started == Millis::default();
+        let granted_until = match &resignation {
+            Some(resignation) => resignation.at,
+            // An earlier process of this VM ended before this one started.
+            None if !is_other_vm && is_first_term => at - self.state.uptime_ms(at),
+            None => at,
+        };
+        self.lease_state.lock().start(term.0, at, granted_until, is_substitute);
         self.quota.lock().clear();
         self.vms.lock().clear();
         let quiet = match &resignation {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -44,8 +44,6 @@
 const MAX_HEARTBEATS_SENT: usize = 512;
 /// Timeout of a message between entry processes.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for tokens from the coordinator; a request that waits longer would miss its objective.
-const QUOTA_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for the answer of the VM that paces an engine; without an answer the prompt is sent at once.
 const PACE_TIMEOUT: Duration = Duration::from_millis(60);
 /// For each multiple of this number of VMs, the interval between reports grows by one step.
@@ -382,6 +380,7 @@
     organisation: &str,
     tokens: f64,
     max_wait_ms: u64,
+    call_timeout: Duration,
 ) -> Result<Result<u64, u64>, CallError> {
     let Some(hint) = state.coordinator() else {
         return Err(CallError::NotRun("no coordinator is known".to_owned()));
@@ -393,9 +392,9 @@
     };
     let exchange = async {
         let _permit = state.quota_calls.acquire().await;
-        call(state, hint.address, "quota", &request, QUOTA_TIMEOUT).await
+        call(state, hint.address, "quota", &request, call_timeout).await
     };
-    let answer: QuotaAnswer = timeout(QUOTA_TIMEOUT, exchange)
+    let answer: QuotaAnswer = timeout(call_timeout, exchange)
         .await
         .map_err(|_elapsed| CallError::NotRun("too many calls wait for the coordinator".to_owned()))??;
     if !answer.coordinates {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -24,6 +24,10 @@
 /// Retry time sent to a caller when no better estimate is available.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Longest time, in milliseconds, for which a request waits for the first configuration; half of its deadline if that is
+/// shorter.
+const MAX_START_WAIT_MS: u64 = 2_000;
+
 /// Request received from a caller.
 #[derive(Debug)]
 pub struct Inbound {
@@ -139,6 +143,7 @@
     if state.is_draining() {
         return Err(Failure::not_run(Code::Stopping).retry_after(Duration::ZERO));
     }
+    wait_for_config(state, &inbound).await;
     let resolved = resolve(state, &inbound)?;
     let service = draw_service(&resolved.route, &mut rand::rng()).to_owned();
     let taken = admit(state, &inbound, &resolved).await?;
@@ -153,6 +158,20 @@
     answer
 }
 
+/// Waits for the first configuration after the start of the process, which others send within about a second. A caller
+/// that were refused at once would meet the same at other VMs when all have been restarted.
+async fn wait_for_config(state: &EntryState, inbound: &Inbound) {
+    let mut changes = state.subscribe();
+    let deadline_ms = inbound.caller.deadline_ms.unwrap_or(MAX_START_WAIT_MS);
+    let wait_ms = MAX_START_WAIT_MS.min(deadline_ms / 2);
+    let known = async {
+        // Fails only when the process ends.
+        while state.config().is_none() && changes.changed().await.is_ok() {}
+    };
+    // Without a configuration the request is refused as not run.
+    let _ = tokio::time::timeout(Duration::from_millis(wait_ms), known).await;
+}
+
 /// Finds the route and the organisation of a request in the configuration in force.
 ///
 /// # Errors
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -335,6 +335,11 @@
         self.view.lock().follower_store_age(now)
     }
 
+    /// Milliseconds since the start of this process or the last change of the coordinator, whichever is later.
+    pub fn rates_unsettled_ms(&self, now: Millis) -> u64 {
+        now.since(self.started.max(self.view.lock().coordinator_since))
+    }
+
     /// Milliseconds since the start of this process.
     pub fn uptime_ms(&self, now: Millis) -> u64 {
         now.since(self.started)
@@ -736,6 +741,7 @@
             hint.term
         );
         view.coordinator = Some(hint);
+        view.coordinator_since = now();
         drop(view);
         self.demand_changed.notify_one();
         self.signal_change();
--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -314,6 +314,26 @@
     );
 }
 
+/// Guards against requests that are refused for a second after all processes were restarted, and again on their return,
+/// although the configuration comes soon.
+#[tokio::test]
+async fn request_waits_for_the_first_configuration() {
+    let entry = support::start_entry_without_config(Arc::default()).await;
+    let server = start_server("a", false, |mut stream, attempt| async move {
+        write(&mut stream, &whole_answer(&attempt, "served")).await;
+    })
+    .await;
+    let configured = async {
+        sleep(Duration::from_millis(400)).await;
+        put_config(&entry.state, 1, &[support::KEY]);
+        list_servers(&entry.state, &[&server]);
+    };
+
+    let ((answer, _), ()) = tokio::join!(call(entry.address, "r1", BOOKING_PATH), configured);
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 /// Guards against a number of tokens that is so large that the sum with another one is small again, by which a request
 /// would pass any rate limit.
 #[tokio::test]
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -82,10 +82,16 @@
 
 /// Starts an entry process that knows the configuration and no servers.
 pub async fn start_entry(peers: Arc<FakePeers>) -> Entry {
+    let entry = start_entry_without_config(peers).await;
+    put_config(&entry.state, 1, &[KEY]);
+    entry
+}
+
+/// Starts an entry process that knows nothing yet.
+pub async fn start_entry_without_config(peers: Arc<FakePeers>) -> Entry {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("bound");
     let state = new_state(peers);
-    put_config(&state, 1, &[KEY]);
     let closing = watch::Sender::new(false);
     tokio::spawn(listeners::serve_callers(
         Arc::clone(&state),
