Start control loops again after a panic

Cause, by reading: a panic ends its task only, so an unexpected error in the gossip, the feed, a watch, the lease or the placement left a process that served on with an ever older view, or held the lease without placing models.

--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -313,7 +313,7 @@
 pub async fn watch_store_when_stale(
     state: Arc<EntryState>,
     coordinator: Arc<Coordinator>,
-    watches_store: watch::Sender<bool>,
+    watches_store: Arc<watch::Sender<bool>>,
 ) {
     let mut fresh_since = None;
     // The list shows whether the fleet is large. If the store does not answer in time, the process starts as in a small
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod sampling;
 pub mod state;
 pub mod store_watch;
+pub mod supervision;
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -19,6 +19,7 @@
 use crate::peers;
 use crate::state::{EntryState, now};
 use crate::store_watch;
+use crate::supervision::{LoopStart, supervise};
 
 /// Time from the shutdown signal until connections are closed: the balancer checks readiness once a second and removes
 /// a VM after two failed checks.
@@ -86,28 +87,7 @@
         Arc::clone(&connections),
         closing.subscribe(),
     ));
-    let watches_store = watch::Sender::new(false);
-    tokio::spawn(store_watch::follow_config(
-        Arc::clone(&state),
-        watches_store.subscribe(),
-    ));
-    tokio::spawn(store_watch::follow_servers(
-        Arc::clone(&state),
-        Arc::clone(&coordinator),
-        watches_store.subscribe(),
-    ));
-    tokio::spawn(store_watch::remove_expired(Arc::clone(&state)));
-    tokio::spawn(feed::watch_store_when_stale(
-        Arc::clone(&state),
-        Arc::clone(&coordinator),
-        watches_store,
-    ));
-    tokio::spawn(store_watch::register(Arc::clone(&state)));
-    tokio::spawn(peers::run_gossip(Arc::clone(&state)));
-    tokio::spawn(peers::run_reports(Arc::clone(&state), Arc::clone(&coordinator)));
-    tokio::spawn(feed::follow(Arc::clone(&state), Arc::clone(&coordinator)));
-    tokio::spawn(Arc::clone(&coordinator).maintain_lease());
-    tokio::spawn(coordinator.run_placement());
+    spawn_control_loops(&state, &coordinator);
 
     tokio::spawn(log_ready(Arc::clone(&state)));
 
@@ -121,6 +101,74 @@
     Ok(())
 }
 
+/// Starts the loops that keep the view of the deployment and take part in control.
+fn spawn_control_loops(state: &Arc<EntryState>, coordinator: &Arc<Coordinator>) {
+    let watches_store = Arc::new(watch::Sender::new(false));
+    let spawn = |name, start: LoopStart| tokio::spawn(supervise(name, start));
+    let (entry, watching) = (Arc::clone(state), Arc::clone(&watches_store));
+    spawn(
+        "watch of the configuration",
+        Box::new(move || Box::pin(store_watch::follow_config(Arc::clone(&entry), watching.subscribe()))),
+    );
+    let (entry, control, watching) = (Arc::clone(state), Arc::clone(coordinator), Arc::clone(&watches_store));
+    spawn(
+        "watch of the backend servers",
+        Box::new(move || {
+            Box::pin(store_watch::follow_servers(
+                Arc::clone(&entry),
+                Arc::clone(&control),
+                watching.subscribe(),
+            ))
+        }),
+    );
+    let (entry, control) = (Arc::clone(state), Arc::clone(coordinator));
+    spawn(
+        "choice of the source",
+        Box::new(move || {
+            Box::pin(feed::watch_store_when_stale(
+                Arc::clone(&entry),
+                Arc::clone(&control),
+                Arc::clone(&watches_store),
+            ))
+        }),
+    );
+    let entry = Arc::clone(state);
+    spawn(
+        "removal of expired servers",
+        Box::new(move || Box::pin(store_watch::remove_expired(Arc::clone(&entry)))),
+    );
+    let entry = Arc::clone(state);
+    spawn(
+        "registration",
+        Box::new(move || Box::pin(store_watch::register(Arc::clone(&entry)))),
+    );
+    let entry = Arc::clone(state);
+    spawn(
+        "gossip",
+        Box::new(move || Box::pin(peers::run_gossip(Arc::clone(&entry)))),
+    );
+    let (entry, control) = (Arc::clone(state), Arc::clone(coordinator));
+    spawn(
+        "reports",
+        Box::new(move || Box::pin(peers::run_reports(Arc::clone(&entry), Arc::clone(&control)))),
+    );
+    let (entry, control) = (Arc::clone(state), Arc::clone(coordinator));
+    spawn(
+        "feed",
+        Box::new(move || Box::pin(feed::follow(Arc::clone(&entry), Arc::clone(&control)))),
+    );
+    let control = Arc::clone(coordinator);
+    spawn(
+        "lease",
+        Box::new(move || Box::pin(Arc::clone(&control).maintain_lease())),
+    );
+    let control = Arc::clone(coordinator);
+    spawn(
+        "placement",
+        Box::new(move || Box::pin(Arc::clone(&control).run_placement())),
+    );
+}
+
 /// Logs when the process becomes ready to serve requests.
 async fn log_ready(state: Arc<EntryState>) {
     let mut changes = state.subscribe();
