Note a placement as received only when it was applied, and keep wire names of tests in the stand-in

Cause: a process that refused a stale view at its start noted the placement in it as received, so the source would not send it again; found on reading.

--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -108,6 +108,15 @@
     }
 }
 
+/// What was applied of an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Applied {
+    /// Whether its servers were; false if its view of them is older than this process's own.
+    pub servers: bool,
+    /// Whether its placement was.
+    pub placement: bool,
+}
+
 /// Answers a follower's long poll as soon as there is a change that it lacks, at the latest after its wait.
 pub async fn answer(state: &EntryState, query: &FeedQuery) -> FeedAnswer {
     state.record_follower(query.store_age_ms, now());
@@ -232,12 +241,13 @@
     }
     query.source = answer.source;
     let change = answer.servers.as_ref().map(|it| it.change);
-    if let Some(placed) = &answer.placed {
-        query.placed_change = Some(placed.change);
-    }
-    let has_applied_servers = state.apply_feed(answer, now());
+    let placed_change = answer.placed.as_ref().map(|it| it.change);
+    let applied = state.apply_feed(answer, now());
     if let Some(change) = change {
-        query.change = has_applied_servers.then_some(change);
+        query.change = applied.servers.then_some(change);
+    }
+    if let Some(change) = placed_change {
+        query.placed_change = applied.placement.then_some(change);
     }
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -26,7 +26,7 @@
 use crate::changes::Changes;
 use crate::client::{Clients, StoreClient};
 use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS};
-use crate::feed::{FeedAnswer, FeedQuery};
+use crate::feed::{Applied, FeedAnswer, FeedQuery};
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{PaceAnswer, PaceRequest};
@@ -535,14 +535,13 @@
         }
     }
 
-    /// Applies an answer of the process that this one follows. Returns whether its servers were applied; those of a
-    /// view that is older than this process's own are not.
-    pub fn apply_feed(&self, answer: FeedAnswer, now: Millis) -> bool {
+    /// Applies an answer of the process that this one follows, as far as it is newer than what is known here.
+    pub fn apply_feed(&self, answer: FeedAnswer, now: Millis) -> Applied {
         if let Some(hint) = answer.coordinator {
             self.record_coordinator(hint);
         }
         if !self.may_start_from(answer.age_ms, now) {
-            return false;
+            return Applied::default();
         }
         if let Some(config) = answer.config {
             self.apply_config(config, "feed");
@@ -565,7 +564,10 @@
         if answer.placed_version.0 > 0 {
             self.apply_placement(answer.placed_version, answer.placed, now);
         }
-        is_newer
+        Applied {
+            servers: is_newer,
+            placement: true,
+        }
     }
 
     /// Whether a process that has just started may use another's view of the given age. A stale view may hold servers
--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -344,15 +344,8 @@
     })
     .await;
     list_servers(&entry.state, &[&server]);
-    let mut caller = TcpStream::connect(entry.address)
-        .await
-        .expect("the process accepts connections");
-    let text = support::request("r1", BOOKING_PATH)
-        .replace("300,60", "18446744073709551615,2")
-        .replace("content-length", "connection: close\r\ncontent-length");
-
-    write(&mut caller, &text).await;
-    let (answer, _) = support::read_to_end(&mut caller).await;
+    let huge = "18446744073709551615,2";
+    let (answer, _) = support::call_with_tokens(entry.address, "r1", BOOKING_PATH, huge).await;
 
     assert!(answer.starts_with("HTTP/1.1 429"), "{answer}");
     assert_eq!(server.received.lock().len(), 0);
--- a/crates/entry/tests/feed.rs
+++ b/crates/entry/tests/feed.rs
@@ -66,16 +66,16 @@
         servers: Some(source_list(&source)),
         ..answer.clone()
     };
-    let has_applied = follower.apply_feed(unfiltered, now());
+    let applied = follower.apply_feed(unfiltered, now());
 
     assert_eq!(answer.servers, None, "the source knows that its view is older");
-    assert!(!has_applied);
+    assert!(!applied.servers);
     assert_eq!(ids(&follower), ["b"]);
 
     source.apply_server("a", None, NEW_REVISION, now());
     source.apply_server("b", None, NEW_REVISION + 1, now());
     let answer = source.feed_answer(&query(&follower));
-    assert!(follower.apply_feed(answer, now()));
+    assert!(follower.apply_feed(answer, now()).servers);
     assert_eq!(ids(&follower), Vec::<String>::new());
 }
 
@@ -102,8 +102,9 @@
         age_ms,
         ..source.feed_answer(&query(&starting))
     };
-    starting.apply_feed(answer, now());
+    let applied = starting.apply_feed(answer, now());
 
+    assert_eq!((applied.servers, applied.placement), (expected, expected));
     assert_eq!(starting.config().is_some(), expected);
     assert_eq!(!ids(&starting).is_empty(), expected);
 }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -15,7 +15,9 @@
 use guava_fleet::model::{BackendServer, HeldModel, ServerState};
 use guava_platform::settings::Settings;
 use guava_platform::{CallError, Http, config};
-use guava_platform_standin::settings::{self, ENGINE_SERVICE, HOST, PLAIN_SERVICE, Vm};
+pub use guava_platform_standin::raw::answer_head;
+use guava_platform_standin::raw::{attempt_id, request_text};
+use guava_platform_standin::settings::{self, ENGINE_SERVICE, PLAIN_SERVICE, Vm};
 use http::{Request, Response};
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -153,7 +155,7 @@
                 let Some(head) = read_head(&mut stream).await else {
                     return;
                 };
-                let attempt = header(&head, "x-attempt-id").unwrap_or_default();
+                let attempt = attempt_id(&head).unwrap_or_default();
                 heads.lock().push(head);
                 script(stream, attempt).await;
             });
@@ -188,11 +190,6 @@
     state.apply_server_list(entries, 1, now());
 }
 
-/// Head of an answer to the attempt; `more` holds further header lines, each with its line end.
-pub fn answer_head(attempt: &str, more: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nx-attempt-id: {attempt}\r\nx-response-seal: s1\r\n{more}\r\n")
-}
-
 /// Whole answer to the attempt.
 pub fn whole_answer(attempt: &str, body: &str) -> String {
     answer_head(attempt, &format!("content-length: {}\r\n", body.len())) + body
@@ -213,21 +210,23 @@
     stream.write_all(text.as_bytes()).await.is_ok()
 }
 
-/// Request of a caller as it is sent.
+/// Request of a caller as it is sent, on a connection that stays open.
 pub fn request(attempt: &str, path: &str) -> String {
-    format!(
-        "POST {path}1 HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: {attempt}\r\nx-deadline-ms: 6000\r\n\
-         authorization: Bearer {KEY}\r\nx-model: {MODEL}\r\nx-token-count: 300,60\r\ncontent-length: 0\r\n\r\n"
-    )
+    request_text(attempt, path, KEY, MODEL, "300,60", "")
 }
 
 /// Sends a request on a new connection and reads to its end; the text of the answer, and whether the connection was
 /// closed rather than reset.
 pub async fn call(address: SocketAddr, attempt: &str, path: &str) -> (String, bool) {
+    call_with_tokens(address, attempt, path, "300,60").await
+}
+
+/// The same for a request that states these numbers of tokens.
+pub async fn call_with_tokens(address: SocketAddr, attempt: &str, path: &str, tokens: &str) -> (String, bool) {
     let mut stream = TcpStream::connect(address)
         .await
         .expect("the process accepts connections");
-    let text = request(attempt, path).replace("content-length", "connection: close\r\ncontent-length");
+    let text = request_text(attempt, path, KEY, MODEL, tokens, "connection: close\r\n");
     assert!(write(&mut stream, &text).await);
     read_to_end(&mut stream).await
 }
@@ -247,9 +246,3 @@
     }
     Some(String::from_utf8_lossy(&buf).into_owned())
 }
-
-fn header(head: &str, name: &str) -> Option<String> {
-    let mut lines = head.lines().filter_map(|it| it.split_once(':'));
-    let (_, value) = lines.find(|(key, _)| key.eq_ignore_ascii_case(name))?;
-    Some(value.trim().to_owned())
-}
