Announce the end of a lease that ran out, and mend what rereading found

Cause, by rereading the whole change and by two replays: - Relay: an event or the end of a stream that was ready was not passed on once the deadline or the limit on silence had passed, so a process that was held up cut sound streams. Only a release was announced. - Successor: contact within 2.3 s counted, although the outage was 1.4 s old, so the named VM was turned away as well. - A late announcement of an earlier term replaced a later one. - The start of a term was sent to all VMs, although those next to the coordinator pass it on; members and contacts were copied every 20 ms, and once for each search of a source. - Decisions stood beside I/O (order of candidates, wait for tokens); a client for tests stood in the program.

Change: ready data first, limits after it; the end of a term that ran out is announced; a successor is a VM that the store answered later than this one; later terms win; a start is sent to 20 direct followers at most; guava_fleet::succession and guava_fleet::quota::TokenWait decide and are tested without a network; loops are supervised without boxes; one lock for an answer of the feed.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -6,7 +6,7 @@
 use guava_core::codes::Code;
 use guava_core::events::Event;
 use guava_core::units::Millis;
-use guava_fleet::quota::{LOCAL_PART, START_LEVEL};
+use guava_fleet::quota::{LOCAL_PART, START_LEVEL, TokenWait, fits_limit};
 use guava_platform::CallError;
 
 use crate::log_event;
@@ -15,25 +15,9 @@
 use crate::request::{Inbound, Resolved};
 use crate::state::{EntryState, now};
 
-/// Largest size of a request beyond the burst, in seconds of its organisation's rate.
-const MAX_DEBT_S: f64 = 60.0;
 /// Interval, in milliseconds, between calls to the coordinator for tokens while none answers. A change of coordinator
 /// takes about half a second.
 const QUOTA_RETRY_MS: u64 = 50;
-/// A request waits for tokens at most for its route's response time objective divided by this.
-const QUOTA_WAIT_DIVISOR: u64 = 3;
-/// The same while the rate limits recover, in milliseconds; a third of its deadline if that is shorter. Then the shares
-/// of all organisations are short, and a caller that is refused would meet the same shortage on its return.
-const RECOVERY_WAIT_MS: u64 = 2_000;
-/// Divisor of the deadline in [`RECOVERY_WAIT_MS`].
-const RECOVERY_DEADLINE_DIVISOR: u64 = 3;
-/// Time after the start of the process or a change of the coordinator in which the rate limits recover: the coordinator's
-/// share starts without a level, and the requests that waited for the change come at once.
-const RECOVERY_MS: u64 = 3_000;
-/// Timeout for tokens from the coordinator; a request that waits longer would miss its objective.
-const QUOTA_TIMEOUT: Duration = Duration::from_millis(150);
-/// The same while the rate limits recover; the coordinator is then busy with the requests of all VMs.
-const RECOVERY_QUOTA_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Tokens taken from an organisation's rate limit for one request. Empty for a request without a limit.
 #[derive(Debug, Default)]
@@ -58,39 +42,6 @@
     }
 }
 
-/// How long a request waits for tokens.
-#[derive(Debug, Clone, Copy)]
-struct Patience {
-    /// Longest time in milliseconds until the tokens may be used.
-    max_wait_ms: u64,
-    /// Timeout of a call to the coordinator.
-    timeout: Duration,
-}
-
-impl Patience {
-    /// For the caller, a short wait for tokens is faster than a refusal and a retry.
-    fn new(is_recovering: bool, inbound: &Inbound, resolved: &Resolved) -> Self {
-        let max_wait_ms = resolved.route.objective_ms / QUOTA_WAIT_DIVISOR;
-        if !is_recovering {
-            return Self {
-                max_wait_ms,
-                timeout: QUOTA_TIMEOUT,
-            };
-        }
-        let deadline_ms = inbound
-            .caller
-            .deadline_ms
-            .unwrap_or(u64::MAX)
-            .min(resolved.route.timeout_ms);
-        Self {
-            max_wait_ms: RECOVERY_WAIT_MS
-                .min(deadline_ms / RECOVERY_DEADLINE_DIVISOR)
-                .max(max_wait_ms),
-            timeout: RECOVERY_QUOTA_TIMEOUT,
-        }
-    }
-}
-
 fn log_admitted(inbound: &Inbound, resolved: &Resolved, taken: &TakenTokens, quota: &str, wait_ms: u64) {
     log_event!(
         Event::RequestAdmitted,
@@ -121,12 +72,11 @@
         Some((prompt, output)) => prompt.saturating_add(output) as f64,
         None => organisation.plain_tokens as f64,
     };
-    // The limit would be used up for as long by this one request.
-    if tokens > organisation.burst + organisation.rate * MAX_DEBT_S {
+    if !fits_limit(tokens, organisation.rate, organisation.burst) {
         log_event!(
             Event::QuotaRefused,
             &inbound.caller.attempt_id,
-            "organisation={} tokens={tokens} rate={} local_wait_ms=- central=more than {MAX_DEBT_S} s of the rate",
+            "organisation={} tokens={tokens} rate={} local_wait_ms=- central=larger than the limit ever admits",
             organisation.name,
             organisation.rate
         );
@@ -140,14 +90,15 @@
         tokens,
     };
     let at = now();
-    let patience = Patience::new(state.rates_unsettled_ms(at) < RECOVERY_MS, inbound, resolved);
-    let max_wait = patience.max_wait_ms;
+    let route = &resolved.route;
+    let deadline_ms = inbound.caller.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    let token_wait = TokenWait::new(route.objective_ms, deadline_ms, state.rates_unsettled_ms(at));
     let local = reserve_local(state, &taken, at, 0);
     if local.is_ok() {
         log_admitted(inbound, resolved, &taken, "local", 0);
         return Ok(taken);
     }
-    let (wait, central) = match take_central(state, &organisation.name, tokens, patience).await {
+    let (wait, central) = match take_central(state, &organisation.name, tokens, token_wait).await {
         Ok(Ok(wait)) => {
             tokio::time::sleep(Duration::from_millis(wait)).await;
             log_admitted(inbound, resolved, &taken, "central", wait);
@@ -156,7 +107,7 @@
         Ok(Err(wait)) => (wait, format!("short for {wait} ms")),
         Err(e) => (u64::MAX, e.to_string()),
     };
-    let wait_local = match reserve_local(state, &taken, now(), max_wait) {
+    let wait_local = match reserve_local(state, &taken, now(), token_wait.max_ms) {
         Ok(wait) => {
             tokio::time::sleep(Duration::from_millis(wait)).await;
             log_admitted(inbound, resolved, &taken, "local", wait);
@@ -176,18 +127,19 @@
     Err(Failure::not_run(Code::RateExceeded).retry_after(retry_after))
 }
 
-/// Takes tokens from the coordinator's share. While the coordinator changes, retries for up to `max_wait_ms`. The inner
+/// Takes tokens from the coordinator's share. While the coordinator changes, retries for as long as the request waits. The inner
 /// error is the wait, in milliseconds, that was too long.
 async fn take_central(
     state: &EntryState,
     organisation: &str,
     tokens: f64,
-    patience: Patience,
+    token_wait: TokenWait,
 ) -> Result<Result<u64, u64>, CallError> {
-    let give_up_at = now() + patience.max_wait_ms;
+    let answer_timeout = Duration::from_millis(token_wait.answer_ms);
+    let give_up_at = now() + token_wait.max_ms;
     loop {
         let max_wait_ms = give_up_at.since(now());
-        let answer = peers::request_quota(state, organisation, tokens, max_wait_ms, patience.timeout).await;
+        let answer = peers::request_quota(state, organisation, tokens, max_wait_ms, answer_timeout).await;
         if !matches!(answer, Err(CallError::NotRun(_))) || now() + QUOTA_RETRY_MS >= give_up_at {
             return answer;
         }
--- a/crates/entry/src/caller_stream.rs
+++ b/crates/entry/src/caller_stream.rs
@@ -23,7 +23,8 @@
         Self(Arc::new(stream))
     }
 
-    /// Whether bytes have been received that were not read yet. False if that cannot be found out.
+    /// Whether bytes have been received that were not read yet. False if the system does not tell, so that an idle
+    /// connection can be closed all the same.
     pub fn has_unread_bytes(&self) -> bool {
         ioctl_fionread(&*self.0).is_ok_and(|it| it > 0)
     }
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -62,7 +62,7 @@
 pub struct Clients {
     /// For the store and other entry processes.
     pub internal: Arc<dyn Http>,
-    /// For reports of engines. Connections are kept: a late second copy of a report is taken for an outdated one.
+    /// For reports of engines. Connections are kept: the number of orders in a report shows whether it is outdated.
     pub reports: Arc<dyn Http>,
     /// For orders to engines, each on its own connection: a late second copy of an answer would be taken for that to the
     /// next order.
@@ -79,17 +79,6 @@
     }
 }
 
-impl Clients {
-    /// Uses one client for all calls.
-    pub fn uniform(client: Arc<dyn Http>) -> Self {
-        Self {
-            internal: Arc::clone(&client),
-            reports: Arc::clone(&client),
-            orders: client,
-        }
-    }
-}
-
 /// Client with a connection pool.
 #[derive(Debug)]
 pub struct PooledClient {
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -20,7 +20,7 @@
 /// Time after the store returns from an outage, in milliseconds, within which live servers renew their entries.
 pub const EXPIRY_GRACE_MS: u64 = 2_200;
 /// Time without contact to the store after which missing entries may have expired during the outage.
-const STORE_OUTAGE_MS: u64 = 2_600;
+pub(crate) const STORE_OUTAGE_MS: u64 = 2_600;
 
 /// Known backend server.
 #[derive(Debug, Clone)]
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -6,6 +6,7 @@
 //! predecessor could have sent is old enough.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,11 +16,11 @@
 use guava_core::lease::{
     ACTIVE_CANDIDATES, Candidacy, Lease, LeaseCall, LeaseEvent, LeaseSpec, StoredLease, Timing, WriteOutcome,
 };
-use guava_core::rendezvous;
 use guava_core::units::Millis;
 use guava_fleet::health::SharedHealth;
 use guava_fleet::placement::{Order, OrderAges, OrderKind, OrderOutcome, Placement, QuietPeriods, Tier, Wait};
 use guava_fleet::quota::{Buckets, LOCAL_PART};
+use guava_fleet::succession::WIDENING_MS;
 use guava_platform::store::{Object, Written};
 use guava_platform::{CallError, engine};
 use parking_lot::Mutex;
@@ -30,10 +31,11 @@
 use tokio::time::sleep;
 
 use crate::changes::Changes;
+use crate::feed;
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{self, QuotaAnswer, QuotaRequest, Report, ReportAnswer, Resign};
-use crate::state::{CoordinatorHint, EntryState, LARGE_FLEET_VMS, Member, now};
+use crate::state::{CoordinatorHint, EntryState, LARGE_FLEET_VMS, now};
 
 /// Kind of the lease object in the store.
 const LEASE_KIND: &str = "guava-leases";
@@ -70,13 +72,6 @@
 /// Time without reports after which the other VMs count as stopped rather than unreachable, and the coordinator keeps
 /// the lease.
 const PEERS_STOPPED_MS: u64 = 4_000;
-/// If at least this many VMs have the most processor time, those compete for the lease before all others.
-const MIN_STRONG_CANDIDATES: usize = 3;
-/// Time without a coordinator, in milliseconds, after which [`ACTIVE_CANDIDATES`] further VMs compete for the lease:
-/// those before them may be live and yet be turned away by the store.
-const WIDENING_MS: u64 = 400;
-/// Largest number of VMs that compete in addition. While the store answers nobody, each of them calls it twice a second.
-const MAX_ADDED_CANDIDATES: usize = 4 * ACTIVE_CANDIDATES;
 /// Time in milliseconds for which a coordinator stays in office although VMs with more processor time are live, if
 /// these did not acquire the lease when it was free.
 const SUBSTITUTE_TERM_MS: u64 = 10_000;
@@ -102,7 +97,7 @@
     struct LeaseObject {
         lease: LeaseSpec,
         operation: OperationId,
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// Milliseconds for which this term has been held. A restarted process of the same VM uses it to decide whether
         /// engines may still process orders of an earlier holder.
         held_ms: u64,
@@ -129,50 +124,6 @@
     checked: Millis,
 }
 
-/// Order in which the VMs of live processes compete for the lease.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Succession {
-    /// VMs, best first.
-    pub order: Vec<String>,
-    /// Number of VMs at the beginning that compete before all others.
-    pub preferred: usize,
-}
-
-/// Orders the VMs of live processes for the competition for the lease.
-///
-/// The coordinator does the most work, so the VMs with the most processor time are preferred. If there are fewer than
-/// three of them, all VMs are equal, because so few could become unreachable together.
-pub fn succession(live: &[Member]) -> Succession {
-    let max_processor = live.iter().map(|it| it.processor).max().unwrap_or(0);
-    let is_strong = |it: &&Member| it.processor >= max_processor;
-    let strong_count = live.iter().filter(is_strong).count();
-    let has_preferred = strong_count >= MIN_STRONG_CANDIDATES;
-    let mut ranked = rendezvous::rank(LEASE_NAME, live.iter(), |it| it.vm.as_str());
-    if has_preferred {
-        ranked.sort_by_key(|it| !is_strong(it));
-    }
-    Succession {
-        order: ranked.into_iter().map(|it| it.vm.clone()).collect(),
-        preferred: if has_preferred { strong_count } else { live.len() },
-    }
-}
-
-impl Succession {
-    /// Rank of a VM among those that compete while there has been no coordinator for `vacant_ms`; `None` if it must not
-    /// compete yet.
-    pub fn rank(&self, vm: &str, vacant_ms: u64) -> Option<usize> {
-        let position = self.order.iter().position(|it| it == vm)?;
-        let steps = usize::try_from(vacant_ms / WIDENING_MS).unwrap_or(usize::MAX);
-        let added = steps.saturating_mul(ACTIVE_CANDIDATES).min(MAX_ADDED_CANDIDATES);
-        Some(position.saturating_sub(added)).filter(|it| *it < ACTIVE_CANDIDATES)
-    }
-
-    /// Whether a VM is one of the preferred ones.
-    pub fn prefers(&self, vm: &str) -> bool {
-        self.order.iter().take(self.preferred).any(|it| it == vm)
-    }
-}
-
 impl LeaseState {
     fn held_ms(&self, term: u64, at: Millis) -> u64 {
         if self.term == term { at.since(self.started) } else { 0 }
@@ -193,6 +144,13 @@
     store_age_ms: u64,
 }
 
+impl VmContact {
+    /// Milliseconds since the store last answered the VM, as far as its report tells.
+    fn store_age_at(&self, now: Millis) -> u64 {
+        self.store_age_ms.saturating_add(now.since(self.at))
+    }
+}
+
 /// End of a term that its holder announced.
 #[derive(Debug, Clone)]
 struct Resignation {
@@ -399,8 +357,10 @@
     fn candidacy(&self, lease: &Lease) -> Candidacy {
         let at = now();
         let own_vm = self.state.settings.vm.as_str();
-        let succession = self.succession(at);
-        let rank = succession.rank(own_vm, self.vacant_ms(at));
+        let vacant_ms = self.vacant_ms(at);
+        let (rank, is_preferred) = self.state.with_succession(LEASE_NAME, at, |succession| {
+            (succession.rank(own_vm, vacant_ms), succession.prefers(own_vm))
+        });
         // A lease held by an earlier process of this VM is free, because that process has ended.
         let resignation = self.resignation.lock();
         let ended = |it: &LeaseSpec| {
@@ -416,9 +376,9 @@
             _ if is_named => Some(0),
             // Until the first read it is unknown whether this VM held the lease last, so the process must be among the
             // candidates that read it.
-            None if succession.prefers(own_vm) => rank.or(Some(ACTIVE_CANDIDATES - 1)),
+            None if is_preferred => rank.or(Some(ACTIVE_CANDIDATES - 1)),
             // The VM of the last holder needs no quiet period before its first order, so it comes first.
-            Some(seen) if seen.holder.vm.as_str() == own_vm && succession.prefers(own_vm) => Some(0),
+            Some(seen) if seen.holder.vm.as_str() == own_vm && is_preferred => Some(0),
             _ => rank,
         };
         Candidacy { rank, holder_ended }
@@ -437,13 +397,6 @@
         at.since(resigned.unwrap_or(silent_since + COORDINATOR_CONTACT_MS))
     }
 
-    /// Order in which the members known here compete for the lease.
-    fn succession(&self, at: Millis) -> Succession {
-        let live = self.state.members().into_iter().filter(|it| it.is_live(at));
-        let live: Vec<Member> = live.map(|it| it.member).chain([self.state.as_member()]).collect();
-        succession(&live)
-    }
-
     /// Steps down if VMs with more processor time are live. This process acquires the lease before them if it does not
     /// know them yet, because it has just started, or if the store turns them away; then it stays for a while.
     fn release_if_not_preferred(&self, lease: &mut Lease, at: Millis) {
@@ -464,7 +417,8 @@
             }
             is_due
         };
-        if !is_due || self.succession(at).prefers(&self.state.settings.vm) {
+        let own_vm = self.state.settings.vm.as_str();
+        if !is_due || self.state.with_succession(LEASE_NAME, at, |it| it.prefers(own_vm)) {
             return;
         }
         log_event!(
@@ -536,33 +490,27 @@
             return;
         };
         let store_age = self.state.store_age_ms(at);
-        let others = self.vms.lock().clone();
-        let others = others.into_iter().filter(|(vm, _)| *vm != self.state.settings.vm);
-        let others: Vec<(String, VmContact)> = others.collect();
+        let (able, last_report) = {
+            let contacts = self.vms.lock();
+            let others = contacts.iter().filter(|(vm, _)| **vm != self.state.settings.vm);
+            let others = others.map(|(_, contact)| contact);
+            let fresh = others.clone().filter(|it| at.since(it.at) < REPORT_FRESH_MS);
+            let able = fresh.filter(|it| it.store_age_ms < STORE_REACHABLE_MS).count();
+            (able, others.map(|it| it.at).max())
+        };
         if store_age > STORE_LOST_MS {
-            let fresh = others.iter().filter(|(_, it)| at.since(it.at) < REPORT_FRESH_MS);
-            let able: Vec<&str> = fresh
-                .filter(|(_, it)| it.store_age_ms < STORE_REACHABLE_MS)
-                .map(|(vm, _)| vm.as_str())
-                .collect();
-            if able.is_empty() && self.state.follower_store_age_ms(at) > STORE_REACHABLE_MS {
+            if able == 0 && self.state.follower_store_age_ms(at) > STORE_REACHABLE_MS {
                 return;
             }
-            let order = self.succession(at).order;
-            let successor = order.into_iter().find(|it| able.contains(&it.as_str()));
-            lease.abandon(at, STEP_DOWN_PAUSE_MS);
-            self.apply_lease_events(lease);
             log_event!(
                 Event::LeaseReleased,
                 "-",
-                "term={term} reason=store age {store_age} ms able_vms={} successor={}",
-                able.len(),
-                successor.as_deref().unwrap_or("-")
+                "term={term} reason=store age {store_age} ms able_vms={able}"
             );
-            self.announce_resignation(term, successor);
+            lease.abandon(at, STEP_DOWN_PAUSE_MS);
+            self.apply_lease_events(lease);
             return;
         }
-        let last_report = others.iter().map(|(_, it)| it.at).max();
         if last_report.is_some_and(|it| at.since(it) > ISOLATED_MS && at.since(it) < PEERS_STOPPED_MS) {
             self.vms.lock().clear();
             log_event!(
@@ -580,6 +528,20 @@
         self.placement.lock().order_ages(gap, now())
     }
 
+    /// First VM in the succession that the store has answered after it last answered this one. `None` if no report shows
+    /// one, or if this process has had no contact with the store.
+    fn served_successor(&self, at: Millis) -> Option<String> {
+        let own_age = self.state.store_age_ms(at);
+        let contacts = self.vms.lock();
+        let is_served = |vm: &str| contacts.get(vm).is_some_and(|it| it.store_age_at(at) < own_age);
+        let own_vm = self.state.settings.vm.as_str();
+        self.state.with_succession(LEASE_NAME, at, |succession| {
+            let others = succession.order().iter().filter(|it| **it != own_vm);
+            let first = others.copied().find(|it| is_served(it));
+            first.map(str::to_owned)
+        })
+    }
+
     /// Notifies all other processes that this one's term has ended, so that one acquires the lease at once.
     fn announce_resignation(&self, term: u64, successor: Option<String>) {
         let resign = Resign {
@@ -587,20 +549,20 @@
             order_ages: self.order_ages(),
             successor,
         };
-        self.announce::<_, bool>("resign", &resign);
+        let members = self.state.members();
+        self.announce::<_, bool>("resign", &resign, members.iter().map(|it| it.member.address));
     }
 
-    /// Sends a message to all other processes without waiting for their answers.
-    fn announce<M, A>(&self, name: &'static str, message: &M)
+    /// Sends a message to other processes without waiting for their answers.
+    fn announce<M, A>(&self, name: &'static str, message: &M, to: impl IntoIterator<Item = SocketAddr>)
     where
         M: Serialize + Clone + Send + Sync + 'static,
         A: DeserializeOwned + Send,
     {
-        for member in self.state.members() {
+        for address in to {
             let state = Arc::clone(&self.state);
             let message = message.clone();
             tokio::spawn(async move {
-                let address = member.member.address;
                 let sent = peers::call::<_, A>(&state, address, name, &message, ANNOUNCE_TIMEOUT).await;
                 if let Err(e) = sent {
                     log::debug!("{name} notice to {address} failed: {e}");
@@ -611,16 +573,23 @@
 
     /// Records that the coordinator has ended its term. Always returns true, which is the answer to the message.
     pub fn handle_resignation(&self, resign: Resign) -> bool {
-        let resignation = Resignation {
-            term: resign.term,
-            at: now(),
-            order_ages: resign.order_ages,
-            successor: resign.successor,
-        };
-        *self.resignation.lock() = Some(resignation);
+        let mut resignation = self.resignation.lock();
+        if resignation.as_ref().is_none_or(|it| it.term <= resign.term) {
+            *resignation = Some(Resignation {
+                term: resign.term,
+                at: now(),
+                order_ages: resign.order_ages,
+                successor: resign.successor,
+            });
+        }
         true
     }
 
+    /// Term whose end was announced last, until this process starts a term.
+    pub fn last_resigned_term(&self) -> Option<u64> {
+        self.resignation.lock().as_ref().map(|it| it.term)
+    }
+
     fn decode(&self, object: &Object) -> Option<StoredLease> {
         let value: LeaseObject = serde_json::from_value(object.spec.clone()).ok()?;
         *self.last_read_lease.lock() = (value.lease.term.0, value.held_ms);
@@ -668,7 +637,14 @@
                 }
                 LeaseEvent::Lost(term) => {
                     self.lease_state.lock().term = 0;
-                    log_event!(Event::LeaseLost, "-", "term={}", term.0);
+                    let successor = self.served_successor(now());
+                    let name = successor.as_deref().unwrap_or("-");
+                    log_event!(Event::LeaseLost, "-", "term={} successor={name}", term.0);
+                    // Without this, the others wait until the lease expires on their clocks.
+                    let is_current = self.state.coordinator().is_none_or(|it| it.term <= term.0);
+                    if is_current {
+                        self.announce_resignation(term.0, successor);
+                    }
                 }
             }
         }
@@ -741,7 +717,8 @@
             (None, true) => "silent",
         };
         log_event!(Event::LeaseAcquired, "-", "term={} predecessor={predecessor}", term.0);
-        self.announce::<_, ()>("coordinator", &hint);
+        // They pass it on by their feeds.
+        self.announce::<_, ()>("coordinator", &hint, feed::direct_followers(&self.state));
     }
 
     /// Publishes the placement to this process and, through its feed, to the others.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -283,12 +283,12 @@
             if now() >= self.deadline {
                 return Err(self.deadline_failure());
             }
-            let is_in_service = selected.server.service == self.service;
-            if !is_in_service || !self.state.accepts_requests(&selected.server) {
+            let has_service_changed = selected.server.service != self.service;
+            if has_service_changed || !self.state.accepts_requests(&selected.server) {
                 log_event!(
                     Event::RequestRetried,
                     self.id(),
-                    "server={server} why=it left before the request was sent"
+                    "server={server} why=not selectable any more service_changed={has_service_changed}"
                 );
                 continue;
             }
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -5,6 +5,7 @@
 //! includes the age of the sender's view of the store. A process whose view is stale watches the store itself until the
 //! feed is fresh again.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +16,6 @@
 use guava_core::units::Millis;
 use guava_fleet::model::{BackendServer, Configuration};
 use guava_fleet::placement::EngineModels;
-use rand::seq::IteratorRandom;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
@@ -257,11 +257,8 @@
     if state.source_age_ms(at) <= STALE_MS {
         return None;
     }
-    let members = state.members().into_iter().filter(|it| it.is_live(at));
-    let others = members.map(|it| it.member.address).filter(|it| Some(*it) != excluded);
-    let address = others.choose(&mut rand::rng())?;
     Some(AlternativeSource {
-        address,
+        address: state.random_peer(excluded, at)?,
         is_fresh: false,
         until: at + PROBE_MS,
     })
@@ -303,6 +300,15 @@
     ranked.iter().take(FAN_OUT).any(|it| *it == state.settings.vm)
 }
 
+/// Addresses of the other processes that follow this one when it coordinates.
+pub fn direct_followers(state: &EntryState) -> Vec<SocketAddr> {
+    let members = state.members();
+    let ranked = ranked_followers(state, &members);
+    let direct: HashSet<&str> = ranked.into_iter().take(FAN_OUT).collect();
+    let followers = members.iter().filter(|it| direct.contains(it.member.vm.as_str()));
+    followers.map(|it| it.member.address).collect()
+}
+
 /// VMs of the live processes other than the coordinator, in the order of their rank in the tree: most processor time
 /// first.
 fn ranked_followers<'a>(state: &'a EntryState, members: &'a [KnownMember]) -> Vec<&'a str> {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -260,7 +260,7 @@
     if let Some(hint) = received.coordinator {
         state.record_coordinator(hint);
     }
-    let may_use = state.may_start_from(received.age_ms, at);
+    let may_use = state.may_use_view(received.age_ms, at);
     if let Some(config) = received.config.filter(|_| may_use) {
         state.apply_config(config, "peer");
     }
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -19,7 +19,7 @@
 use crate::peers;
 use crate::state::{EntryState, now};
 use crate::store_watch;
-use crate::supervision::{LoopStart, supervise};
+use crate::supervision::supervise;
 
 /// Time from the shutdown signal until connections are closed: the balancer checks readiness once a second and removes
 /// a VM after two failed checks.
@@ -104,69 +104,48 @@
 /// Starts the loops that keep the view of the deployment and take part in control.
 fn spawn_control_loops(state: &Arc<EntryState>, coordinator: &Arc<Coordinator>) {
     let watches_store = Arc::new(watch::Sender::new(false));
-    let spawn = |name, start: LoopStart| tokio::spawn(supervise(name, start));
-    let (entry, watching) = (Arc::clone(state), Arc::clone(&watches_store));
-    spawn(
-        "watch of the configuration",
-        Box::new(move || Box::pin(store_watch::follow_config(Arc::clone(&entry), watching.subscribe()))),
-    );
-    let (entry, control, watching) = (Arc::clone(state), Arc::clone(coordinator), Arc::clone(&watches_store));
-    spawn(
-        "watch of the backend servers",
-        Box::new(move || {
-            Box::pin(store_watch::follow_servers(
-                Arc::clone(&entry),
-                Arc::clone(&control),
-                watching.subscribe(),
-            ))
-        }),
-    );
-    let (entry, control) = (Arc::clone(state), Arc::clone(coordinator));
-    spawn(
-        "choice of the source",
-        Box::new(move || {
-            Box::pin(feed::watch_store_when_stale(
-                Arc::clone(&entry),
-                Arc::clone(&control),
-                Arc::clone(&watches_store),
-            ))
-        }),
-    );
-    let entry = Arc::clone(state);
-    spawn(
-        "removal of expired servers",
-        Box::new(move || Box::pin(store_watch::remove_expired(Arc::clone(&entry)))),
-    );
-    let entry = Arc::clone(state);
-    spawn(
-        "registration",
-        Box::new(move || Box::pin(store_watch::register(Arc::clone(&entry)))),
-    );
-    let entry = Arc::clone(state);
-    spawn(
-        "gossip",
-        Box::new(move || Box::pin(peers::run_gossip(Arc::clone(&entry)))),
-    );
-    let (entry, control) = (Arc::clone(state), Arc::clone(coordinator));
-    spawn(
-        "reports",
-        Box::new(move || Box::pin(peers::run_reports(Arc::clone(&entry), Arc::clone(&control)))),
-    );
-    let (entry, control) = (Arc::clone(state), Arc::clone(coordinator));
-    spawn(
-        "feed",
-        Box::new(move || Box::pin(feed::follow(Arc::clone(&entry), Arc::clone(&control)))),
-    );
-    let control = Arc::clone(coordinator);
-    spawn(
-        "lease",
-        Box::new(move || Box::pin(Arc::clone(&control).maintain_lease())),
-    );
-    let control = Arc::clone(coordinator);
-    spawn(
-        "placement",
-        Box::new(move || Box::pin(Arc::clone(&control).run_placement())),
-    );
+    // Each start of a loop needs handles of its own.
+    let handles = || {
+        let (state, coordinator) = (Arc::clone(state), Arc::clone(coordinator));
+        move || (Arc::clone(&state), Arc::clone(&coordinator))
+    };
+
+    let (own, watching) = (handles(), Arc::clone(&watches_store));
+    tokio::spawn(supervise("watch of the configuration", move || {
+        store_watch::follow_config(own().0, watching.subscribe())
+    }));
+    let (own, watching) = (handles(), Arc::clone(&watches_store));
+    tokio::spawn(supervise("watch of the backend servers", move || {
+        let (state, coordinator) = own();
+        store_watch::follow_servers(state, coordinator, watching.subscribe())
+    }));
+    let own = handles();
+    tokio::spawn(supervise("choice of the source", move || {
+        let (state, coordinator) = own();
+        feed::watch_store_when_stale(state, coordinator, Arc::clone(&watches_store))
+    }));
+    let own = handles();
+    tokio::spawn(supervise("feed", move || {
+        let (state, coordinator) = own();
+        feed::follow(state, coordinator)
+    }));
+    let own = handles();
+    tokio::spawn(supervise("reports", move || {
+        let (state, coordinator) = own();
+        peers::run_reports(state, coordinator)
+    }));
+    let own = handles();
+    tokio::spawn(supervise("gossip", move || peers::run_gossip(own().0)));
+    let own = handles();
+    tokio::spawn(supervise("registration", move || store_watch::register(own().0)));
+    let own = handles();
+    tokio::spawn(supervise("removal of expired servers", move || {
+        store_watch::remove_expired(own().0)
+    }));
+    let own = handles();
+    tokio::spawn(supervise("lease", move || own().1.maintain_lease()));
+    let own = handles();
+    tokio::spawn(supervise("placement", move || own().1.run_placement()));
 }
 
 /// Logs when the process becomes ready to serve requests.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -29,6 +29,10 @@
 /// hundred milliseconds.
 const SILENCE_TIMEOUT_MIN_MS: u64 = 1_000;
 
+/// Time after the deadline, in milliseconds, for which events that are ready are still passed on. A route's time limit
+/// must not be exceeded by more than half a second.
+const LATE_DELIVERY_MS: u64 = 250;
+
 type FrameSender = Sender<Result<Frame<Bytes>, BodyError>>;
 
 /// Events sent to the caller so far.
@@ -137,20 +141,17 @@
     let IncomingAnswer {
         mut body, connection, ..
     } = incoming;
-    let mut progressed = now();
+    let mut last_data_at = now();
     loop {
-        // Bytes alone are no progress: a stalled server may send single bytes, or comments.
-        let stalled_at = progressed + silence_timeout_ms(dispatch);
+        let stalled_at = last_data_at + silence_timeout_ms(dispatch);
         let next = tokio::select! {
             next = tokio::time::timeout(until(stalled_at.min(dispatch.deadline())), body.frame()) => next.ok(),
             () = tx.closed() => return PartEnd::CallerLeft,
         };
         let at = now();
         let frame = match next {
-            _ if at >= dispatch.deadline() => return PartEnd::DeadlinePassed,
-            _ if at >= stalled_at => {
-                return PartEnd::Interrupted(format!("no event for {} ms", at.since(progressed)));
-            }
+            None if at >= dispatch.deadline() => return PartEnd::DeadlinePassed,
+            None if at >= stalled_at => return stalled(at.since(last_data_at)),
             None => continue,
             Some(Some(Err(e))) => return PartEnd::Interrupted(e.to_string()),
             Some(None) if splitter.rest().is_empty() => {
@@ -160,35 +161,45 @@
             Some(None) => return PartEnd::Interrupted("stream ended within an event".to_owned()),
             Some(Some(Ok(frame))) => frame,
         };
-        let Ok(bytes) = frame.into_data() else {
-            continue;
-        };
+        let bytes = frame.into_data().unwrap_or_default();
         let events = match splitter.push(&bytes) {
             Ok(events) => events,
             Err(size) => return PartEnd::Interrupted(format!("event larger than {size} bytes")),
         };
+        // Bytes alone are no progress: a stalled server may send single bytes, or comments. Data that is ready is passed
+        // on even if this process was held up beyond the time limit.
+        if has_data(&events) {
+            last_data_at = at;
+        } else if at >= stalled_at {
+            return stalled(at.since(last_data_at));
+        }
+        let give_up_at = dispatch.deadline() + LATE_DELIVERY_MS;
+        if at >= give_up_at {
+            return PartEnd::DeadlinePassed;
+        }
         if events.is_empty() {
             continue;
         }
-        if has_data(&events) {
-            progressed = at;
-        }
         if progress.first.is_none() {
             metrics::first_byte(dispatch.route().kind, at.since(dispatch.arrived()));
         }
         progress.record_sent(at);
         let sending = tx.send(Ok(Frame::data(Bytes::from(events))));
-        match tokio::time::timeout(until(dispatch.deadline()), sending).await {
+        match tokio::time::timeout(until(give_up_at), sending).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return PartEnd::CallerLeft,
             // The caller reads too slowly.
             Err(_) => return PartEnd::DeadlinePassed,
         }
         // Time in which the caller did not read is not the server's.
-        progressed = progressed + now().since(at);
+        last_data_at = last_data_at + now().since(at);
     }
 }
 
+fn stalled(silent_ms: u64) -> PartEnd {
+    PartEnd::Interrupted(format!("no event for {silent_ms} ms"))
+}
+
 /// Time without events, in milliseconds, after which the stream continues from another server. A stream that cannot
 /// continue is given until its deadline.
 fn silence_timeout_ms(dispatch: &Dispatch) -> u64 {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -158,8 +158,8 @@
     answer
 }
 
-/// Waits for the first configuration after the start of the process, which others send within about a second. A caller
-/// that were refused at once would meet the same at other VMs when all have been restarted.
+/// Waits for the first configuration after the start of the process. When all processes have been restarted, a caller
+/// that is refused would be refused by the other VMs too.
 async fn wait_for_config(state: &EntryState, inbound: &Inbound) {
     let mut changes = state.subscribe();
     let deadline_ms = inbound.caller.deadline_ms.unwrap_or(MAX_START_WAIT_MS);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,15 +17,17 @@
 use guava_fleet::placement::{Demand, EngineModels, Running, Wait};
 use guava_fleet::quota::Buckets;
 use guava_fleet::routes::ActiveConfig;
+use guava_fleet::succession::{LiveVm, Succession};
 use guava_platform::settings::Settings;
 use guava_platform::store::Store;
 use parking_lot::Mutex;
+use rand::seq::IteratorRandom;
 use rustix::time::{ClockId, clock_gettime};
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::changes::Changes;
 use crate::client::{Clients, StoreClient};
-use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS};
+use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS, STORE_OUTAGE_MS};
 use crate::feed::{Applied, FeedAnswer, FeedQuery};
 use crate::log_event;
 use crate::metrics;
@@ -38,10 +40,8 @@
 /// A fleet with more VMs than this counts as large.
 pub const LARGE_FLEET_VMS: usize = 24;
 
-/// Age of another process's view, in milliseconds, up to which it counts as fresh at the start of this process.
-const FRESH_VIEW_MS: u64 = 2_600;
 /// Time after its start, in milliseconds, for which a process waits for a fresh view before it uses a stale one.
-const UNCONFIRMED_START_MS: u64 = 2_000;
+const FRESH_VIEW_WAIT_MS: u64 = 2_000;
 
 /// Unit of the age in heartbeats.
 pub(crate) const HEARTBEAT_AGE_UNIT_MS: u64 = 100;
@@ -502,7 +502,6 @@
 
     /// Builds the answer to a follower, with what it lacks if anything.
     pub fn feed_answer(&self, query: &FeedQuery) -> FeedAnswer {
-        let mut answer = self.feed_age_answer();
         let view = self.view.lock();
         let config = view.config.as_ref();
         let config = config.filter(|it| it.config.version > query.config_version);
@@ -510,21 +509,27 @@
         let has_changed = known != Some(view.last_server_change()) && view.has_servers;
         let is_older = view.known_revision() < query.servers_revision;
         let known_placed = query.placed_change.filter(|_| query.source == self.incarnation);
-        let has_placed = answer.placed_version.0 > 0 && known_placed != Some(view.last_placement_change());
-        answer.coordinator = view.coordinator.clone().filter(|it| it.term > query.term);
-        answer.config = config.map(|it| (*it.config).clone());
-        answer.servers = (has_changed && !is_older).then(|| view.server_changes_since(known));
-        answer.placed = has_placed.then(|| view.placement_changes_since(known_placed));
-        answer
+        let has_placed = view.placed_version().0 > 0 && known_placed != Some(view.last_placement_change());
+        FeedAnswer {
+            coordinator: view.coordinator.as_ref().filter(|it| it.term > query.term).cloned(),
+            config: config.map(|it| (*it.config).clone()),
+            servers: (has_changed && !is_older).then(|| view.server_changes_since(known)),
+            placed: has_placed.then(|| view.placement_changes_since(known_placed)),
+            ..self.empty_answer(&view)
+        }
     }
 
-    /// Builds an answer to a follower that holds only the age of this process's view.
+    /// Builds an answer to a follower that holds only the age and version of this process's view.
     pub fn feed_age_answer(&self) -> FeedAnswer {
-        let view = self.view.lock();
+        self.empty_answer(&self.view.lock())
+    }
+
+    fn empty_answer(&self, view: &ClusterView) -> FeedAnswer {
+        let at = now();
         FeedAnswer {
             source: self.incarnation,
-            age_ms: view.source_age(now()),
-            coordination_age_ms: view.coordination_age(now()),
+            age_ms: view.source_age(at),
+            coordination_age_ms: view.coordination_age(at),
             coordinator: None,
             config: None,
             servers: None,
@@ -540,7 +545,7 @@
         if let Some(hint) = answer.coordinator {
             self.record_coordinator(hint);
         }
-        if !self.may_start_from(answer.age_ms, now) {
+        if !self.may_use_view(answer.age_ms, now) {
             return Applied::default();
         }
         if let Some(config) = answer.config {
@@ -570,10 +575,10 @@
         }
     }
 
-    /// Whether a process that has just started may use another's view of the given age. A stale view may hold servers
-    /// that have left and keys that were withdrawn; it is used only if no fresh one is received soon.
-    pub fn may_start_from(&self, age_ms: u64, now: Millis) -> bool {
-        age_ms <= FRESH_VIEW_MS || now.since(self.started) > UNCONFIRMED_START_MS
+    /// Whether another process's view of the given age may be used here. After the start of this process a stale one,
+    /// which may hold servers that have left and withdrawn keys, is used only if no fresh one is received soon.
+    pub fn may_use_view(&self, age_ms: u64, now: Millis) -> bool {
+        age_ms <= STORE_OUTAGE_MS || now.since(self.started) > FRESH_VIEW_WAIT_MS
     }
 
     /// Records that a server turned out not to hold a model.
@@ -723,6 +728,29 @@
         self.view.lock().members.values().cloned().collect()
     }
 
+    /// Calls `f` with the order in which the live VMs, including this one, compete for the lease `name`.
+    pub fn with_succession<R>(&self, name: &str, now: Millis, f: impl FnOnce(&Succession<'_>) -> R) -> R {
+        let view = self.view.lock();
+        let live = view.members.values().filter(|it| it.is_live(now));
+        let live = live.map(|it| LiveVm {
+            vm: &it.member.vm,
+            processor: it.member.processor,
+        });
+        let own = LiveVm {
+            vm: &self.settings.vm,
+            processor: self.settings.processor,
+        };
+        f(&Succession::new(name, live.chain([own])))
+    }
+
+    /// Address of a live process selected at random, other than `excluded`.
+    pub fn random_peer(&self, excluded: Option<SocketAddr>, now: Millis) -> Option<SocketAddr> {
+        let view = self.view.lock();
+        let live = view.members.values().filter(|it| it.is_live(now));
+        let others = live.map(|it| it.member.address).filter(|it| Some(*it) != excluded);
+        others.choose(&mut rand::rng())
+    }
+
     /// Last known coordinator.
     pub fn coordinator(&self) -> Option<CoordinatorHint> {
         self.view.lock().coordinator.clone()
--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -242,6 +242,46 @@
     assert_eq!(engine.received.lock().len(), 1);
 }
 
+/// Guards against a sound stream that is sent to another server because this process was held up for longer than a
+/// stream may be silent: the events had arrived in the meantime.
+#[tokio::test]
+async fn stream_is_not_moved_when_this_process_was_held_up() {
+    let entry = start_entry(Arc::default()).await;
+    let (tx, rx) = std::sync::mpsc::channel();
+    // The server must go on while the process's only thread is blocked.
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        runtime.block_on(async move {
+            let engine = start_server("a", true, |mut stream, attempt| async move {
+                write(&mut stream, &answer_head(&attempt, "transfer-encoding: chunked\r\n")).await;
+                for id in 1..=20 {
+                    write(&mut stream, &chunk(&event(id))).await;
+                    sleep(Duration::from_millis(100)).await;
+                }
+                write(&mut stream, "0\r\n\r\n").await;
+            })
+            .await;
+            tx.send(engine).expect("the test waits for it");
+            sleep(Duration::from_secs(10)).await;
+        });
+    });
+    let engine = rx.recv().expect("the server starts");
+    list_servers(&entry.state, &[&engine]);
+
+    let held_up = async {
+        sleep(Duration::from_millis(300)).await;
+        std::thread::sleep(Duration::from_millis(1_300));
+    };
+    let ((answer, is_closed), ()) = tokio::join!(call(entry.address, "r1", STREAM_PATH), held_up);
+
+    assert!(is_closed && answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(answer.matches("\nid: ").count(), 20);
+    assert_eq!(engine.received.lock().len(), 1, "one server ran it");
+}
+
 /// Guards against a server that takes a process's memory with bytes that are no answer, in a head, a body, the size of a
 /// chunk, a trailer or an event. The connection is closed, and a request that may be sent again is served elsewhere.
 #[rstest]
--- a/crates/entry/tests/feed.rs
+++ b/crates/entry/tests/feed.rs
@@ -96,7 +96,7 @@
 async fn process_starts_with_a_fresh_view_only(#[case] age_ms: u64, #[case] expected: bool) {
     let source = start_entry(Arc::default()).await.state;
     source.apply_server_list(vec![server("a")], OLD_REVISION, now());
-    let starting = support::new_state(Arc::<FakePeers>::default());
+    let starting = support::new_state(Arc::new(FakePeers::default()));
 
     let answer = FeedAnswer {
         age_ms,
@@ -118,7 +118,7 @@
     let search = FeedQuery {
         max_age_ms: Some(1_300),
         wait_ms: 500,
-        ..query(&support::new_state(Arc::<FakePeers>::default()))
+        ..query(&support::new_state(Arc::new(FakePeers::default())))
     };
 
     let stale = guava_entry::feed::answer(&source, &search).await;
--- a/crates/entry/tests/supervision.rs
+++ b/crates/entry/tests/supervision.rs
@@ -11,12 +11,12 @@
 async fn loop_that_panics_is_started_again() {
     let starts = Arc::new(AtomicUsize::new(0));
     let counter = Arc::clone(&starts);
-    let start = move || -> futures::future::BoxFuture<'static, ()> {
+    let start = move || {
         let is_first = counter.fetch_add(1, Ordering::Relaxed) == 0;
-        Box::pin(async move { assert!(!is_first, "the first start fails") })
+        async move { assert!(!is_first, "the first start fails") }
     };
 
-    let ended = tokio::time::timeout(Duration::from_secs(5), supervise("test", Box::new(start))).await;
+    let ended = tokio::time::timeout(Duration::from_secs(5), supervise("test", start)).await;
 
     ended.expect("the loop ends");
     assert_eq!(starts.load(Ordering::Relaxed), 2);
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -67,8 +67,8 @@
     pub closing: watch::Sender<bool>,
 }
 
-/// Creates the state of an entry process that has just started.
-pub fn new_state(peers: Arc<FakePeers>) -> Arc<EntryState> {
+/// Creates the state of an entry process that has just started. `internal` stands for the store and other processes.
+pub fn new_state(internal: Arc<dyn Http>) -> Arc<EntryState> {
     let vm = Vm {
         name: "vm-0".to_owned(),
         zone: "caerdydd".to_owned(),
@@ -79,7 +79,11 @@
         store: NOWHERE.into(),
     };
     let settings = Settings::parse(&settings::file(&vm)).expect("valid settings");
-    Arc::new(EntryState::new(settings, Clients::uniform(peers)))
+    let clients = Clients {
+        internal,
+        ..Clients::default()
+    };
+    Arc::new(EntryState::new(settings, clients))
 }
 
 /// Starts an entry process that knows the configuration and no servers.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod placement;
 pub mod quota;
 pub mod routes;
+pub mod succession;
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -17,6 +17,60 @@
 /// spent by its predecessor still count.
 pub const START_LEVEL: f64 = 0.5;
 
+/// Largest size of a request beyond the burst, in seconds of its organisation's rate. A larger one would leave nothing
+/// to the organisation's other requests for longer.
+const MAX_DEBT_S: f64 = 60.0;
+/// A request waits for tokens at most for its route's response time objective divided by this, so that an organisation
+/// beyond its rate is served on time with what its rate allows.
+const OBJECTIVE_DIVISOR: u64 = 3;
+/// Longest wait for tokens while the rate limits recover, in milliseconds.
+const RECOVERY_WAIT_MS: u64 = 2_000;
+/// While the rate limits recover, a request waits for tokens at most for its deadline divided by this.
+const RECOVERY_DEADLINE_DIVISOR: u64 = 3;
+/// Time after the start of a process or a change of the coordinator, in milliseconds, in which the rate limits recover.
+const RECOVERY_MS: u64 = 3_000;
+/// Longest wait for the coordinator's answer, in milliseconds; a request that waits longer misses its objective.
+const ANSWER_TIMEOUT_MS: u64 = 150;
+/// The same while the rate limits recover, when the coordinator has the requests of all VMs to answer.
+const RECOVERY_ANSWER_TIMEOUT_MS: u64 = 600;
+
+/// Whether a request is small enough for its organisation's rate and burst.
+pub fn fits_limit(tokens: f64, rate: f64, burst: f64) -> bool {
+    tokens <= burst + rate * MAX_DEBT_S
+}
+
+/// How long a request waits for tokens before it is refused.
+///
+/// For a caller, a short wait is faster than a refusal and a return. After a restart of all processes or a loss of the
+/// coordinator, the shares of all organisations are short at once and the requests that waited for the change arrive
+/// together; then a caller that is refused would meet the same shortage on its return, so requests wait longer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenWait {
+    /// Longest time, in milliseconds, until the tokens may be used.
+    pub max_ms: u64,
+    /// Longest wait for the coordinator's answer, in milliseconds.
+    pub answer_ms: u64,
+}
+
+impl TokenWait {
+    /// Decides for a request with this objective and deadline. `unsettled_ms` is the time since the start of the process
+    /// or the last change of the coordinator. All times are in milliseconds.
+    pub fn new(objective_ms: u64, deadline_ms: u64, unsettled_ms: u64) -> Self {
+        let max_ms = objective_ms / OBJECTIVE_DIVISOR;
+        if unsettled_ms >= RECOVERY_MS {
+            return Self {
+                max_ms,
+                answer_ms: ANSWER_TIMEOUT_MS,
+            };
+        }
+        let recovery_ms = RECOVERY_WAIT_MS.min(deadline_ms / RECOVERY_DEADLINE_DIVISOR);
+        Self {
+            max_ms: recovery_ms.max(max_ms),
+            answer_ms: RECOVERY_ANSWER_TIMEOUT_MS,
+        }
+    }
+}
+
 /// Token bucket that refills at a constant rate.
 #[derive(Debug, Clone)]
 pub struct Bucket {
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -5,7 +5,7 @@
 use guava_fleet::choice::{self, Candidate};
 use guava_fleet::health::Health;
 use guava_fleet::pacing::Pacer;
-use guava_fleet::quota::{Bucket, Buckets, LOCAL_PART, START_LEVEL};
+use guava_fleet::quota::{Bucket, Buckets, LOCAL_PART, START_LEVEL, TokenWait, fits_limit};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -198,3 +198,31 @@
     assert_eq!(mixed.map(|it| it.id), Some("good"));
     assert_eq!(only.map(|it| it.id), Some("bad"));
 }
+
+/// Guards against refusals of requests whose tokens come soon, after a restart of all processes or a change of the
+/// coordinator, and against requests that are late because an organisation beyond its rate waits at other times.
+#[rstest]
+#[case::settled(500, 15_000, 60_000, 166)]
+#[case::recovering(500, 15_000, 1_000, 2_000)]
+#[case::recovering_with_a_short_deadline(500, 3_000, 1_000, 1_000)]
+#[case::recovering_with_a_long_objective(9_000, 3_000, 1_000, 3_000)]
+fn requests_wait_longer_for_tokens_while_the_limits_recover(
+    #[case] objective_ms: u64,
+    #[case] deadline_ms: u64,
+    #[case] unsettled_ms: u64,
+    #[case] expected_ms: u64,
+) {
+    let wait = TokenWait::new(objective_ms, deadline_ms, unsettled_ms);
+
+    assert_eq!(wait.max_ms, expected_ms);
+}
+
+/// Guards against one request that takes an organisation's rate for years, and against a refusal of one that is only
+/// larger than the burst.
+#[rstest]
+#[case::within_the_burst(1_000.0, true)]
+#[case::beyond_the_burst(20_000.0, true)]
+#[case::sum_of_huge_numbers(1.8e19, false)]
+fn a_request_must_fit_its_limit(#[case] tokens: f64, #[case] expected: bool) {
+    assert_eq!(fits_limit(tokens, 1_000.0, 2_000.0), expected);
+}
