Log attempts that engines break off, with the shared parts of their prompts

What callers saw: chats fail while engines end one after the other, and no line tells what the requests that ran on them had in common. Change: event E2018, one line for each broken attempt at a model engine, with the time since its answer began, the shared parts of the prompt, and whether the engine still accepts connections (a connection is opened to find out: a crash refuses it, a reset link or a faulty answer does not). No change of any decision.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -77,6 +77,7 @@
     OrderFailed = 2015, Warn, "An order to a model engine was refused or not answered.";
     EngineState = 2016, Info, "A model engine reported the models that it holds.";
     CoordinatorChanged = 2017, Info, "The coordinator has changed.";
+    AttemptBroken = 2018, Info, "A backend server broke off an attempt.";
 
     // 3xxx: administration.
     ObjectWritten = 3001, Info, "An operator's change was accepted.";
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use guava_core::units::Millis;
 use guava_platform::headers::{self, AnswerKind};
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
@@ -18,6 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::state::now;
+
 /// Timeout for opening a connection. A round trip takes about 3 ms, and a lost packet is retransmitted after 200 ms or
 /// more.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -70,6 +73,8 @@
     pub status: StatusCode,
     /// Headers from the backend server.
     pub headers: HeaderMap,
+    /// When the head had arrived.
+    pub begun: Millis,
     /// Body, not read yet.
     pub body: Incoming,
     /// Keeps the connection open; dropping it closes the connection.
@@ -133,6 +138,7 @@
             AnswerKind::Ran => Ok(IncomingAnswer {
                 status: head.status,
                 headers: head.headers,
+                begun: now(),
                 body,
                 connection: self.connection,
             }),
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 
 use crate::attempt::{AttemptError, IncomingAnswer, OpenConnection, OutgoingRequest};
+use crate::breakage::{self, BrokenAttempt};
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{self, PaceRequest};
@@ -198,13 +199,19 @@
             log_event!(Event::RequestRetried, self.id(), "server={server} status={status}");
             return Ok(None);
         }
-        let IncomingAnswer { body, connection, .. } = incoming;
+        let IncomingAnswer {
+            body,
+            connection,
+            begun,
+            ..
+        } = incoming;
         let reading = read_buffered(&self.state, body);
         let body = match tokio::time::timeout(until(self.deadline), reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(why)) => {
                 drop(connection);
-                return self.handle_lost_answer(&server, &why).map(|()| None);
+                let result = self.handle_lost_answer(&selected.server, Some(begun), &why);
+                return result.map(|()| None);
             }
             Err(_) => return Err(Failure::unknown(Code::TimedOut)),
         };
@@ -230,13 +237,27 @@
         }
     }
 
-    /// Records that a server may have run the request without giving a usable answer.
+    /// Records that a server may have run the request without giving a usable answer. `begun` is the time at which the
+    /// head of the answer arrived.
     ///
     /// # Errors
     ///
     /// Fails when the request must not be retried.
-    pub fn handle_lost_answer(&mut self, server: &str, why: &str) -> Result<(), Failure> {
+    pub fn handle_lost_answer(
+        &mut self,
+        server: &Arc<BackendServer>,
+        begun: Option<Millis>,
+        why: &str,
+    ) -> Result<(), Failure> {
         let at = now();
+        let broken = BrokenAttempt {
+            server: Arc::clone(server),
+            begun,
+            at,
+            why: why.to_owned(),
+        };
+        breakage::examine(&self.state, &self.inbound, broken);
+        let server = server.id.as_str();
         self.record_failure(server, why);
         let has_time_left = at + RETURN_MARGIN_MS < self.deadline;
         if has_time_left && self.may_retry() && self.state.try_take_retry(&self.service, at) {
@@ -273,8 +294,7 @@
             let connection = match OpenConnection::open(selected.server.address).await {
                 Ok(connection) => connection,
                 Err(e) => {
-                    drop(selected);
-                    self.handle_error(&server, e).await?;
+                    self.handle_error(selected, e).await?;
                     continue;
                 }
             };
@@ -318,16 +338,21 @@
                 }
                 Err(_) => AttemptError::Unknown("no answer in time".to_owned()),
             };
-            drop(selected);
-            self.handle_error(&server, error).await?;
+            self.handle_error(selected, error).await?;
         }
     }
 
-    async fn handle_error(&mut self, server: &str, error: AttemptError) -> Result<(), Failure> {
+    async fn handle_error(&mut self, selected: SelectedServer, error: AttemptError) -> Result<(), Failure> {
         let at = now();
         let why = error.to_string();
+        let SelectedServer {
+            server: selected,
+            guard,
+        } = selected;
+        drop(guard);
+        let server = selected.id.as_str();
         match error {
-            AttemptError::Unknown(why) => return self.handle_lost_answer(server, &why),
+            AttemptError::Unknown(why) => return self.handle_lost_answer(&selected, None, &why),
             AttemptError::NotSent(_) => self.record_failure(server, &why),
             AttemptError::NotRun | AttemptError::Misdirected => {
                 self.may_have_run.pop();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod breakage;
 pub mod caller_stream;
 pub mod changes;
 pub mod client;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -4,6 +4,8 @@
 //! server within the same answer, where its route allows that. Otherwise the answer is aborted, so that it does not
 //! look complete.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use guava_core::events::Event;
 use guava_core::units::Millis;
@@ -81,16 +83,18 @@
     let mut progress = Progress::default();
     loop {
         progress.parts += 1;
-        let server = selected.server.id.clone();
+        let server = Arc::clone(&selected.server);
+        let begun = incoming.begun;
         let end = relay_part(&dispatch, incoming, &mut splitter, &mut progress, &tx).await;
         drop(selected);
         match end {
             PartEnd::Complete => {
-                dispatch.state().health.lock().record_success(now(), &server);
+                dispatch.state().health.lock().record_success(now(), &server.id);
                 log_event!(
                     Event::RequestFinished,
                     dispatch.id(),
-                    "stream complete server={server} route={} model={} first_ms={} longest_gap_ms={} parts={} after_ms={}",
+                    "stream complete server={} route={} model={} first_ms={} longest_gap_ms={} parts={} after_ms={}",
+                    server.id,
                     dispatch.route().name,
                     dispatch.model(),
                     progress.first.map_or(0, |it| it.since(dispatch.arrived())),
@@ -101,19 +105,20 @@
                 return;
             }
             PartEnd::CallerLeft => {
-                log_event!(Event::CallerLeft, dispatch.id(), "server={server}");
+                log_event!(Event::CallerLeft, dispatch.id(), "server={}", server.id);
                 return;
             }
             PartEnd::DeadlinePassed => {
                 log_event!(
                     Event::RequestFailed,
                     dispatch.id(),
-                    "server={server} why=deadline passed in the stream"
+                    "server={} why=deadline passed in the stream",
+                    server.id
                 );
                 return abort(&tx).await;
             }
             PartEnd::Interrupted(why) => {
-                if dispatch.handle_lost_answer(&server, &why).is_err() {
+                if dispatch.handle_lost_answer(&server, Some(begun), &why).is_err() {
                     return abort(&tx).await;
                 }
             }
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -22,7 +22,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 35] = [
+const EVENTS: [(&str, &str, &[&str]); 36] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -60,6 +60,11 @@
     ),
     ("E2016", "EngineState", &["server", "orders", "held"]),
     ("E2017", "CoordinatorChanged", &["coordinator", "term"]),
+    (
+        "E2018",
+        "AttemptBroken",
+        &["server", "begun_ms", "listening", "leaving", "took_ms", "parts", "why"],
+    ),
     ("E4001", "ProcessStarted", &["incarnation", "zone"]),
     ("E4002", "ProcessReady", &["config_version", "servers", "source_age_ms"]),
     ("E4003", "ShutdownStarted", &["connections"]),
@@ -157,7 +162,9 @@
         send(address, call(&format!("lost-{index}"), BOOKING_PATH)).await;
         send(address, call(&format!("repeated-{index}"), LOOKUP_PATH)).await;
     }
-    set_server_faults(&fleet.backends[ENGINE_COUNT..], ServerFaults::default());
+    set_server_faults(&fleet.backends[..ENGINE_COUNT], cut_answers);
+    send(address, call("broken", STREAM_PATH)).await;
+    set_server_faults(&fleet.backends, ServerFaults::default());
     let abandoned = Call {
         model: Some("m13".to_owned()),
         ..call("left", STREAM_PATH)
