Show with a failing test that a prompt part crashes one engine after the other

The test runs four real entry processes before six engines of the stand-in that crash on such a part and start again after 1.5 s, undisturbed, with one VM cut off from the store, with all processes restarted in turn and at once. Requests with the part share their organisation, model and other parts with sound ones. The bounds are those of the platform: at most three such requests reach engines from 3 s after the fifth crash, and sound requests are served at least half as often from 6 s after.

--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use guava_platform_standin::caller::{Call, Finished, send};
+use guava_platform_standin::caller::{ANY_PROMPT, Call, Finished, send};
 use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, REPORT_PATH, STREAM_PATH};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -71,6 +71,7 @@
             path,
             key: self.keys[rng.random_range(0..self.keys.len())].clone(),
             model,
+            prompt: ANY_PROMPT.to_owned(),
             deadline: Duration::from_millis(deadline),
         }
     }
--- /dev/null
+++ b/crates/soak/tests/crashing_part.rs
@@ -0,0 +1,175 @@
+//! A part of a prompt that crashes engines, against the entry processes themselves.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use guava_platform_standin::caller::{Call, Finished, Outcome, is_ready, send};
+use guava_platform_standin::crashing::{CrashingEngine, CrashingPart};
+use guava_platform_standin::server::ServerSpec;
+use guava_platform_standin::settings::{ENGINE_SERVICE, STREAM_PATH};
+use guava_soak::fleet::{ENGINE_COUNT, Fleet, VM_COUNT};
+use guava_soak::proxy::Link;
+use rstest::rstest;
+use rustix::process::Signal;
+use support::{call, dir, keys, program};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// Number of engines, all of which hold the model of the requests.
+const ENGINES: usize = 6;
+/// Part that crashes engines.
+const BAD_PART: &str = "bad0";
+/// Time within which what one VM has seen must bind all others.
+const STABLE: Duration = Duration::from_secs(3);
+/// Crashes from which on that time counts.
+const CRASHES_TO_LEARN: usize = 5;
+/// Requests with the part that may still reach engines after that time, over all VMs.
+const MAX_LATE: usize = 3;
+/// Time for which only sound requests are sent.
+const BEFORE: Duration = Duration::from_secs(3);
+/// Time for which requests with the part are sent as well.
+const DURING: Duration = Duration::from_secs(16);
+/// Pause between two requests of the same kind.
+const PAUSE: Duration = Duration::from_millis(70);
+
+/// What happens to the entry processes while requests with the part are sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Disruption {
+    None,
+    /// The store answers one VM no more.
+    StoreCut,
+    /// All processes are killed and started again in turn.
+    Restarts,
+    /// All processes are killed at once and started again.
+    RestartOfAll,
+}
+
+/// Replaces the fleet's engines by ones that crash on a part, reached without a proxy: a proxy accepts connections
+/// for an engine that has crashed.
+async fn start_engines(fleet: &mut Fleet, part: &CrashingPart) -> Vec<CrashingEngine> {
+    for backend in &mut fleet.backends[..ENGINE_COUNT] {
+        backend.server.take().expect("the engine is running").shut_down();
+    }
+    let mut engines = Vec::new();
+    for index in 0..ENGINES {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        drop(listener);
+        let spec = ServerSpec {
+            id: format!("engine-{index}"),
+            service: ENGINE_SERVICE.to_owned(),
+            zone: "caerdydd".to_owned(),
+            models: Some(vec!["m1".to_owned()]),
+        };
+        let (store, record) = (fleet.store.clone(), fleet.record.clone());
+        engines.push(CrashingEngine::start(spec, address, store, record, part.clone()));
+    }
+    engines
+}
+
+/// Requests of one kind, sent to the VMs in turn until the time is over.
+fn send_requests(fleet: &Fleet, name: &'static str, shared: &'static str, time: Duration) -> JoinHandle<Vec<Finished>> {
+    let addresses: Vec<_> = fleet.processes.iter().map(|it| it.vm.callers).collect();
+    tokio::spawn(async move {
+        let started = Instant::now();
+        let mut running = Vec::new();
+        while started.elapsed() < time {
+            let number = running.len();
+            let request = Call {
+                prompt: format!("a1:100,c{}:50,{shared}e{number:x}:10", number % 5),
+                ..call(&format!("{name}-{number}"), STREAM_PATH)
+            };
+            running.push(tokio::spawn(send(addresses[number % addresses.len()], request)));
+            sleep(PAUSE).await;
+        }
+        let mut finished = Vec::new();
+        for request in running {
+            finished.push(request.await.expect("the caller's task ends"));
+        }
+        finished
+    })
+}
+
+async fn disrupt(fleet: &mut Fleet, disruption: Disruption) {
+    match disruption {
+        Disruption::None | Disruption::StoreCut => {}
+        Disruption::Restarts => {
+            for index in 0..VM_COUNT {
+                restart(fleet, &[index]).await;
+                sleep(Duration::from_millis(700)).await;
+            }
+        }
+        Disruption::RestartOfAll => restart(fleet, &[0, 1, 2, 3]).await,
+    }
+}
+
+async fn restart(fleet: &mut Fleet, processes: &[usize]) {
+    for index in processes {
+        fleet.processes[*index].signal(Signal::KILL);
+    }
+    for index in processes {
+        fleet.processes[*index].wait().await;
+        fleet.processes[*index].start().expect("the program starts");
+    }
+    for index in processes {
+        while !is_ready(fleet.processes[*index].vm.readiness).await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+fn served_fraction<'a>(finished: impl IntoIterator<Item = &'a Finished>) -> f64 {
+    let outcomes: Vec<bool> = finished.into_iter().map(|it| it.outcome == Outcome::Served).collect();
+    outcomes.iter().filter(|it| **it).count() as f64 / outcomes.len().max(1) as f64
+}
+
+/// Guards against requests with a part that crashes engines being sent to one engine after the other.
+#[rstest]
+#[case::undisturbed(Disruption::None)]
+#[case::one_vm_cut_from_the_store(Disruption::StoreCut)]
+#[case::restarts_in_turn(Disruption::Restarts)]
+#[case::restart_of_all(Disruption::RestartOfAll)]
+#[tokio::test(flavor = "multi_thread")]
+async fn part_that_crashes_engines_is_refused_everywhere(#[case] disruption: Disruption) {
+    let dir = dir(&format!("crashing-{disruption:?}"));
+    let mut fleet = Fleet::start(&program(), &dir, &keys()).await.expect("the fleet starts");
+    let part = CrashingPart::default();
+    let _engines = start_engines(&mut fleet, &part).await;
+    sleep(Duration::from_secs(3)).await;
+    if disruption == Disruption::StoreCut {
+        fleet.processes[1].store_link.set(Link::Silent);
+    }
+    part.set(Some(BAD_PART));
+
+    let before = send_requests(&fleet, "before", "", BEFORE).await.expect("it ends");
+    let sound = send_requests(&fleet, "sound", "", DURING);
+    let bad = send_requests(&fleet, "bad", "bad0:20,", DURING);
+    sleep(Duration::from_secs(5)).await;
+    disrupt(&mut fleet, disruption).await;
+    let (sound, bad) = (sound.await.expect("it ends"), bad.await.expect("it ends"));
+
+    let crashes = part.crashes();
+    let learnt_at = crashes
+        .get(CRASHES_TO_LEARN - 1)
+        .map_or_else(Instant::now, |it| *it + STABLE);
+    let runs = fleet.record.runs();
+    let late: Vec<&str> = runs
+        .iter()
+        .filter(|it| it.attempt.starts_with("bad-") && it.at > learnt_at)
+        .map(|it| it.attempt.as_str())
+        .collect();
+    let last_counted = *crashes
+        .get(CRASHES_TO_LEARN - 1)
+        .or(crashes.last())
+        .expect("an engine crashed");
+    let settled = sound.iter().filter(|it| it.at > last_counted + 2 * STABLE);
+    let (served, usual) = (served_fraction(settled), served_fraction(&before));
+    assert!(late.len() <= MAX_LATE, "{} crashes, late: {late:?}", crashes.len());
+    assert!(
+        served >= usual / 2.0,
+        "{served} of the sound requests were served, {usual} before"
+    );
+    assert!(bad.iter().all(|it| it.outcome != Outcome::Served));
+}
--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use guava_platform_standin::caller::Call;
+use guava_platform_standin::caller::{ANY_PROMPT, Call};
 use guava_platform_standin::settings::STREAM_PATH;
 
 /// Returns the path of the entry process, which `cargo build --bins` places in the parent of the tests' directory.
@@ -40,6 +40,7 @@
         path,
         key: "key-1".to_owned(),
         model: (path == STREAM_PATH).then(|| "m1".to_owned()),
+        prompt: ANY_PROMPT.to_owned(),
         deadline: Duration::from_secs(10),
     }
 }
