Refuse requests with a prompt part that crashes engines, at all VMs

Cause: nothing connected a crash with the requests that ran on the engine, so each such request, and each of its retries, reached another engine. It is the class of faults in which what one VM sees must bind all VMs.

Change: attempts that a crash broke off (suspects) and answers that ran on (proofs) are pushed to all VMs; each condemns, by the same rule, the parts that only suspects name, and refuses requests with them (G1208, 503, not run). Verdicts are narrowed and lifted by proofs, tried again by one VM after 20 s and then 8 times later each time, and end when unused. The gossip brings them to VMs that were cut off or restarted, and the coordinator keeps a copy in the store.

--- a/crates/entry/src/breakage.rs
+++ b/crates/entry/src/breakage.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use guava_core::events::Event;
+use guava_core::rendezvous;
 use guava_core::units::Millis;
+use guava_fleet::crashes::{PROOF_AFTER_MS, Suspect};
 use guava_fleet::model::BackendServer;
 use tokio::net::TcpStream;
 
@@ -54,8 +56,7 @@
     pub why: String,
 }
 
-/// Finds out whether the server of a broken attempt still accepts connections, and logs the attempt. Does not wait for
-/// the result. Without effect for services whose requests have no prompts.
+/// Finds out whether the server of a broken attempt has crashed, and records the attempt. Does not wait for the result. Without effect for services whose requests have no prompts.
 pub fn examine(state: &Arc<EntryState>, inbound: &Arc<Inbound>, broken: BrokenAttempt) {
     if inbound.caller.model.is_none() {
         return;
@@ -65,9 +66,35 @@
         let is_leaving = !state.accepts_requests(&broken.server);
         let listening = probe(broken.server.address).await;
         log_broken(&inbound, &broken, listening, is_leaving);
+        if listening == Listening::Refused && !is_leaving {
+            record_suspect(&state, &inbound, &broken);
+        }
     });
 }
 
+/// Records the crash, and the attempt as one that may have caused it unless its answer had run on.
+fn record_suspect(state: &EntryState, inbound: &Inbound, broken: &BrokenAttempt) {
+    let caller = &inbound.caller;
+    let is_proof = broken.begun.is_some_and(|it| broken.at.since(it) >= PROOF_AFTER_MS);
+    let parts = if is_proof {
+        Vec::new()
+    } else {
+        caller.shared_prompt_parts.clone()
+    };
+    let at = now();
+    let suspect = Suspect {
+        server: broken.server.id.clone(),
+        born_ms: broken.server.born_ms,
+        request: rendezvous::weight(&caller.attempt_id, ""),
+        parts,
+        has_begun: broken.begun.is_some(),
+        age_ms: at.since(broken.at),
+    };
+    if state.findings.record_suspect(at, suspect) {
+        state.signal_change();
+    }
+}
+
 async fn probe(address: SocketAddr) -> Listening {
     match tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(_)) => Listening::Yes,
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -23,7 +23,7 @@
 use crate::peers::{self, PaceRequest};
 use crate::relay;
 use crate::reply::{Body, Failure, forwarded_response, full_body};
-use crate::request::{DEFAULT_RETRY_AFTER, Inbound, Resolved, resolve};
+use crate::request::{DEFAULT_RETRY_AFTER, Inbound, Resolved, check_prompt, resolve};
 use crate::state::{EntryState, RunningGuard, now, until};
 
 /// Largest number of refusals by servers after which the request is still sent again; one more, and it is refused here.
@@ -101,13 +101,21 @@
     /// Servers that may have run the request.
     may_have_run: Vec<String>,
     refusals: u32,
+    /// Whether the request finds out if its prompt still crashes servers. It is sent once.
+    is_trial: bool,
     /// Earlier of the caller's deadline and the route's timeout.
     deadline: Millis,
 }
 
 impl Dispatch {
     /// Prepares the dispatch of an admitted request.
-    pub fn new(state: Arc<EntryState>, inbound: Arc<Inbound>, resolved: Resolved, service: String) -> Self {
+    pub fn new(
+        state: Arc<EntryState>,
+        inbound: Arc<Inbound>,
+        resolved: Resolved,
+        service: String,
+        is_trial: bool,
+    ) -> Self {
         let allowed = inbound.caller.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
         let allowed = allowed.min(resolved.route.timeout_ms);
         Self {
@@ -118,6 +126,7 @@
             resolved,
             may_have_run: Vec::new(),
             refusals: 0,
+            is_trial,
         }
     }
 
@@ -219,6 +228,9 @@
             self.record_failure(&server, format_args!("status {status}"));
         } else {
             self.state.health.lock().record_success(now(), &server);
+            if incoming.status.is_success() {
+                self.record_proof(begun);
+            }
         }
         let answer = forwarded_response(incoming.status, &incoming.headers, full_body(body));
         let elapsed_ms = now().since(self.inbound.arrived);
@@ -250,6 +262,7 @@
         why: &str,
     ) -> Result<(), Failure> {
         let at = now();
+        self.is_trial = false;
         let broken = BrokenAttempt {
             server: Arc::clone(server),
             begun,
@@ -324,7 +337,11 @@
             );
             self.may_have_run.push(server.clone());
             let sending = connection.send(outgoing, &self.inbound.caller.attempt_id);
-            let outcome = tokio::time::timeout(self.head_timeout(), sending).await;
+            let outcome = tokio::select! {
+                outcome = tokio::time::timeout(self.head_timeout(), sending) => outcome,
+                // Closing the connection makes the server drop the request, which may not have begun there.
+                failure = self.prompt_failure() => return Err(failure),
+            };
             let error = match outcome {
                 Ok(Ok(incoming)) => return Ok((selected, incoming)),
                 Ok(Err(e)) => e,
@@ -342,6 +359,29 @@
         }
     }
 
+    /// Returns when a part of the request's prompt turns out to crash servers.
+    async fn prompt_failure(&self) -> Failure {
+        let mut changes = self.state.subscribe();
+        loop {
+            if !self.is_trial
+                && let Err(failure) = check_prompt(&self.state, &self.inbound)
+            {
+                return failure;
+            }
+            if changes.changed().await.is_err() {
+                return Failure::not_run(Code::Stopping);
+            }
+        }
+    }
+
+    /// Records that the server survived an answer to the request that began at `begun`.
+    pub fn record_proof(&self, begun: Millis) {
+        let parts = &self.inbound.caller.shared_prompt_parts;
+        if !parts.is_empty() && self.state.findings.record_proof(now(), parts, begun) {
+            self.state.signal_change();
+        }
+    }
+
     async fn handle_error(&mut self, selected: SelectedServer, error: AttemptError) -> Result<(), Failure> {
         let at = now();
         let why = error.to_string();
@@ -381,10 +421,13 @@
         left.min(Duration::from_millis(objective.max(HEAD_TIMEOUT_MIN_MS)))
     }
 
-    /// Applies the configuration in force to the request: a withdrawn key or a removed route also applies to requests
-    /// that were admitted before.
+    /// Applies what is in force now to the request: a withdrawn key, a removed route and a verdict on its prompt also
+    /// apply to requests that were admitted before.
     fn resolve_again(&mut self) -> Result<(), Failure> {
         self.resolved = resolve(&self.state, &self.inbound)?;
+        if !self.is_trial {
+            self.is_trial = check_prompt(&self.state, &self.inbound)?;
+        }
         if !self.resolved.route.targets.iter().any(|(it, _)| *it == self.service) {
             draw_service(&self.resolved.route, &mut rand::rng()).clone_into(&mut self.service);
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod coordinator;
 pub mod dispatch;
 pub mod feed;
+pub mod findings;
 pub mod listeners;
 pub mod logging;
 pub mod metrics;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -143,6 +143,11 @@
     gauge("guava_requests_running", "Requests that run at backend servers", |it| {
         it.running_requests()
     });
+    gauge(
+        "guava_condemned_prompts",
+        "Parts of prompts, or combinations of them, whose requests are refused because they crash backend servers",
+        |it| it.findings.verdict_count(),
+    );
     gauge(
         "guava_log_lines_dropped",
         "Log lines dropped because their reader was slow",
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,7 +3,8 @@
 //! `exchange` gossips members, configuration, servers and the coordinator, so that a VM that cannot reach the store
 //! receives them as well. `feed` passes on changes as they occur (see [`crate::feed`]). `report` sends waiting and
 //! running requests to the coordinator. `quota` takes tokens from the coordinator's share of an organisation's rate
-//! limit, `pace` reserves time on an engine for a prompt, and `resign` announces the end of a coordinator's term. All
+//! limit, `pace` reserves time on an engine for a prompt, `findings` pushes news of prompts that crash backend servers
+//! (see [`crate::findings`]), and `resign` announces the end of a coordinator's term. All
 //! messages may be repeated safely: they replace earlier values, and a lost answer to `quota` or `pace` only wastes
 //! tokens.
 
@@ -15,6 +16,7 @@
 use bytes::Bytes;
 use guava_core::derive_value;
 use guava_core::events::Event;
+use guava_fleet::crashes::CrashFindings;
 use guava_fleet::health::{Outcomes, SharedFailure};
 use guava_fleet::model::{BackendServer, Configuration};
 use guava_fleet::placement::{Demand, OrderAges, Running, Wait};
@@ -78,6 +80,8 @@
         pub wants_servers: bool,
         /// Age of the sender's view of the store in milliseconds.
         pub age_ms: u64,
+        /// Prompts that crash backend servers, with the open evidence.
+        pub findings: CrashFindings,
     }
 
     /// Regular report of a VM to the coordinator.
@@ -197,6 +201,10 @@
         "feed" => encode(&feed::answer(state, &decode(body)?).await),
         "resign" => encode(&coordinator.handle_resignation(decode(body)?)),
         "coordinator" => encode(&state.record_coordinator(decode(body)?)),
+        "findings" => {
+            state.apply_findings(decode(body)?);
+            encode(&true)
+        }
         "pace" => encode(&state.reserve_pace(&decode(body)?)),
         "quota" => encode(&coordinator.handle_quota_request(&decode(body)?)),
         _ => return None,
@@ -233,6 +241,7 @@
         servers: None,
         wants_servers: state.source_age_ms(at) > STORE_STALE_MS,
         age_ms: state.source_age_ms(at),
+        findings: state.findings.summary(at),
     }
 }
 
@@ -260,6 +269,7 @@
     if let Some(hint) = received.coordinator {
         state.record_coordinator(hint);
     }
+    state.apply_findings(received.findings);
     let may_use = state.may_use_view(received.age_ms, at);
     if let Some(config) = received.config.filter(|_| may_use) {
         state.apply_config(config, "peer");
@@ -356,7 +366,7 @@
 
 /// Asks the VM that paces an engine when a prompt may be sent; `None` if it does not answer in time.
 pub async fn request_pace(state: &EntryState, request: &PaceRequest) -> Option<PaceAnswer> {
-    match state.pacing_vm(&request.engine) {
+    match state.assigned_vm(&request.engine) {
         None => Some(state.reserve_pace(request)),
         Some(address) => {
             let answer = call(state, address, "pace", request, PACE_TIMEOUT).await;
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -13,6 +13,7 @@
 use crate::client::Clients;
 use crate::coordinator::Coordinator;
 use crate::feed;
+use crate::findings;
 use crate::listeners::{self, Connections, listen};
 use crate::log_event;
 use crate::metrics;
@@ -137,6 +138,13 @@
     let own = handles();
     tokio::spawn(supervise("gossip", move || peers::run_gossip(own().0)));
     let own = handles();
+    tokio::spawn(supervise("push of findings", move || findings::push_news(own().0)));
+    let own = handles();
+    tokio::spawn(supervise("copy of the verdicts", move || {
+        let (state, coordinator) = own();
+        findings::keep_copy(state, coordinator)
+    }));
+    let own = handles();
     tokio::spawn(supervise("registration", move || store_watch::register(own().0)));
     let own = handles();
     tokio::spawn(supervise("removal of expired servers", move || {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use guava_core::events::Event;
 use guava_core::units::Millis;
+use guava_fleet::crashes::PROOF_AFTER_MS;
 use guava_fleet::events::{Splitter, has_data};
 use http::Response;
 use http_body::Frame;
@@ -144,9 +145,14 @@
     tx: &FrameSender,
 ) -> PartEnd {
     let IncomingAnswer {
-        mut body, connection, ..
+        mut body,
+        connection,
+        begun,
+        ..
     } = incoming;
     let mut last_data_at = now();
+    let mut has_events = false;
+    let mut is_proven = false;
     loop {
         let stalled_at = last_data_at + silence_timeout_ms(dispatch);
         let next = tokio::select! {
@@ -161,6 +167,9 @@
             Some(Some(Err(e))) => return PartEnd::Interrupted(e.to_string()),
             Some(None) if splitter.rest().is_empty() => {
                 drop(connection);
+                if has_events && !is_proven {
+                    dispatch.record_proof(begun);
+                }
                 return PartEnd::Complete;
             }
             Some(None) => return PartEnd::Interrupted("stream ended within an event".to_owned()),
@@ -175,6 +184,11 @@
         // on even if this process was held up beyond the time limit.
         if has_data(&events) {
             last_data_at = at;
+            has_events = true;
+            if !is_proven && at.since(begun) >= PROOF_AFTER_MS {
+                is_proven = true;
+                dispatch.record_proof(begun);
+            }
         } else if at >= stalled_at {
             return stalled(at.since(last_data_at));
         }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -7,6 +7,7 @@
 use guava_core::codes::{Code, Run};
 use guava_core::events::Event;
 use guava_core::units::Millis;
+use guava_fleet::crashes::Decision;
 use guava_fleet::model::{Organisation, Route};
 use guava_fleet::routes::{ActiveConfig, draw_service};
 use guava_platform::headers::{self, CallerHeaders};
@@ -24,6 +25,9 @@
 /// Retry time sent to a caller when no better estimate is available.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Retry time sent to a caller whose prompt crashes backend servers. An engine is not mended within seconds.
+const HARMFUL_RETRY_AFTER: Duration = Duration::from_mins(1);
+
 /// Longest time, in milliseconds, for which a request waits for the first configuration; half of its deadline if that is
 /// shorter.
 const MAX_START_WAIT_MS: u64 = 2_000;
@@ -145,10 +149,11 @@
     }
     wait_for_config(state, &inbound).await;
     let resolved = resolve(state, &inbound)?;
+    let is_trial = check_prompt(state, &inbound)?;
     let service = draw_service(&resolved.route, &mut rand::rng()).to_owned();
     let taken = admit(state, &inbound, &resolved).await?;
     state.record_request(&service, now());
-    let dispatch = Dispatch::new(Arc::clone(state), Arc::clone(&inbound), resolved, service);
+    let dispatch = Dispatch::new(Arc::clone(state), Arc::clone(&inbound), resolved, service, is_trial);
     let answer = dispatch.run().await;
     if let Err(failure) = &answer
         && failure.run == Run::NotRun
@@ -158,6 +163,32 @@
     answer
 }
 
+/// Checks that no part of the request's prompt is known to crash backend servers. Returns whether the request is let
+/// through to find out whether such a part still does.
+///
+/// # Errors
+///
+/// Fails if a part is, and the request is to be refused.
+pub fn check_prompt(state: &EntryState, inbound: &Inbound) -> Result<bool, Failure> {
+    let caller = &inbound.caller;
+    if caller.shared_prompt_parts.is_empty() {
+        return Ok(false);
+    }
+    match state.check_prompt(&caller.shared_prompt_parts) {
+        Decision::Serve => Ok(false),
+        Decision::Try => Ok(true),
+        Decision::Refuse { parts, age_ms } => {
+            log_event!(
+                Event::PromptRefused,
+                &caller.attempt_id,
+                "parts={} condemned_ms_ago={age_ms}",
+                parts.join(",")
+            );
+            Err(Failure::not_run(Code::HarmfulPrompt).retry_after(HARMFUL_RETRY_AFTER))
+        }
+    }
+}
+
 /// Waits for the first configuration after the start of the process. When all processes have been restarted, a caller
 /// that is refused would be refused by the other VMs too.
 async fn wait_for_config(state: &EntryState, inbound: &Inbound) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,6 +11,7 @@
 use guava_core::rendezvous;
 use guava_core::units::Millis;
 use guava_fleet::budget::{BudgetLimits, RetryBudget};
+use guava_fleet::crashes::{CrashFindings, Decision};
 use guava_fleet::health::{Health, SharedFailure};
 use guava_fleet::model::{BackendServer, Configuration, ServerState};
 use guava_fleet::pacing::Pacer;
@@ -29,6 +30,7 @@
 use crate::client::{Clients, StoreClient};
 use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS, STORE_OUTAGE_MS};
 use crate::feed::{Applied, FeedAnswer, FeedQuery};
+use crate::findings::Findings;
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{PaceAnswer, PaceRequest};
@@ -176,6 +178,8 @@
     pacer: Mutex<Pacer>,
     /// Health of backend servers as this VM observes it, with failures reported by others.
     pub health: Mutex<Health>,
+    /// Prompts that crash backend servers, as far as any VM has found out.
+    pub findings: Findings,
     /// Notified when the coordinator should receive a report at once.
     pub demand_changed: Notify,
     /// Notified when the list of members has been read from the store.
@@ -202,6 +206,7 @@
             quota: Mutex::default(),
             pacer: Mutex::default(),
             health: Mutex::default(),
+            findings: Findings::default(),
             demand_changed: Notify::new(),
             members_listed: Notify::new(),
             budgets: Mutex::default(),
@@ -258,7 +263,8 @@
         self.changes.subscribe()
     }
 
-    fn signal_change(&self) {
+    /// Notifies the receivers of [`Self::subscribe`].
+    pub fn signal_change(&self) {
         self.changes.send_modify(|it| *it += 1);
     }
 
@@ -630,14 +636,27 @@
         }
     }
 
-    /// Address of the VM that paces an engine; `None` if it is this VM.
-    pub fn pacing_vm(&self, engine: &str) -> Option<SocketAddr> {
+    /// Address of the live VM to which a key is assigned, such as an engine that it paces; `None` if it is this VM.
+    pub fn assigned_vm(&self, key: &str) -> Option<SocketAddr> {
         let at = now();
         let view = self.view.lock();
         let live = view.members.values().filter(|it| it.is_live(at));
-        let best = live.max_by_key(|it| rendezvous::weight(engine, &it.member.vm))?;
-        let own = rendezvous::weight(engine, &self.settings.vm);
-        (rendezvous::weight(engine, &best.member.vm) > own).then_some(best.member.address)
+        let best = live.max_by_key(|it| rendezvous::weight(key, &it.member.vm))?;
+        let own = rendezvous::weight(key, &self.settings.vm);
+        (rendezvous::weight(key, &best.member.vm) > own).then_some(best.member.address)
+    }
+
+    /// Decides on a request by the shared parts of its prompt.
+    pub fn check_prompt(&self, parts: &[String]) -> Decision {
+        self.findings
+            .check(now(), parts, |part| self.assigned_vm(part).is_none())
+    }
+
+    /// Applies what another process has found out about prompts.
+    pub fn apply_findings(&self, findings: CrashFindings) {
+        if self.findings.merge(now(), findings) {
+            self.signal_change();
+        }
     }
 
     /// Takes one retry from the budget of a service. Returns whether the budget allows it.
@@ -751,6 +770,17 @@
         others.choose(&mut rand::rng())
     }
 
+    /// Addresses of `count` live processes selected at random, or of all if there are at most `all_up_to`.
+    pub fn random_peers(&self, count: usize, all_up_to: usize, now: Millis) -> Vec<SocketAddr> {
+        let view = self.view.lock();
+        let live = view.members.values().filter(|it| it.is_live(now));
+        let addresses: Vec<SocketAddr> = live.map(|it| it.member.address).collect();
+        if addresses.len() <= all_up_to {
+            return addresses;
+        }
+        addresses.into_iter().choose_multiple(&mut rand::rng(), count)
+    }
+
     /// Last known coordinator.
     pub fn coordinator(&self) -> Option<CoordinatorHint> {
         self.view.lock().coordinator.clone()
--- /dev/null
+++ b/crates/fleet/tests/crashes.rs
@@ -0,0 +1,343 @@
+//! Tests of the verdicts on parts of prompts that crash backend servers: single decisions, and fleets of 6, 60 and 300 VMs
+//! in virtual time.
+
+mod crash_load;
+
+use crash_load::{BAD_PART, Day, Outcome, play};
+use guava_core::units::Millis;
+use guava_fleet::crashes::{Change, CrashFindings, Crashes, Decision, Proof, Suspect, Verdict};
+use rstest::rstest;
+
+/// Engines of fleets with these numbers of VMs, and the time within which they must have learnt, in milliseconds.
+const FLEETS: [(usize, usize, u64); 3] = [(6, 9, 3_000), (60, 60, 4_000), (300, 160, 5_000)];
+/// Requests with the part that may reach engines after that time.
+const MAX_LATE: usize = 3;
+const START: Millis = Millis(10_000_000);
+
+fn days(change: impl Fn(&mut Day)) -> Vec<(Day, u64)> {
+    let fleets = FLEETS
+        .iter()
+        .flat_map(|fleet| (1..=if fleet.0 < 100 { 3 } else { 1 }).map(move |seed| (*fleet, seed)));
+    fleets
+        .map(|((vms, engines, stable_ms), seed)| {
+            let mut day = Day::new(seed, vms, engines);
+            change(&mut day);
+            (day, stable_ms)
+        })
+        .collect()
+}
+
+fn assert_learnt(day: &Day, outcome: &Outcome, stable_ms: u64) {
+    let late = outcome.late(stable_ms);
+    let crashes = outcome.crashes.len();
+    let day = format!("seed {} with {} VMs", day.seed, day.vms);
+    assert!(crashes >= 3, "{day}: the part crashed {crashes} engines");
+    assert!(late <= MAX_LATE, "{day}: {late} late, {crashes} crashes");
+    assert_eq!(
+        outcome.sound_refused,
+        Vec::<u64>::new(),
+        "{day}: {:?}",
+        outcome.condemned
+    );
+}
+
+/// Guards against requests with a part that crashes engines being sent to one engine after the other.
+#[test]
+fn part_that_crashes_engines_is_condemned_by_all_vms() {
+    for (day, stable_ms) in days(|_| {}) {
+        let outcome = play(day.clone());
+
+        assert_learnt(&day, &outcome, stable_ms);
+    }
+}
+
+/// The same while a part of the VMs exchanges no messages, from the time at which they do again.
+#[test]
+fn vms_that_were_cut_off_learn_from_the_others() {
+    for (day, stable_ms) in days(|day| day.cut = Some((day.vms / 4, 0, 6_000))) {
+        let outcome = play(day.clone());
+
+        let late = outcome.bad_sent.iter().filter(|it| **it > 6_000 + stable_ms).count();
+        assert!(late <= MAX_LATE, "seed {} with {} VMs: {late}", day.seed, day.vms);
+    }
+}
+
+/// Guards against a VM that is cut off, and so sees few crashes, condemning a sound part.
+#[test]
+fn vms_that_were_cut_off_condemn_no_sound_part() {
+    for (day, _) in days(|day| day.cut = Some((day.vms / 4, 0, 6_000))) {
+        let outcome = play(day.clone());
+
+        let refused = outcome.sound_refused.len();
+        assert_eq!(
+            refused, 0,
+            "seed {} with {} VMs: {:?}",
+            day.seed, day.vms, outcome.condemned
+        );
+    }
+}
+
+/// The same while VMs start again and know nothing.
+#[test]
+fn restarted_vms_learn_from_the_others() {
+    let change = |day: &mut Day| day.restarts = (0..8).map(|it| (3_000 + it * 1_500, day.vms / 3)).collect();
+    for (day, stable_ms) in days(change) {
+        let outcome = play(day.clone());
+
+        assert_learnt(&day, &outcome, stable_ms);
+    }
+}
+
+/// Guards against a part in use being spared for long after it has turned harmful, for example with a new version of the
+/// engines.
+#[test]
+fn part_in_use_is_condemned_when_it_turns_harmful() {
+    for (day, stable_ms) in days(|day| day.is_used_before = true) {
+        let outcome = play(day.clone());
+
+        assert_learnt(&day, &outcome, stable_ms);
+    }
+}
+
+/// Guards against news that is passed round for ever once more suspects have come than are kept.
+#[test]
+fn news_dies_out() {
+    let mut day = Day::new(1, 60, 60);
+    day.bad_rate = 0.0;
+    day.other_crashes = vec![(1_500, 60)];
+    let messages = |length_ms| {
+        play(Day {
+            length_ms,
+            ..day.clone()
+        })
+        .messages
+    };
+
+    let (before, after) = (messages(3_000), messages(4_000));
+
+    // A second of exchanges, each with an answer.
+    assert!(after - before <= 2 * 60, "{} messages in a second", after - before);
+}
+
+/// Guards against sound requests being refused because engines crash for another reason: one after the other, and many at
+/// once.
+#[rstest]
+#[case::one_after_the_other(|_| 1)]
+#[case::a_third_at_once(|engines| engines / 3)]
+#[case::all_at_once(|engines| engines)]
+fn other_crashes_condemn_nothing(#[case] count: fn(usize) -> usize) {
+    let change = |day: &mut Day| {
+        day.bad_rate = 0.0;
+        let pause = if count(day.engines) == 1 { 1_000 } else { 4_000 };
+        day.other_crashes = (0..15).map(|it| (1_500 + it * pause, count(day.engines))).collect();
+    };
+    for (day, _) in days(change) {
+        let outcome = play(day.clone());
+
+        assert!(
+            outcome.condemned.is_empty(),
+            "seed {} with {} VMs: {:?}",
+            day.seed,
+            day.vms,
+            outcome.condemned
+        );
+    }
+}
+
+/// Guards against sound parts being condemned with the harmful one while engines crash for other reasons as well.
+#[test]
+fn only_the_harmful_part_is_condemned_among_other_crashes() {
+    for (day, stable_ms) in
+        days(|day| day.other_crashes = (0..20).map(|it| (1_000 + it * 700, day.engines / 9)).collect())
+    {
+        let outcome = play(day.clone());
+
+        assert_learnt(&day, &outcome, stable_ms);
+        let others = outcome
+            .condemned
+            .iter()
+            .filter(|it| !it.iter().any(|part| part == BAD_PART));
+        assert_eq!(others.count(), 0, "{:?}", outcome.condemned);
+    }
+}
+
+fn suspect(server: usize, request: u64, parts: &[&str]) -> Suspect {
+    Suspect {
+        server: format!("s{server}"),
+        born_ms: 1,
+        request,
+        parts: parts.iter().map(|it| (*it).to_owned()).collect(),
+        has_begun: true,
+        age_ms: 0,
+    }
+}
+
+fn texts(parts: &[&str]) -> Vec<String> {
+    parts.iter().map(|it| (*it).to_owned()).collect()
+}
+
+/// Evidence of three crashes, a second apart, that ends at [`START`].
+fn condemned(parts: [&[&str]; 3]) -> Crashes {
+    let mut crashes = Crashes::default();
+    for (index, parts) in parts.into_iter().enumerate() {
+        let at = START - 1_000 * (2 - index as u64);
+        crashes.record_suspect(at, suspect(index, index as u64, parts));
+    }
+    crashes
+}
+
+fn is_refused(crashes: &mut Crashes, now: Millis, parts: &[&str]) -> bool {
+    matches!(crashes.check(now, &texts(parts), |_| false), Decision::Refuse { .. })
+}
+
+/// Guards against refusing requests with a part that only accompanied the harmful one.
+#[test]
+fn inseparable_parts_are_refused_together_until_one_is_proven() {
+    let mut crashes = condemned([&["a", "p"], &["a", "p", "x"], &["a", "p", "y"]]);
+    assert!(is_refused(&mut crashes, START, &["a", "p"]));
+    assert!(!is_refused(&mut crashes, START, &["a", "z"]));
+
+    crashes.record_proof(START + 900, &texts(&["a", "z"]), START + 300);
+
+    assert!(is_refused(&mut crashes, START + 900, &["p", "z"]));
+    assert!(!is_refused(&mut crashes, START + 900, &["a", "z"]));
+}
+
+/// Guards against a harmful part that is sent on with other parts than the ones it was condemned with.
+#[test]
+fn verdict_narrows_when_the_part_comes_without_its_companions() {
+    let mut crashes = condemned([&["a", "p"], &["a", "p"], &["a", "p"]]);
+
+    let changes = crashes.record_suspect(START + 500, suspect(3, 3, &["b", "p"]));
+
+    assert_eq!(changes, [Change::Condemned(texts(&["p"]))]);
+    assert_eq!(crashes.verdict_count(), 1);
+}
+
+/// Guards against condemning a part that one request carried from one crash to the next, that requests only waited with, or
+/// whose crashes were one event.
+#[rstest]
+#[case::one_request([(0, 1, true, 0), (1, 1, true, 500), (2, 1, true, 900)])]
+#[case::one_server([(0, 1, true, 0), (0, 2, true, 500), (0, 3, true, 900)])]
+#[case::one_event([(0, 1, true, 0), (1, 2, true, 40), (2, 3, true, 90)])]
+fn weak_evidence_condemns_nothing(#[case] evidence: [(usize, u64, bool, u64); 3]) {
+    let mut crashes = Crashes::default();
+
+    for (server, request, has_begun, at) in evidence {
+        let suspect = Suspect {
+            has_begun,
+            ..suspect(server, request, &["p"])
+        };
+        crashes.record_suspect(START + at, suspect);
+    }
+
+    assert!(!crashes.has_verdicts());
+}
+
+/// Guards against condemning the part of a request that waited while another one began and crashed the engine.
+#[test]
+fn waiting_requests_are_no_suspects_beside_one_that_began() {
+    let mut crashes = Crashes::default();
+
+    for index in 0..4 {
+        let at = START + 500 * index as u64;
+        let waiting = Suspect {
+            has_begun: false,
+            ..suspect(index, 10 + index as u64, &["w"])
+        };
+        crashes.record_suspect(at, suspect(index, index as u64, &["p"]));
+        crashes.record_suspect(at, waiting);
+    }
+
+    assert!(is_refused(&mut crashes, START + 2_000, &["p"]));
+    assert!(!is_refused(&mut crashes, START + 2_000, &["w"]));
+}
+
+/// Guards against verdicts that last for ever: they end by a proof, when no request comes, and by a trial of one VM.
+#[test]
+fn verdicts_end() {
+    let part = [&["p"][..]; 3];
+    let mut proven = condemned(part);
+    let mut idle = condemned(part);
+    let mut tried = condemned(part);
+
+    proven.record_proof(START + 2_000, &texts(&["p"]), START + 1_000);
+    idle.check_time(START + 600_000);
+    let asked: Vec<Millis> = (0..20).map(|it| START + 1_000 * it).collect();
+    let refused = asked.iter().filter(|it| is_refused(&mut tried, **it, &["p"])).count();
+    let other_vm = tried.check(START + 21_000, &texts(&["p"]), |_| false);
+    let tester = tried.check(START + 21_000, &texts(&["p"]), |_| true);
+    let next = tried.check(START + 42_000, &texts(&["p"]), |_| true);
+
+    assert!(!proven.has_verdicts());
+    assert!(!idle.has_verdicts());
+    assert_eq!(refused, asked.len());
+    assert!(matches!(other_vm, Decision::Refuse { .. }));
+    assert_eq!(tester, Decision::Try);
+    assert!(matches!(next, Decision::Refuse { .. }), "the next trial comes later");
+}
+
+/// Guards against a proof from before the verdict, of an answer that still ran, ending the verdict.
+#[test]
+fn old_proof_does_not_end_a_verdict() {
+    let mut crashes = condemned([&["p"], &["p"], &["p"]]);
+
+    crashes.record_proof(START + 400, &texts(&["p"]), START - 200);
+
+    assert!(is_refused(&mut crashes, START + 400, &["p"]));
+}
+
+/// Guards against state that grows with what other processes send, and against malformed findings taking effect.
+#[test]
+fn findings_of_others_are_checked_and_bounded() {
+    let mut crashes = Crashes::default();
+    let long_id = "x".repeat(1_000);
+    let malformed = CrashFindings {
+        suspects: vec![
+            suspect(1, 1, &[long_id.as_str()]),
+            suspect(2, 2, &["line\nbreak"]),
+            Suspect {
+                age_ms: u64::MAX,
+                ..suspect(3, 3, &["p"])
+            },
+        ],
+        proofs: vec![Proof {
+            part: String::new(),
+            age_ms: 0,
+        }],
+        verdicts: vec![Verdict {
+            parts: Vec::new(),
+            age_ms: 0,
+            idle_ms: 0,
+            trials: 0,
+            trial_age_ms: 0,
+        }],
+    };
+    crashes.merge(START, malformed);
+    assert!(!crashes.has_news() && !crashes.has_verdicts());
+
+    for index in 0..5_000_u64 {
+        let part = format!("p{index}");
+        let findings = CrashFindings {
+            suspects: vec![suspect(index as usize, index, &[part.as_str()])],
+            proofs: vec![Proof {
+                part: format!("q{index}"),
+                age_ms: 10,
+            }],
+            verdicts: vec![Verdict {
+                parts: vec![format!("v{index}")],
+                age_ms: 0,
+                idle_ms: 0,
+                trials: 0,
+                trial_age_ms: 0,
+            }],
+        };
+        crashes.merge(START + index, findings);
+    }
+
+    let summary = crashes.summary(START + 5_000);
+    assert!(crashes.verdict_count() <= 64);
+    assert!(summary.suspects.len() <= 64 && summary.proofs.len() <= 64);
+    let news = crashes.take_news(START + 5_000);
+    assert!(news.suspects.len() <= 256 && news.verdicts.len() <= 64);
+}
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -4,9 +4,11 @@
 
 use std::collections::BTreeSet;
 use std::fs;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+use guava_fleet::crashes::{CrashFindings, Proof, Verdict};
 use guava_platform_standin::caller::{Call, send, send_and_disconnect};
 use guava_platform_standin::server::ServerFaults;
 use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH, configuration};
@@ -22,7 +24,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 36] = [
+const EVENTS: [(&str, &str, &[&str]); 39] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -44,6 +46,7 @@
         "QuotaRefused",
         &["organisation", "tokens", "rate", "local_wait_ms", "central"],
     ),
+    ("E1014", "PromptRefused", &["parts", "condemned_ms_ago"]),
     ("E2009", "ServerLeaving", &["server", "revision"]),
     ("E2010", "ServerEnded", &["server", "revision"]),
     ("E2012", "ServerListed", &["server", "revision"]),
@@ -65,6 +68,8 @@
         "AttemptBroken",
         &["server", "begun_ms", "listening", "leaving", "took_ms", "parts", "why"],
     ),
+    ("E2019", "PromptCondemned", &["parts"]),
+    ("E2020", "PromptReleased", &["parts"]),
     ("E4001", "ProcessStarted", &["incarnation", "zone"]),
     ("E4002", "ProcessReady", &["config_version", "servers", "source_age_ms"]),
     ("E4003", "ShutdownStarted", &["connections"]),
@@ -230,6 +235,8 @@
         .expect("the connection is open");
     wait_for_event(dir, "E4018").await;
 
+    trigger_verdict_events(process.vm.peers, process.vm.callers, dir).await;
+
     fleet
         .store
         .put("config", "main", serde_json::json!({ "version": "none" }));
@@ -265,6 +272,51 @@
     send(process.vm.callers, call("after-the-burst", BOOKING_PATH)).await;
 }
 
+/// Tells the process of a harmful part of prompts and then that it is sound.
+async fn trigger_verdict_events(peers: SocketAddr, callers: SocketAddr, dir: &Path) {
+    let part = "bad0".to_owned();
+    let condemned = Verdict {
+        parts: vec![part.clone()],
+        age_ms: 10,
+        idle_ms: 0,
+        trials: 0,
+        trial_age_ms: 10,
+    };
+    let verdict = CrashFindings {
+        verdicts: vec![condemned],
+        ..CrashFindings::default()
+    };
+    send_findings(peers, &verdict).await;
+    wait_for_event(dir, "E2019").await;
+    let harmful = Call {
+        prompt: "bad0:100,2b:200".to_owned(),
+        ..call("harmful", STREAM_PATH)
+    };
+    send(callers, harmful).await;
+    wait_for_event(dir, "E1014").await;
+    let proof = CrashFindings {
+        proofs: vec![Proof { part, age_ms: 0 }],
+        ..CrashFindings::default()
+    };
+    send_findings(peers, &proof).await;
+    wait_for_event(dir, "E2020").await;
+}
+
+async fn send_findings(peers: SocketAddr, findings: &CrashFindings) {
+    let body = postcard::to_stdvec(findings).expect("encodable");
+    let head = format!(
+        "POST /findings HTTP/1.1\r\nhost: peer\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(peers)
+        .await
+        .expect("the process accepts connections");
+    let message = [head.into_bytes(), body].concat();
+    stream.write_all(&message).await.expect("the connection is open");
+    // The process drops a message whose connection closes before it is read.
+    sleep(Duration::from_millis(300)).await;
+}
+
 /// Takes the store down and up again, pauses the coordinator, stops its successor gracefully and kills another process.
 async fn trigger_process_events(fleet: &Fleet, dir: &Path) {
     let down = StoreFaults {
