--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -106,7 +106,13 @@
                 return;
             }
             PartEnd::CallerLeft => {
-                log_event!(Event::CallerLeft, dispatch.id(), "server={}", server.id);
+                let after_ms = now().since(dispatch.arrived());
+                log_event!(
+                    Event::CallerLeft,
+                    dispatch.id(),
+                    "server={} after_ms={after_ms}",
+                    server.id
+                );
                 return;
             }
             PartEnd::DeadlinePassed => {
