Log each new era of the platform's store

The store states in each answer how often it was restored from an older copy. No log line told so: after a restore one could not see which process knew of it, and so not tell revisions that are compared across eras from changes that got lost. E5005 names the era before and after, at each process that the store answers.

Observability only; no decision uses the era yet.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -113,6 +113,7 @@
     PlatformAvailable = 5002, Info, "The platform's object service answers again.";
     WriteRecovered = 5003, Info, "A write whose answer was lost was confirmed by reading it back.";
     ConfigUnreadable = 5004, Warn, "A stored configuration could not be parsed; the current one is kept.";
+    StoreRestored = 5005, Warn, "The platform's object service was restored from an older copy.";
 }
 
 impl fmt::Display for Event {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -195,7 +195,10 @@
 impl EntryState {
     /// Creates the state of a process that starts now, with an empty view.
     pub fn new(settings: Settings, clients: Clients) -> Self {
-        let store = Store::new(Arc::new(StoreClient(Arc::clone(&clients.internal))), settings.store);
+        let store = Store::new(
+            Arc::new(StoreClient::new(Arc::clone(&clients.internal))),
+            settings.store,
+        );
         Self {
             incarnation: wall_ms(),
             started: now(),
