--- a/crates/bench/src/slopes/leases.rs
+++ b/crates/bench/src/slopes/leases.rs
@@ -73,6 +73,7 @@
             let candidacy = Candidacy {
                 rank: Some(rank),
                 holder_ended: false,
+                ..Candidacy::default()
             };
             calls.extend(lease.step(candidacy, now, rng).map(|call| (name, rank, call)));
         }
--- a/crates/bench/src/slopes/placement.rs
+++ b/crates/bench/src/slopes/placement.rs
@@ -66,6 +66,7 @@
         slots: 48,
         state: ServerState::Ready,
         born_ms: 1,
+        writes: 0,
         leaves_in_ms: None,
         held: (0..MODELS_PER_ENGINE).map(held).collect(),
         in_memory: Vec::new(),
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -107,6 +107,7 @@
     PeerMessageRefused = 4018, Warn, "A message from another process could not be decoded.";
     SourceChanged = 4019, Info, "This process started or stopped watching the platform directly.";
     LinesLeftOut = 4020, Info, "Log lines of one kind were suppressed in the last second.";
+    LeaseReissued = 4021, Info, "This process goes on with a lease under a new term.";
 
     // 5xxx: platform.
     PlatformUnavailable = 5001, Warn, "The platform's object service does not answer.";
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -44,7 +44,7 @@
     #[serde(transparent)]
     pub struct Incarnation(pub u64);
 
-    /// Term of a lease. Grows by one with each change of holder and serves as the fencing token.
+    /// Term of a lease. Grows with each change of holder and serves as the fencing token.
     #[derive(Default)]
     #[serde(transparent)]
     pub struct Term(pub u64);
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -5,6 +5,16 @@
 //! lease object for the full duration on its own clock, when the lease was released, or when the holder is proved to
 //! have ended. Clocks of different processes are never compared. States and transitions are read from
 //! `charts/lease.toml`.
+//!
+//! A platform that was restored from an older copy begins a new *era*: it has lost the latest writes and gives out
+//! versions again. Terms contain the era in their high bits, so a term of a later era is greater than all that earlier
+//! eras may have given out and lost. An object whose term is of an earlier era proves nothing about the present holder:
+//! the holder itself replaces it under a term of the new era, and a candidate takes over only when it has known the
+//! new era for the full duration, in which every holder of an earlier era has renewed its lease or stopped.
+//!
+//! A write that expects a version of an earlier era may still take effect, when that version is given out again, and
+//! then replaces a valid lease. The next term is therefore also greater than the version that it replaces: each
+//! acquisition gives out one term and at least one version, so no term of an era is greater than the latest version.
 
 use rand::{Rng, RngCore};
 
@@ -16,6 +26,13 @@
 pub const DURATION_MS: u64 = 10_000;
 /// Number of candidates, by rank, that read the lease object; reads by more would only load the platform.
 pub const ACTIVE_CANDIDATES: usize = 3;
+/// Low bits of a term, which count the acquisitions within one era of the platform.
+const COUNT_BITS: u32 = 40;
+
+/// Era of the platform in which a term was given out.
+pub fn era_of(term: Term) -> u64 {
+    term.0 >> COUNT_BITS
+}
 
 /// Periods of the lease protocol, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,7 +72,7 @@
         pub holder: MemberId,
         /// Incarnation of the holder.
         pub incarnation: Incarnation,
-        /// Fencing token; grows by one with each acquisition.
+        /// Fencing token; grows by one with each acquisition, and by more with each era of the platform.
         pub term: Term,
         /// Time from a renewal to expiry, in milliseconds.
         pub duration_ms: u64,
@@ -114,6 +131,8 @@
     pub rank: Option<usize>,
     /// Whether the holder in the last object read is proved to have ended.
     pub holder_ended: bool,
+    /// Whether the platform has never had a lease object if it has none now. Matters only on a platform with eras.
+    pub is_first_start: bool,
 }
 
 /// Change of this process's ownership of the lease.
@@ -121,6 +140,8 @@
 pub enum LeaseEvent {
     /// The lease was acquired in this term.
     Acquired(Term),
+    /// The lease, which this process held already, was renewed under this term, because the platform was restored.
+    Reissued(Term),
     /// The lease held in this term was released.
     Released(Term),
     /// The lease held in this term expired, was superseded or was abandoned.
@@ -163,6 +184,12 @@
     has_read: bool,
     term: Term,
     renewed: Millis,
+    /// Era of the platform as far as it is known; zero for a platform without eras.
+    era: u64,
+    /// Since when it is known.
+    era_since: Millis,
+    /// Whether the lease was acquired without any earlier holder.
+    is_first: bool,
     /// Unconfirmed writes that may have taken effect or may still do so.
     attempts: Vec<Attempt>,
     /// Whether the outcome of the last write is unknown and the object must be read.
@@ -200,6 +227,9 @@
             has_read: false,
             term: Term(0),
             renewed: Millis(0),
+            era: 0,
+            era_since: Millis(0),
+            is_first: false,
             attempts: Vec::new(),
             outcome_unknown: false,
             next_call: Millis(0),
@@ -230,6 +260,37 @@
         self.seen.as_ref().map(|it| &it.lease.spec)
     }
 
+    /// Latest era of the platform that this process knows.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Whether the lease was acquired last without any earlier holder.
+    pub fn is_first(&self) -> bool {
+        self.is_first
+    }
+
+    /// Records the era of the platform. In a later one, what was read before is void, and so are writes that expect a
+    /// version of an earlier one.
+    pub fn observe_era(&mut self, era: u64, now: Millis) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.era_since = now;
+        self.seen = None;
+        self.free_since = None;
+        self.has_read = false;
+        self.attempts.clear();
+        self.outcome_unknown = self.is_holder();
+        self.next_call = now;
+    }
+
+    /// Whether a lease object comes from an earlier era.
+    fn is_leftover(&self, spec: &LeaseSpec) -> bool {
+        era_of(spec.term) < self.era
+    }
+
     /// Returns and clears the ownership changes since the last call.
     pub fn take_events(&mut self) -> Vec<LeaseEvent> {
         std::mem::take(&mut self.events)
@@ -289,11 +350,13 @@
         if self.outcome_unknown {
             return Some(LeaseCall::Read);
         }
-        if self.releasing.is_none() && now < self.renewed + self.timing.renew_ms {
+        let is_outdated = era_of(self.term) < self.era;
+        if self.releasing.is_none() && !is_outdated && now < self.renewed + self.timing.renew_ms {
             return None;
         }
         let expect = self.seen.as_ref().map(|it| it.lease.version);
-        let spec = self.spec(self.term, self.releasing.is_some());
+        let term = if is_outdated { self.next_term() } else { self.term };
+        let spec = self.spec(term, self.releasing.is_some());
         Some(self.write(spec, expect, now, rng))
     }
 
@@ -313,21 +376,37 @@
             self.next_call = (free_since + rank_delay).min(now + self.timing.retry_ms);
             return None;
         }
-        let (expect, last_term) = self
-            .seen
-            .as_ref()
-            .map_or((None, Term(0)), |it| (Some(it.lease.version), it.lease.spec.term));
-        let spec = self.spec(Term(last_term.0 + 1), false);
+        let expect = self.seen.as_ref().map(|it| it.lease.version);
+        self.is_first = expect.is_none() && self.absence_is_proof(candidacy);
+        let spec = self.spec(self.next_term(), false);
         Some(self.write(spec, expect, now, rng))
     }
 
+    /// Term for an acquisition that replaces the object as last read.
+    fn next_term(&self) -> Term {
+        let seen = self.seen.as_ref().map(|it| &it.lease);
+        let known = seen.map_or(self.term, |it| self.term.max(it.spec.term));
+        let replaced = seen.filter(|it| self.is_leftover(&it.spec)).map_or(0, |it| it.version);
+        let given_out = (self.era << COUNT_BITS).saturating_add(replaced);
+        Term(known.0.max(given_out) + 1)
+    }
+
+    /// Whether nobody can have held the lease before if there is no lease object.
+    fn absence_is_proof(&self, candidacy: Candidacy) -> bool {
+        self.era == 0 || candidacy.is_first_start
+    }
+
     fn may_acquire(&self, candidacy: Candidacy, now: Millis) -> bool {
+        let earlier_eras_ended = now.since(self.era_since) >= self.timing.duration_ms;
         let Some(seen) = &self.seen else {
-            return true;
+            return self.absence_is_proof(candidacy) || earlier_eras_ended;
         };
         let spec = &seen.lease.spec;
         let is_mine = spec.holder == self.me && spec.incarnation == self.incarnation;
         let has_expired = now.since(seen.since) >= spec.duration_ms;
+        if self.is_leftover(spec) {
+            return earlier_eras_ended && has_expired;
+        }
         spec.released || is_mine || has_expired || candidacy.holder_ended
     }
 
@@ -367,13 +446,13 @@
         self.next_call = now;
         self.next_read = now + read_interval;
         let Some(lease) = object else {
-            self.superseded();
+            if era_of(self.term) >= self.era {
+                self.superseded();
+            }
             // A create without an answer may still take effect; a replacement of a deleted object cannot.
             if self.seen.take().is_some() {
                 self.attempts.clear();
             }
-            self.free_since.get_or_insert(now);
-            self.next_call = now;
             return;
         };
         let own_write = self.attempts.iter().find(|it| it.operation == lease.operation);
@@ -390,11 +469,11 @@
         }
         // The version has changed, so no earlier write of this process can take effect any more.
         self.attempts.clear();
-        self.superseded();
-        self.free_since = lease.spec.released.then_some(now);
-        if lease.spec.released {
-            self.next_call = now;
+        let is_leftover = self.is_leftover(&lease.spec);
+        if !is_leftover {
+            self.superseded();
         }
+        self.free_since = (lease.spec.released && !is_leftover).then_some(now);
         self.seen = Some(Observed { lease, since: now });
     }
 
@@ -455,11 +534,14 @@
             return;
         }
         self.renewed = sent;
+        let previous = std::mem::replace(&mut self.term, term);
         if self.is_holder() {
             self.apply_event("renewed");
+            if term != previous {
+                self.events.push(LeaseEvent::Reissued(term));
+            }
             return;
         }
-        self.term = term;
         self.apply_event("acquired");
         self.events.push(LeaseEvent::Acquired(term));
     }
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -1,12 +1,15 @@
 //! Lease protocol, in a simulation with faults and in single scenarios.
 //!
-//! In the simulation three processes with different clocks compete for a lease in a store that is slow, loses answers
-//! and applies writes late, while processes pause at random. A lease that trusts wall time serves as a comparison.
+//! In the simulation three processes with different clocks compete for a lease in a store that is slow, loses answers,
+//! applies writes late and is restored from older copies, while processes pause at random. A lease that trusts wall time
+//! and one that does not know of restores serve as comparisons.
 
 use std::collections::BTreeMap;
 
 use guava_core::ids::{Incarnation, MemberId, OperationId, Role, Term};
-use guava_core::lease::{Candidacy, DURATION_MS, Lease, LeaseCall, LeaseSpec, StoredLease, WriteOutcome};
+use guava_core::lease::{
+    Candidacy, DURATION_MS, Lease, LeaseCall, LeaseEvent, LeaseSpec, StoredLease, WriteOutcome, era_of,
+};
 use guava_core::units::Millis;
 use proptest::prelude::*;
 use proptest::test_runner::FileFailurePersistence;
@@ -18,6 +21,8 @@
 const FAULTY_MS: u64 = 180_000;
 const FAULT_FREE_MS: u64 = 60_000;
 const CALL_TIMEOUT_MS: u64 = 3_000;
+/// Greatest age of the copy from which the store is restored.
+const MAX_COPY_AGE_MS: u64 = 20_000;
 
 /// Outcome of a read that got no answer.
 struct ReadFailed;
@@ -28,6 +33,14 @@
     fn step(&mut self, rank: usize, now: Millis, rng: &mut ChaCha8Rng) -> Option<LeaseCall>;
     fn on_read(&mut self, found: Result<Option<StoredLease>, ReadFailed>, now: Millis);
     fn on_write(&mut self, call: &LeaseCall, outcome: WriteOutcome, now: Millis);
+    /// Era that the lease knows; `None` if it does not know of eras.
+    fn known_era(&self) -> Option<u64> {
+        None
+    }
+    /// Records the era in which the store gave an answer; false if the answer is outdated.
+    fn accepts_era(&mut self, _era: u64, _now: Millis) -> bool {
+        true
+    }
     fn held(&self, now: Millis) -> Option<Term>;
 }
 
@@ -39,11 +52,21 @@
     fn step(&mut self, rank: usize, now: Millis, rng: &mut ChaCha8Rng) -> Option<LeaseCall> {
         let candidacy = Candidacy {
             rank: Some(rank),
-            holder_ended: false,
+            ..Candidacy::default()
         };
         self.step(candidacy, now, rng)
     }
 
+    fn known_era(&self) -> Option<u64> {
+        Some(self.era())
+    }
+
+    fn accepts_era(&mut self, era: u64, now: Millis) -> bool {
+        let is_current = era >= self.era();
+        self.observe_era(era, now);
+        is_current
+    }
+
     fn on_read(&mut self, found: Result<Option<StoredLease>, ReadFailed>, now: Millis) {
         match found {
             Ok(found) => self.on_read(found, now),
@@ -60,6 +83,31 @@
     }
 }
 
+/// Lease that does not know of restores.
+struct EraBlindLease(Lease);
+
+impl LeaseUnderTest for EraBlindLease {
+    fn new(me: MemberId) -> Self {
+        Self(LeaseUnderTest::new(me))
+    }
+
+    fn step(&mut self, rank: usize, now: Millis, rng: &mut ChaCha8Rng) -> Option<LeaseCall> {
+        LeaseUnderTest::step(&mut self.0, rank, now, rng)
+    }
+
+    fn on_read(&mut self, found: Result<Option<StoredLease>, ReadFailed>, now: Millis) {
+        LeaseUnderTest::on_read(&mut self.0, found, now);
+    }
+
+    fn on_write(&mut self, call: &LeaseCall, outcome: WriteOutcome, now: Millis) {
+        self.0.on_write(call, outcome, now);
+    }
+
+    fn held(&self, now: Millis) -> Option<Term> {
+        self.0.held(now)
+    }
+}
+
 /// Naive lease: the object contains the expiry in wall time, and each process compares it with its own clock.
 struct WallTimeLease {
     me: MemberId,
@@ -133,15 +181,19 @@
     }
 }
 
+/// Object after a call of the store, or its present version if a write conflicted.
+type Applied = Result<Option<StoredLease>, Option<u64>>;
+
 struct InFlight {
     call: LeaseCall,
+    /// Era in which its expected version was read, for a lease that knows of eras.
+    sent_in: u64,
     applied_at: u64,
     answered_at: u64,
     /// Whether the answer is lost although the store applies the call.
     lost: bool,
-    /// The object after the call, or its present version if a write conflicted. `None` until the store applies the
-    /// call.
-    answer: Option<Result<Option<StoredLease>, Option<u64>>>,
+    /// Era in which the store applied the call, and the result; `None` until then.
+    answer: Option<(u64, Applied)>,
 }
 
 struct Process<K> {
@@ -166,6 +218,10 @@
     rng: ChaCha8Rng,
     object: Option<StoredLease>,
     version: u64,
+    era: u64,
+    is_restored: bool,
+    /// Times, objects and versions from which the store may be restored.
+    copies: Vec<(u64, Option<StoredLease>, u64)>,
     delayed_writes: Vec<(u64, LeaseCall)>,
     processes: Vec<Process<K>>,
     report: Report,
@@ -173,6 +229,11 @@
 
 impl<K: LeaseUnderTest> Simulation<K> {
     fn run(seed: u64) -> Report {
+        Self::run_with(seed, false)
+    }
+
+    /// Runs with a store that is restored from older copies now and then if `is_restored`.
+    fn run_with(seed: u64, is_restored: bool) -> Report {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let processes = (0..PROCESSES)
             .map(|index| Process {
@@ -186,6 +247,9 @@
             rng,
             object: None,
             version: 0,
+            era: u64::from(is_restored),
+            is_restored,
+            copies: Vec::new(),
             delayed_writes: Vec::new(),
             processes,
             report: Report::default(),
@@ -196,7 +260,23 @@
         simulation.report
     }
 
+    fn restore(&mut self, now: u64) {
+        let made_at = now.saturating_sub(self.rng.random_range(0..MAX_COPY_AGE_MS));
+        let copy = self.copies.iter().rfind(|(at, ..)| *at <= made_at);
+        let (object, version) = copy.map_or((None, 0), |(_, object, version)| (object.clone(), *version));
+        self.object = object;
+        self.version = version;
+        self.era += 1;
+        self.copies.retain(|(at, ..)| *at <= made_at);
+    }
+
     fn advance(&mut self, now: u64, with_faults: bool) {
+        if self.is_restored && with_faults && self.rng.random_bool(0.005) {
+            self.restore(now);
+        }
+        if self.is_restored {
+            self.copies.push((now, self.object.clone(), self.version));
+        }
         let (due, later) = std::mem::take(&mut self.delayed_writes)
             .into_iter()
             .partition(|(at, _)| *at <= now);
@@ -231,12 +311,12 @@
             return;
         };
         if call.answer.is_none() && call.applied_at <= now {
-            call.answer = Some(self.apply(&call.call));
+            call.answer = Some((self.era, self.apply(&call.call)));
         }
         self.processes[index].call = Some(call);
     }
 
-    fn apply(&mut self, call: &LeaseCall) -> Result<Option<StoredLease>, Option<u64>> {
+    fn apply(&mut self, call: &LeaseCall) -> Applied {
         let LeaseCall::Write {
             spec,
             expect,
@@ -275,9 +355,17 @@
             }
             let is_write = matches!(call.call, LeaseCall::Write { .. });
             let is_applied = call.answer.is_some();
-            match call.answer.filter(|_| !call.lost) {
-                Some(Ok(found)) if !is_write => process.lease.on_read(Ok(found), local),
+            let (era, answer) = call.answer.filter(|_| !call.lost).unzip();
+            match answer {
+                Some(Ok(found)) if !is_write => {
+                    let is_current = process.lease.accepts_era(era.unwrap_or(0), local);
+                    let found = if is_current { Ok(found) } else { Err(ReadFailed) };
+                    process.lease.on_read(found, local);
+                }
                 Some(Err(_)) => process.lease.on_write(&call.call, WriteOutcome::Conflict, local),
+                Some(Ok(Some(_))) if era != Some(call.sent_in) => {
+                    process.lease.on_write(&call.call, WriteOutcome::Unknown, local);
+                }
                 Some(Ok(Some(lease))) => {
                     let version = lease.version;
                     process
@@ -308,6 +396,7 @@
                 lost,
                 answer: None,
                 call,
+                sent_in: process.lease.known_era().unwrap_or(self.era),
             });
         }
     }
@@ -338,6 +427,37 @@
     }
 }
 
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against two holders, and against a term that is given out again, after the store was restored from a copy
+    /// that lacks the latest lease.
+    #[test]
+    fn at_most_one_process_holds_the_lease_of_a_restored_store(seed: u64) {
+        let report = Simulation::<Lease>::run_with(seed, true);
+
+        prop_assert_eq!(report.double_held_steps, 0);
+        prop_assert!(!report.term_shared);
+        prop_assert!(report.held_at_end);
+        prop_assert!(report.holder_by_term.keys().all(|it| era_of(*it) > 0));
+    }
+}
+
+/// Guards against a simulation too weak to show terms that are given out again.
+#[test]
+fn lease_that_does_not_know_of_restores_gives_terms_out_again() {
+    let reports = (0..20).map(|seed| Simulation::<EraBlindLease>::run_with(seed, true));
+
+    let (shared, double) = reports.fold((0, 0), |(shared, double), it| {
+        (shared + usize::from(it.term_shared), double + it.double_held_steps)
+    });
+
+    assert!(
+        shared > 0 && double > 0,
+        "{shared} terms shared, {double} steps with two holders"
+    );
+}
+
 /// Guards against a simulation too weak to show two holders: a lease by wall time must fail under different clocks.
 #[test]
 fn wall_time_lease_has_two_holders() {
@@ -355,7 +475,7 @@
 fn first_candidate() -> Candidacy {
     Candidacy {
         rank: Some(0),
-        holder_ended: false,
+        ..Candidacy::default()
     }
 }
 
@@ -482,7 +602,7 @@
         let mut lease = Lease::new(MemberId::new("vm-1", Role::Controller), Incarnation(1));
         let candidacy = Candidacy {
             rank: Some(0),
-            holder_ended: false,
+            ..Candidacy::default()
         };
         let mut now = Millis(1_000);
         let mut version = 0;
@@ -557,6 +677,7 @@
     let candidacy = |holder_ended| Candidacy {
         rank: Some(0),
         holder_ended,
+        ..Candidacy::default()
     };
 
     let first = lease.step(candidacy(false), Millis(1_000), &mut rng);
@@ -571,3 +692,62 @@
     );
     assert!(matches!(second, Some(LeaseCall::Write { ref spec, .. }) if spec.term == Term(4)));
 }
+
+/// Guards against a holder that loses its lease because the store was restored from a copy without it.
+#[test]
+fn holder_goes_on_under_a_later_term_after_a_restore() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut lease = lease_of("vm0");
+    acquire(&mut lease, Millis(0), &mut rng);
+
+    lease.observe_era(1, Millis(4_000));
+    let held = lease.held(Millis(4_000));
+    let read = lease.step(first_candidate(), Millis(4_000), &mut rng);
+    lease.on_read(None, Millis(4_010));
+    let write = lease.step(first_candidate(), Millis(4_010), &mut rng).expect("a write");
+    lease.on_write(&write, WriteOutcome::Done { version: 1 }, Millis(4_020));
+
+    let reissued = Term((1 << 40) + 1);
+    assert_eq!((held, read), (Some(Term(1)), Some(LeaseCall::Read)));
+    assert!(matches!(write, LeaseCall::Write { expect: None, .. }));
+    assert_eq!(
+        lease.take_events(),
+        [LeaseEvent::Acquired(Term(1)), LeaseEvent::Reissued(reissued)]
+    );
+    assert_eq!(lease.held(Millis(12_000)), Some(reissued));
+}
+
+/// Guards against a candidate that trusts what an older copy says of the holder: the copy may lack later ones.
+#[test]
+fn candidate_waits_for_holders_that_a_restored_store_has_lost() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut lease = lease_of("vm1");
+    let candidacy = Candidacy {
+        holder_ended: true,
+        ..first_candidate()
+    };
+    let copy = StoredLease {
+        version: 7,
+        operation: OperationId::new("vm0-1"),
+        spec: LeaseSpec {
+            holder: MemberId::new("vm0", Role::Controller),
+            incarnation: Incarnation(1),
+            term: Term(4),
+            duration_ms: DURATION_MS,
+            released: true,
+        },
+    };
+
+    lease.observe_era(2, Millis(1_000));
+    lease.step(candidacy, Millis(1_000), &mut rng);
+    lease.on_read(Some(copy.clone()), Millis(1_000));
+    let early = lease.step(candidacy, Millis(1_000 + DURATION_MS - 1), &mut rng);
+    lease.on_read(Some(copy), Millis(1_000 + DURATION_MS - 1));
+    let later = lease.step(candidacy, Millis(1_000 + DURATION_MS), &mut rng);
+
+    assert_eq!(early, Some(LeaseCall::Read));
+    let Some(LeaseCall::Write { spec, expect, .. }) = later else {
+        panic!("expected a write: {later:?}");
+    };
+    assert_eq!((spec.term, expect), (Term((2 << 40) + 8), Some(7)));
+}
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -2,20 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use guava_core::events::Event;
-use guava_platform::{CallError, Http, store};
+use guava_platform::{CallError, Http};
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
-use crate::log_event;
 use crate::metrics;
 use crate::state::now;
 
@@ -31,31 +28,9 @@
 /// Time for which an idle connection is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Client for the store that records a metric for each call, and logs each new era of the store.
+/// Client for the store that records a metric for each call.
 #[derive(Debug)]
-pub struct StoreClient {
-    http: Arc<dyn Http>,
-    /// Latest era that an answer stated; zero for none.
-    era: AtomicU64,
-}
-
-impl StoreClient {
-    /// Creates a client that sends its calls by `http`.
-    pub fn new(http: Arc<dyn Http>) -> Self {
-        Self {
-            http,
-            era: AtomicU64::new(0),
-        }
-    }
-
-    fn record_era(&self, answer: &Response<Bytes>) {
-        let era = store::era(answer.headers()).unwrap_or(0);
-        let before = self.era.fetch_max(era, Ordering::Relaxed);
-        if before > 0 && era > before {
-            log_event!(Event::StoreRestored, "-", "era={era} before={before}");
-        }
-    }
-}
+pub struct StoreClient(pub Arc<dyn Http>);
 
 #[async_trait]
 impl Http for StoreClient {
@@ -67,10 +42,7 @@
     ) -> Result<Response<Bytes>, CallError> {
         let method = req.method().clone();
         let at = now();
-        let answer = self.http.call(address, req, timeout).await;
-        if let Ok(answer) = &answer {
-            self.record_era(answer);
-        }
+        let answer = self.0.call(address, req, timeout).await;
         let result = match answer.as_ref().map(Response::status) {
             Ok(status) if status.is_success() => "success",
             Ok(StatusCode::CONFLICT) => "conflict",
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use guava_core::units::Millis;
-use guava_fleet::model::{BackendServer, HeldModel, ServerState};
+use guava_fleet::departures::{Departure, Departures};
+use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
 use guava_fleet::placement::{EngineModels, Wait};
 use guava_fleet::routes::ActiveConfig;
 
@@ -62,11 +63,16 @@
     pub own_loads_at_report: HashMap<String, u32>,
     /// Whether a list of all servers has been received.
     pub has_servers: bool,
+    /// Latest era of the store that is known; zero before the first answer.
+    era: u64,
+    /// Whether the store was restored since this process has started.
+    has_seen_restore: bool,
     /// Store revision of the last change of servers.
-    pub servers_revision: u64,
+    servers_revision: StoreRevision,
     /// Store revision up to which all changes of servers have been received; zero when unknown.
-    complete_to: u64,
+    complete_to: StoreRevision,
     servers: VersionedMap<KnownServer>,
+    departures: Departures,
     /// Number of entries received, including those whose change is not published to followers.
     server_updates: u64,
     /// When the store last answered again after an outage.
@@ -99,6 +105,31 @@
         is_newer
     }
 
+    /// Records that the store is in `era` now. Returns the era before if this shows that it was restored.
+    pub fn record_era(&mut self, era: u64, now: Millis) -> Option<u64> {
+        if era <= self.era {
+            return None;
+        }
+        let before = std::mem::replace(&mut self.era, era);
+        if before == 0 {
+            return None;
+        }
+        self.has_seen_restore = true;
+        // Servers that registered after the copy was made write their entries again.
+        self.store_returned = Some(now);
+        Some(before)
+    }
+
+    /// Latest era of the store that is known; zero before the first answer.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Whether the store was restored since this process has started.
+    pub fn has_seen_restore(&self) -> bool {
+        self.has_seen_restore
+    }
+
     /// Records an answer of the store. Returns true after an outage in which entries may have expired.
     pub fn record_store_contact(&mut self, now: Millis) -> bool {
         let has_been_synced = self.store_contact.is_some() || self.reported_feed_age.is_some();
@@ -159,61 +190,100 @@
     }
 
     /// Records the store revision up to which all changes of servers have been received; zero for unknown.
-    pub fn record_complete(&mut self, revision: u64) {
+    pub fn record_complete(&mut self, revision: StoreRevision) {
         self.complete_to = revision;
     }
 
     /// Store revision up to which all changes of servers are in force here; zero when unknown. While the removal of a
     /// server is held back after an outage of the store, that change is not in force.
-    pub fn complete_to(&self) -> u64 {
+    pub fn complete_to(&self) -> StoreRevision {
         let has_missing = self.servers.iter().any(|(_, it)| it.missing_since.is_some());
         if has_missing || !self.has_servers {
-            return 0;
+            return StoreRevision::default();
         }
         self.complete_to
     }
 
+    /// Store revision of the last change of servers.
+    pub fn servers_revision(&self) -> StoreRevision {
+        self.servers_revision
+    }
+
     /// Store revision whose servers this view reflects: that of the last change, or a later one up to which there was
     /// none.
-    pub fn known_revision(&self) -> u64 {
+    pub fn known_revision(&self) -> StoreRevision {
         self.servers_revision.max(self.complete_to())
     }
 
-    /// Replaces all servers. Returns whether followers need the change.
-    pub fn put_server_list(&mut self, list: Vec<BackendServer>, revision: u64, now: Millis) -> bool {
+    fn advance_to(&mut self, revision: StoreRevision) {
+        if revision > self.servers_revision {
+            self.servers_revision = revision;
+        }
+    }
+
+    /// Replaces all servers by a list of another process or of the store. Returns whether followers need the change.
+    pub fn put_server_list(&mut self, list: Vec<BackendServer>, revision: StoreRevision, now: Millis) -> bool {
+        if revision.era < self.servers_revision.era {
+            return false;
+        }
         let before = self.servers.last_change();
         let listed: HashMap<String, BackendServer> = list.into_iter().map(|it| (it.id.clone(), it)).collect();
         let removed = self.servers.iter().filter(|(id, _)| !listed.contains_key(*id));
         let removed: Vec<String> = removed.map(|(id, _)| id.clone()).collect();
         for id in removed {
-            self.remove_server(&id, now);
+            self.remove_server(&id, revision, now);
         }
         for (_, server) in listed {
-            self.put_server(server);
+            self.put_told_server(server, revision, now);
         }
         let is_first = !std::mem::replace(&mut self.has_servers, true);
-        self.servers_revision = self.servers_revision.max(revision);
+        self.advance_to(revision);
         is_first || self.servers.last_change() != before
     }
 
-    /// Applies changes of servers up to a store revision. Returns whether followers need them.
-    pub fn put_server_changes(&mut self, changes: Changes<BackendServer>, revision: u64, now: Millis) -> bool {
+    /// Applies changes of servers up to a store revision, as another process told them. Returns whether followers need
+    /// them.
+    pub fn put_server_changes(
+        &mut self,
+        changes: Changes<BackendServer>,
+        revision: StoreRevision,
+        now: Millis,
+    ) -> bool {
         if changes.is_whole {
             return self.put_server_list(changes.present, revision, now);
         }
         let mut is_change = false;
         for server in changes.present {
-            is_change |= self.put_server(server);
+            is_change |= self.put_told_server(server, revision, now);
         }
         for id in &changes.gone {
-            is_change |= self.remove_server(id, now);
+            is_change |= self.remove_server(id, revision, now);
         }
-        self.servers_revision = self.servers_revision.max(revision);
+        self.advance_to(revision);
         is_change
     }
 
-    /// Applies a server's entry. Returns whether followers need the change.
-    pub fn put_server(&mut self, server: BackendServer) -> bool {
+    /// Applies a change that the store reports of a server's entry. Returns whether followers need the change.
+    pub fn put_server(&mut self, server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
+        if server.state == ServerState::Ready {
+            self.departures.forget(&server.id);
+        }
+        self.advance_to(revision);
+        self.insert_server(server, revision, now)
+    }
+
+    /// Applies an entry that may be older than what is known: of another process, or in a list of a restored store.
+    fn put_told_server(&mut self, mut server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
+        if self.departures.covers(&server, revision) {
+            server.state = ServerState::Draining;
+        }
+        self.insert_server(server, revision, now)
+    }
+
+    fn insert_server(&mut self, server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
+        if server.state == ServerState::Draining {
+            self.departures.record(&server, revision, now);
+        }
         self.server_updates += 1;
         let known = self.servers.get(&server.id);
         let is_same = known.is_some_and(|it| it.missing_since.is_none() && is_same_except_models(&it.server, &server));
@@ -228,7 +298,8 @@
 
     /// Applies the removal of a server's entry. Returns whether followers need the change. Right after an outage of the
     /// store the removal of a ready server is held back, because the entry may only have expired.
-    pub fn remove_server(&mut self, id: &str, now: Millis) -> bool {
+    pub fn remove_server(&mut self, id: &str, revision: StoreRevision, now: Millis) -> bool {
+        self.advance_to(revision);
         let store_just_returned = self.store_returned.is_some_and(|it| now.since(it) < EXPIRY_GRACE_MS);
         match self.servers.get_mut(id) {
             Some(known) if store_just_returned && known.server.state == ServerState::Ready => {
@@ -236,13 +307,35 @@
                 false
             }
             Some(_) => {
-                self.delete_server(id);
+                self.delete_server(id, revision, now);
                 true
             }
             None => false,
         }
     }
 
+    /// Applies departures that another process tells. Returns whether followers need the change.
+    pub fn put_departures(&mut self, told: Vec<Departure>, now: Millis) -> bool {
+        let learnt = self.departures.merge(told, now);
+        let mut is_change = false;
+        for id in learnt {
+            let Some(known) = self.servers.get(&id).map(|it| Arc::clone(&it.server)) else {
+                continue;
+            };
+            if known.state == ServerState::Ready && self.departures.covers(&known, self.servers_revision) {
+                let mut leaving = (*known).clone();
+                leaving.state = ServerState::Draining;
+                is_change |= self.insert_server(leaving, self.servers_revision, now);
+            }
+        }
+        is_change
+    }
+
+    /// Servers that leave or have left, for another process.
+    pub fn departures(&self, now: Millis) -> Vec<Departure> {
+        self.departures.recent(now)
+    }
+
     /// Removes servers whose entries were not renewed in time after an outage of the store. Returns their number.
     pub fn remove_expired(&mut self, now: Millis) -> usize {
         let is_overdue = |it: &KnownServer| {
@@ -252,12 +345,15 @@
         let overdue = self.servers.iter().filter(|(_, it)| is_overdue(it));
         let overdue: Vec<String> = overdue.map(|(id, _)| id.clone()).collect();
         for id in &overdue {
-            self.delete_server(id);
+            self.delete_server(id, self.servers_revision, now);
         }
         overdue.len()
     }
 
-    fn delete_server(&mut self, id: &str) {
+    fn delete_server(&mut self, id: &str, revision: StoreRevision, now: Millis) {
+        if let Some(known) = self.servers.get(id) {
+            self.departures.record(&known.server, revision, now);
+        }
         self.server_updates += 1;
         self.servers.remove(id);
     }
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -14,10 +14,11 @@
 use guava_core::events::Event;
 use guava_core::ids::{Incarnation, MemberId, OperationId, Role, Term};
 use guava_core::lease::{
-    ACTIVE_CANDIDATES, Candidacy, Lease, LeaseCall, LeaseEvent, LeaseSpec, StoredLease, Timing, WriteOutcome,
+    ACTIVE_CANDIDATES, Candidacy, Lease, LeaseCall, LeaseEvent, LeaseSpec, StoredLease, Timing, WriteOutcome, era_of,
 };
 use guava_core::units::Millis;
 use guava_fleet::health::SharedHealth;
+use guava_fleet::model::StoreRevision;
 use guava_fleet::placement::{Order, OrderAges, OrderKind, OrderOutcome, Placement, QuietPeriods, Tier, Wait};
 use guava_fleet::quota::{Buckets, LOCAL_PART};
 use guava_fleet::succession::WIDENING_MS;
@@ -120,6 +121,8 @@
     granted_until: Millis,
     /// Whether the lease was free for so long that VMs competed which are not preferred.
     is_substitute: bool,
+    /// Whether nobody held the lease before.
+    is_first: bool,
     /// When it was last checked whether this VM is preferred.
     checked: Millis,
 }
@@ -128,13 +131,6 @@
     fn held_ms(&self, term: u64, at: Millis) -> u64 {
         if self.term == term { at.since(self.started) } else { 0 }
     }
-
-    fn start(&mut self, term: u64, at: Millis, granted_until: Millis, is_substitute: bool) {
-        self.term = term;
-        self.started = at;
-        self.granted_until = granted_until;
-        self.is_substitute = is_substitute;
-    }
 }
 
 /// A VM's contact with the store, from its last report.
@@ -305,11 +301,11 @@
         let mut quota = self.quota.lock();
         // A new coordinator does not know what its predecessor granted, so its buckets were empty at the end of that
         // term. The first term has no predecessor, so its buckets start full.
-        let (term, granted_until) = {
+        let (is_first, granted_until) = {
             let lease_state = self.lease_state.lock();
-            (lease_state.term, lease_state.granted_until)
+            (lease_state.is_first, lease_state.granted_until)
         };
-        let initial_level = if term == 1 { 1.0 } else { 0.0 };
+        let initial_level = if is_first { 1.0 } else { 0.0 };
         let bucket = quota.bucket(granted_until, &organisation.name, rate, burst, initial_level);
         let reserved = bucket.reserve(at, request.tokens, request.max_wait_ms);
         QuotaAnswer {
@@ -326,6 +322,7 @@
         let mut is_released = false;
         loop {
             let at = now();
+            lease.observe_era(self.state.store_era(), at);
             if self.state.is_stopping() && !is_released {
                 lease.release();
                 is_released = true;
@@ -381,7 +378,11 @@
             Some(seen) if seen.holder.vm.as_str() == own_vm && is_preferred => Some(0),
             _ => rank,
         };
-        Candidacy { rank, holder_ended }
+        Candidacy {
+            rank,
+            holder_ended,
+            is_first_start: self.state.is_first_start(),
+        }
     }
 
     /// Milliseconds for which no process has been known to be the coordinator.
@@ -435,9 +436,13 @@
         match &call {
             LeaseCall::Read => match store.get(LEASE_KIND, LEASE_NAME).await {
                 Ok(found) => {
-                    self.state.record_store_contact(now());
-                    let found = found.as_ref().and_then(|it| self.decode(it));
-                    lease.on_read(found, now());
+                    self.state.record_store_contact(found.era, now());
+                    lease.observe_era(found.era, now());
+                    if found.era < lease.era() {
+                        return lease.on_read_failed(now());
+                    }
+                    let stored = found.object.as_ref().and_then(|it| self.decode(it));
+                    lease.on_read(stored, now());
                 }
                 Err(_) => lease.on_read_failed(now()),
             },
@@ -465,16 +470,27 @@
                 let value = json!(object);
                 let written = match expect {
                     None => store.create(LEASE_KIND, LEASE_NAME, &value).await,
-                    Some(revision) => store.replace(LEASE_KIND, LEASE_NAME, &value, Some(*revision)).await,
+                    Some(number) => {
+                        let era = lease.era();
+                        let revision = StoreRevision { era, number: *number };
+                        store.replace(LEASE_KIND, LEASE_NAME, &value, Some(revision)).await
+                    }
                 };
-                if written.is_ok() {
-                    self.state.record_store_contact(now());
-                }
                 let outcome = match written {
-                    Ok(Written::Done(object)) => WriteOutcome::Done {
-                        version: object.revision,
-                    },
-                    Ok(Written::Conflict(_)) => WriteOutcome::Conflict,
+                    Ok(Written::Done(object)) => {
+                        let StoreRevision { era, number } = object.revision;
+                        self.state.record_store_contact(era, now());
+                        if era == lease.era() {
+                            WriteOutcome::Done { version: number }
+                        } else {
+                            WriteOutcome::Unknown
+                        }
+                    }
+                    Ok(Written::Conflict(found)) => {
+                        let era = found.map_or(0, |it| it.revision.era);
+                        self.state.record_store_contact(era, now());
+                        WriteOutcome::Conflict
+                    }
                     Err(CallError::NotRun(_)) => WriteOutcome::NotRun,
                     Err(_) => WriteOutcome::Unknown,
                 };
@@ -593,7 +609,14 @@
     fn decode(&self, object: &Object) -> Option<StoredLease> {
         let value: LeaseObject = serde_json::from_value(object.spec.clone()).ok()?;
         *self.last_read_lease.lock() = (value.lease.term.0, value.held_ms);
-        if value.lease.released {
+        // The term of an older copy may have been followed by others since.
+        let is_leftover = era_of(value.lease.term) < object.revision.era;
+        if value.lease.released && is_leftover {
+            log::debug!(
+                "the lease of an earlier era was released in term {}",
+                value.lease.term.0
+            );
+        } else if value.lease.released {
             let resignation = Resignation {
                 term: value.lease.term.0,
                 at: now(),
@@ -612,7 +635,7 @@
             });
         }
         Some(StoredLease {
-            version: object.revision,
+            version: object.revision.number,
             operation: value.operation,
             spec: value.lease,
         })
@@ -629,7 +652,8 @@
     fn apply_lease_events(&self, lease: &mut Lease) {
         for event in lease.take_events() {
             match event {
-                LeaseEvent::Acquired(term) => self.start_term(term),
+                LeaseEvent::Acquired(term) => self.start_term(term, lease.is_first()),
+                LeaseEvent::Reissued(term) => self.continue_term(term),
                 LeaseEvent::Released(term) => {
                     self.lease_state.lock().term = 0;
                     log_event!(Event::LeaseReleased, "-", "term={}", term.0);
@@ -653,7 +677,25 @@
         lease_state.until = held.unwrap_or_default();
     }
 
-    fn start_term(&self, term: Term) {
+    /// Goes on as the coordinator under a new term, after the store was restored.
+    fn continue_term(&self, term: Term) {
+        let previous = std::mem::replace(&mut self.lease_state.lock().term, term.0);
+        log_event!(Event::LeaseReissued, "-", "term={} previous={previous}", term.0);
+        self.announce_term(term);
+    }
+
+    /// Records this process as the coordinator, and tells its direct followers, which pass it on by their feeds.
+    fn announce_term(&self, term: Term) {
+        let hint = CoordinatorHint {
+            vm: self.state.settings.vm.clone(),
+            address: self.state.settings.advertised,
+            term: term.0,
+        };
+        self.state.record_coordinator(hint.clone());
+        self.announce::<_, ()>("coordinator", &hint, feed::direct_followers(&self.state));
+    }
+
+    fn start_term(&self, term: Term, is_first: bool) {
         let at = now();
         let gap = self.state.settings.order_gap_ms;
         let previous_holder = self.state.coordinator().filter(|it| it.term < term.0);
@@ -669,7 +711,14 @@
             None if !is_other_vm && is_first_term => at - self.state.uptime_ms(at),
             None => at,
         };
-        self.lease_state.lock().start(term.0, at, granted_until, is_substitute);
+        *self.lease_state.lock() = LeaseState {
+            term: term.0,
+            started: at,
+            granted_until,
+            is_substitute,
+            is_first,
+            ..LeaseState::default()
+        };
         self.quota.lock().clear();
         self.vms.lock().clear();
         let quiet = match &resignation {
@@ -678,14 +727,14 @@
             _ if !is_other_vm => {
                 let (last_term, held_ms) = *self.last_read_lease.lock();
                 let held_ms = if last_term + 1 == term.0 { held_ms } else { 0 };
-                let wait = if term.0 == 1 {
+                let wait = if is_first {
                     0
                 } else {
                     (gap + ORDER_IN_TRANSIT_MS).saturating_sub(held_ms)
                 };
                 QuietPeriods {
                     others_from: at + wait,
-                    own_until: (term.0 > 1).then_some(at),
+                    own_until: (!is_first).then_some(at),
                     ..QuietPeriods::default()
                 }
             }
@@ -705,20 +754,13 @@
             }
         };
         self.placement.lock().start_term(at, quiet);
-        let hint = CoordinatorHint {
-            vm: self.state.settings.vm.clone(),
-            address: self.state.settings.advertised,
-            term: term.0,
-        };
-        self.state.record_coordinator(hint.clone());
         let predecessor = match (&resignation, is_other_vm) {
             (_, false) => "none",
             (Some(_), true) => "resigned",
             (None, true) => "silent",
         };
         log_event!(Event::LeaseAcquired, "-", "term={} predecessor={predecessor}", term.0);
-        // They pass it on by their feeds.
-        self.announce::<_, ()>("coordinator", &hint, feed::direct_followers(&self.state));
+        self.announce_term(term);
     }
 
     /// Publishes the placement to this process and, through its feed, to the others.
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -14,7 +14,8 @@
 use guava_core::events::Event;
 use guava_core::rendezvous;
 use guava_core::units::Millis;
-use guava_fleet::model::{BackendServer, Configuration};
+use guava_fleet::departures::Departure;
+use guava_fleet::model::{BackendServer, Configuration, StoreRevision};
 use guava_fleet::placement::EngineModels;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -71,7 +72,7 @@
         /// Number of the last change of the placement received; `None` requests the whole placement.
         pub placed_change: Option<u64>,
         /// Store revision of the last change of servers received; a source whose view is older sends no servers.
-        pub servers_revision: u64,
+        pub servers_revision: StoreRevision,
         /// Term of the last known coordinator; zero for none.
         pub term: u64,
         /// Milliseconds since the store last answered the follower.
@@ -89,6 +90,8 @@
         pub source: u64,
         /// Age of its view of the store in milliseconds.
         pub age_ms: u64,
+        /// Latest era of the store that it knows; zero for none.
+        pub era: u64,
         /// Milliseconds since a process was known to be the coordinator.
         pub coordination_age_ms: u64,
         /// Last known coordinator; `None` if the follower knows a later one, or the same.
@@ -97,10 +100,12 @@
         pub config: Option<Configuration>,
         /// Changes of servers; `None` if there are none.
         pub servers: Option<Changes<BackendServer>>,
+        /// Servers that leave or have left, if `servers` holds all.
+        pub departures: Vec<Departure>,
         /// Store revision of the last change of servers.
-        pub revision: u64,
+        pub revision: StoreRevision,
         /// Store revision up to which the follower has all changes of servers after this answer; zero when unknown.
-        pub complete_to: u64,
+        pub complete_to: StoreRevision,
         /// Term and version of the placement; term zero for none.
         pub placed_version: (u64, u64),
         /// Changes of the placement; `None` if there are none.
@@ -158,7 +163,7 @@
         change: None,
         config_version: 0,
         placed_change: None,
-        servers_revision: 0,
+        servers_revision: StoreRevision::default(),
         term: 0,
         store_age_ms: u64::MAX,
         max_age_ms: None,
--- a/crates/entry/src/findings.rs
+++ b/crates/entry/src/findings.rs
@@ -147,9 +147,14 @@
         sleep(CHECK_INTERVAL).await;
     }
     let mut written: Option<(Vec<Vec<String>>, Millis)> = None;
+    let mut written_in = state.store_era();
     loop {
         sleep(CHECK_INTERVAL).await;
         let at = now();
+        let era = state.store_era();
+        if std::mem::replace(&mut written_in, era) != era {
+            written = None;
+        }
         if state.findings.check_time(at) {
             state.signal_change();
         }
@@ -182,8 +187,8 @@
 /// Merges the store's copy; its object, if there is one.
 async fn read_copy(state: &EntryState) -> Result<Option<Object>, CallError> {
     let found = state.store.get(VERDICTS_KIND, VERDICTS_NAME).await?;
-    state.record_store_contact(now());
-    let Some(object) = found else {
+    state.record_store_contact(found.era, now());
+    let Some(object) = found.object else {
         return Ok(None);
     };
     match serde_json::from_value::<StoredVerdicts>(object.spec.clone()) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -17,8 +17,9 @@
 use guava_core::derive_value;
 use guava_core::events::Event;
 use guava_fleet::crashes::CrashFindings;
+use guava_fleet::departures::Departure;
 use guava_fleet::health::{Outcomes, SharedFailure};
-use guava_fleet::model::{BackendServer, Configuration};
+use guava_fleet::model::{BackendServer, Configuration, StoreRevision};
 use guava_fleet::placement::{Demand, OrderAges, Running, Wait};
 use guava_platform::CallError;
 use http::Request;
@@ -68,8 +69,12 @@
         pub members: Vec<Member>,
         /// Version of the sender's configuration; zero for none.
         pub config_version: u64,
+        /// Latest era of the store that the sender knows; zero for none.
+        pub era: u64,
         /// Store revision of the last change of the sender's servers; zero for none.
-        pub servers_revision: u64,
+        pub servers_revision: StoreRevision,
+        /// Servers that leave or have left.
+        pub departures: Vec<Departure>,
         /// Last coordinator known to the sender.
         pub coordinator: Option<CoordinatorHint>,
         /// Configuration, if the receiver's is older.
@@ -235,7 +240,9 @@
             .choose_multiple(&mut rand::rng(), MAX_HEARTBEATS_SENT),
         members: Vec::new(),
         config_version: state.config().map_or(0, |it| it.config.version),
+        era: state.store_era(),
         servers_revision: state.servers_revision(),
+        departures: state.departures(at),
         coordinator: state.coordinator(),
         config: None,
         servers: None,
@@ -270,6 +277,8 @@
         state.record_coordinator(hint);
     }
     state.apply_findings(received.findings);
+    state.record_era(received.era, "peer", at);
+    state.apply_departures(received.departures, at);
     let may_use = state.may_use_view(received.age_ms, at);
     if let Some(config) = received.config.filter(|_| may_use) {
         state.apply_config(config, "peer");
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,15 +12,16 @@
 use guava_core::units::Millis;
 use guava_fleet::budget::{BudgetLimits, RetryBudget};
 use guava_fleet::crashes::{CrashFindings, Decision};
+use guava_fleet::departures::Departure;
 use guava_fleet::health::{Health, SharedFailure};
-use guava_fleet::model::{BackendServer, Configuration, ServerState};
+use guava_fleet::model::{BackendServer, Configuration, ServerState, StoreRevision};
 use guava_fleet::pacing::Pacer;
 use guava_fleet::placement::{Demand, EngineModels, Running, Wait};
 use guava_fleet::quota::Buckets;
 use guava_fleet::routes::ActiveConfig;
 use guava_fleet::succession::{LiveVm, Succession};
 use guava_platform::settings::Settings;
-use guava_platform::store::Store;
+use guava_platform::store::{MAX_ERA, Store};
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom;
 use rustix::time::{ClockId, clock_gettime};
@@ -188,6 +189,8 @@
     view: Mutex<ClusterView>,
     in_flight: Mutex<InFlight>,
     changes: watch::Sender<u64>,
+    /// Era of the store, for tasks that write again what a restored store has lost.
+    eras: watch::Sender<u64>,
     stopping: AtomicBool,
     draining: AtomicBool,
 }
@@ -195,10 +198,7 @@
 impl EntryState {
     /// Creates the state of a process that starts now, with an empty view.
     pub fn new(settings: Settings, clients: Clients) -> Self {
-        let store = Store::new(
-            Arc::new(StoreClient::new(Arc::clone(&clients.internal))),
-            settings.store,
-        );
+        let store = Store::new(Arc::new(StoreClient(Arc::clone(&clients.internal))), settings.store);
         Self {
             incarnation: wall_ms(),
             started: now(),
@@ -216,6 +216,7 @@
             view: Mutex::default(),
             in_flight: Mutex::default(),
             changes: watch::Sender::new(0),
+            eras: watch::Sender::new(0),
             stopping: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             settings,
@@ -303,11 +304,57 @@
         true
     }
 
-    /// Records an answer of the store.
-    pub fn record_store_contact(&self, now: Millis) {
+    /// Records an answer of the store, which was given in `era`.
+    pub fn record_store_contact(&self, era: u64, now: Millis) {
+        self.record_era(era, "store", now);
         self.view.lock().record_store_contact(now);
     }
 
+    /// Records the era of the store as far as `source` knows it. An earlier era never replaces a later one.
+    pub fn record_era(&self, era: u64, source: &str, now: Millis) {
+        if era > MAX_ERA {
+            log_event!(
+                Event::PeerMessageRefused,
+                "-",
+                "source={source} why=era {era} is too large"
+            );
+            return;
+        }
+        let (before, revision) = {
+            let mut view = self.view.lock();
+            (view.record_era(era, now), view.servers_revision())
+        };
+        if let Some(before) = before {
+            log_event!(
+                Event::StoreRestored,
+                "-",
+                "era={era} before={before} source={source} servers_revision={}.{}",
+                revision.era,
+                revision.number
+            );
+        }
+        self.eras.send_if_modified(|it| {
+            let is_later = era > *it;
+            *it = era.max(*it);
+            is_later
+        });
+    }
+
+    /// Latest era of the store that is known; zero before its first answer.
+    pub fn store_era(&self) -> u64 {
+        *self.eras.borrow()
+    }
+
+    /// Returns a receiver that is notified of each new era of the store.
+    pub fn subscribe_eras(&self) -> watch::Receiver<u64> {
+        self.eras.subscribe()
+    }
+
+    /// Whether the whole deployment starts for the first time, so that the store has never had more than it has now.
+    pub fn is_first_start(&self) -> bool {
+        self.settings.is_first_start && !self.view.lock().has_seen_restore()
+    }
+
     /// Logs when this process's view of the store has become stale, and when it is fresh again.
     pub fn check_freshness(&self, now: Millis) {
         let (change, source_age, store_age) = {
@@ -375,20 +422,21 @@
     }
 
     /// Replaces all servers by a list read from the store at `revision`.
-    pub fn apply_server_list(&self, list: Vec<BackendServer>, revision: u64, now: Millis) {
+    pub fn apply_server_list(&self, list: Vec<BackendServer>, revision: StoreRevision, now: Millis) {
         if self.view.lock().put_server_list(list, revision, now) {
             self.signal_change();
         }
     }
 
     /// Records that all changes of servers up to a store revision have been applied; zero for unknown.
-    pub fn record_complete(&self, revision: u64) {
+    pub fn record_complete(&self, revision: StoreRevision) {
         self.view.lock().record_complete(revision);
     }
 
     /// Store revision up to which all changes of servers are in force here; `None` when unknown.
-    pub fn complete_to(&self) -> Option<u64> {
-        Some(self.view.lock().complete_to()).filter(|it| *it > 0)
+    pub fn complete_to(&self) -> Option<StoreRevision> {
+        let view = self.view.lock();
+        Some(view.complete_to()).filter(|it| it.number > 0 && it.era == view.era())
     }
 
     /// Whether the fleet is so large that simultaneous full lists for all VMs would saturate the store's or a VM's link
@@ -398,19 +446,19 @@
     }
 
     /// Applies a changed entry; `None` if it was removed or does not describe a usable server.
-    pub fn apply_server(&self, id: &str, server: Option<BackendServer>, revision: u64, now: Millis) {
+    pub fn apply_server(&self, id: &str, server: Option<BackendServer>, revision: StoreRevision, now: Millis) {
         let state = server.as_ref().map(|it| it.state);
         let is_change = {
             let mut view = self.view.lock();
-            view.servers_revision = view.servers_revision.max(revision);
             match server {
-                Some(server) => view.put_server(server),
-                None => view.remove_server(id, now),
+                Some(server) => view.put_server(server, revision, now),
+                None => view.remove_server(id, revision, now),
             }
         };
         if !is_change {
             return;
         }
+        let revision = format!("{}.{}", revision.era, revision.number);
         match state {
             Some(ServerState::Ready) => log_event!(Event::ServerListed, "-", "server={id} revision={revision}"),
             Some(ServerState::Draining) => log_event!(Event::ServerLeaving, "-", "server={id} revision={revision}"),
@@ -448,9 +496,25 @@
     }
 
     /// Store revision of the last change of servers; zero before the first list.
-    pub fn servers_revision(&self) -> u64 {
+    pub fn servers_revision(&self) -> StoreRevision {
         let view = self.view.lock();
-        if view.has_servers { view.servers_revision } else { 0 }
+        if view.has_servers {
+            view.servers_revision()
+        } else {
+            StoreRevision::default()
+        }
+    }
+
+    /// Servers that leave or have left, for another process.
+    pub fn departures(&self, now: Millis) -> Vec<Departure> {
+        self.view.lock().departures(now)
+    }
+
+    /// Applies departures of servers that another process tells.
+    pub fn apply_departures(&self, told: Vec<Departure>, now: Millis) {
+        if self.view.lock().put_departures(told, now) {
+            self.signal_change();
+        }
     }
 
     /// Applies the coordinator's counts of running requests of all VMs by server.
@@ -519,10 +583,13 @@
         let is_older = view.known_revision() < query.servers_revision;
         let known_placed = query.placed_change.filter(|_| query.source == self.incarnation);
         let has_placed = view.placed_version().0 > 0 && known_placed != Some(view.last_placement_change());
+        let servers = (has_changed && !is_older).then(|| view.server_changes_since(known));
+        let is_whole = servers.as_ref().is_some_and(|it| it.is_whole);
         FeedAnswer {
             coordinator: view.coordinator.as_ref().filter(|it| it.term > query.term).cloned(),
             config: config.map(|it| (*it.config).clone()),
-            servers: (has_changed && !is_older).then(|| view.server_changes_since(known)),
+            servers,
+            departures: if is_whole { view.departures(now()) } else { Vec::new() },
             placed: has_placed.then(|| view.placement_changes_since(known_placed)),
             ..self.empty_answer(&view)
         }
@@ -538,11 +605,13 @@
         FeedAnswer {
             source: self.incarnation,
             age_ms: view.source_age(at),
+            era: view.era(),
             coordination_age_ms: view.coordination_age(at),
             coordinator: None,
             config: None,
             servers: None,
-            revision: view.servers_revision,
+            departures: Vec::new(),
+            revision: view.servers_revision(),
             complete_to: view.complete_to(),
             placed_version: view.placed_version(),
             placed: None,
@@ -551,6 +620,7 @@
 
     /// Applies an answer of the process that this one follows, as far as it is newer than what is known here.
     pub fn apply_feed(&self, answer: FeedAnswer, now: Millis) -> Applied {
+        self.record_era(answer.era, "feed", now);
         if let Some(hint) = answer.coordinator {
             self.record_coordinator(hint);
         }
@@ -564,9 +634,10 @@
             let mut view = self.view.lock();
             view.record_feed_age(answer.age_ms, now);
             view.record_coordination(answer.coordination_age_ms, now);
-            let is_newer = answer.revision.max(answer.complete_to) >= view.servers_revision;
+            let is_newer = answer.revision.max(answer.complete_to) >= view.servers_revision();
             let servers = answer.servers.filter(|_| is_newer);
-            let is_change = servers.is_some_and(|it| view.put_server_changes(it, answer.revision, now));
+            let mut is_change = view.put_departures(answer.departures, now);
+            is_change |= servers.is_some_and(|it| view.put_server_changes(it, answer.revision, now));
             if is_newer {
                 view.record_complete(answer.complete_to);
             }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use guava_core::events::Event;
+use guava_fleet::model::StoreRevision;
 use guava_platform::store::{Changes, Listing, Object, Written};
 use guava_platform::{CallError, config, servers};
 use serde_json::json;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::coordinator::Coordinator;
 use crate::log_event;
@@ -32,6 +33,9 @@
 /// Interval at which members are checked.
 const MEMBER_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Longest random delay before all processes register again with a restored store, in milliseconds.
+const MAX_REGISTRATION_DELAY_MS: u64 = 1_000;
+
 /// Pause that doubles with each consecutive failure, because refused calls are paid as well.
 #[derive(Debug)]
 struct Backoff {
@@ -75,7 +79,7 @@
 enum StoreUpdate {
     Full(Listing),
     /// Changed objects, `None` for a removed one, and the revision up to which they are complete.
-    Delta(Vec<(String, Option<Object>)>, u64),
+    Delta(Vec<(String, Option<Object>)>, StoreRevision),
 }
 
 /// Whether a watch may start at the revision up to which the feed was complete, without a list.
@@ -92,7 +96,7 @@
         }
     }
 
-    fn revision(&self, state: &EntryState) -> Option<u64> {
+    fn revision(&self, state: &EntryState) -> Option<StoreRevision> {
         let may_resume = self.is_allowed() && state.is_large_fleet();
         state.complete_to().filter(|_| may_resume)
     }
@@ -116,10 +120,15 @@
         let mut revision = match resumed_at {
             Some(revision) => revision,
             None => match state.store.list(kind).await {
+                Ok(listing) if listing.revision.era < state.store_era() => {
+                    let outdated = CallError::NotRun("the list is from before the store was restored".to_owned());
+                    backoff.pause_after(&format!("list of {kind}"), &outdated).await;
+                    continue;
+                }
                 Ok(listing) => {
                     backoff.reset();
-                    state.record_store_contact(now());
                     let revision = listing.revision;
+                    state.record_store_contact(revision.era, now());
                     apply(state, StoreUpdate::Full(listing));
                     revision
                 }
@@ -129,11 +138,21 @@
                 }
             },
         };
+        let mut eras = state.subscribe_eras();
+        // A restored store may have given out the revision again, and shows that only in its answer.
+        let mut wait = resumed_at.map_or(WATCH_WAIT, |_| Duration::ZERO);
         while *watches_store.borrow() && (resumed_at.is_none() || resume.is_allowed()) {
-            match state.store.watch(kind, revision, WATCH_WAIT).await {
+            let watching = state.store.watch(kind, revision, wait);
+            let changes = tokio::select! {
+                changes = watching => changes,
+                // Fails only when the process ends.
+                _ = eras.wait_for(|it| *it > revision.era) => Ok(Changes::HistoryGone),
+            };
+            match changes {
                 Ok(Changes::Since { events, revision: next }) => {
                     backoff.reset();
-                    state.record_store_contact(now());
+                    wait = WATCH_WAIT;
+                    state.record_store_contact(next.era, now());
                     revision = next;
                     let delay = apply(state, StoreUpdate::Delta(events, next));
                     if !delay.is_zero() {
@@ -144,7 +163,10 @@
                     must_list = true;
                     break;
                 }
-                Err(e) => backoff.pause_after(&format!("watch of {kind}"), &e).await,
+                Err(e) => {
+                    backoff.pause_after(&format!("watch of {kind}"), &e).await;
+                    wait = Duration::ZERO;
+                }
             }
         }
     }
@@ -179,7 +201,12 @@
         Ok(config) => {
             state.apply_config(config, "store");
         }
-        Err(e) => log_event!(Event::ConfigUnreadable, "-", "revision={} why={e}", object.revision),
+        Err(e) => log_event!(
+            Event::ConfigUnreadable,
+            "-",
+            "revision={} why={e}",
+            object.revision.number
+        ),
     }
 }
 
@@ -226,38 +253,55 @@
     }
 }
 
-/// Registers this process, lists the other members once, and then removes the registrations of members that are gone.
-pub async fn register(state: Arc<EntryState>) {
+/// Writes this process's registration.
+async fn write_registration(state: &EntryState) {
     let mut backoff = Backoff::new();
     let own_member = state.as_member();
+    let value = json!(own_member);
     loop {
-        let value = json!(own_member);
         let written = match state.store.create(MEMBER_KIND, &own_member.vm, &value).await {
             Ok(Written::Conflict(_)) => state.store.replace(MEMBER_KIND, &own_member.vm, &value, None).await,
             other => other,
         };
         match written {
-            Ok(_) => break,
+            Ok(_) => return,
             Err(e) => backoff.pause_after("registration", &e).await,
         }
     }
-    loop {
+}
+
+/// Registers this process, lists the other members once, and then removes the registrations of members that are gone.
+/// Registers again when the store was restored, because the copy may be older than the registration.
+pub async fn register(state: Arc<EntryState>) {
+    let mut eras = state.subscribe_eras();
+    let mut backoff = Backoff::new();
+    write_registration(&state).await;
+    let mut registered_in = loop {
         match state.store.list(MEMBER_KIND).await {
             Ok(listing) => {
+                if !listing.objects.iter().any(|it| it.name == state.settings.vm) {
+                    write_registration(&state).await;
+                }
                 let members = listing.objects.into_iter();
                 let members = members.filter_map(|it| serde_json::from_value::<Member>(it.spec).ok());
                 for member in members {
                     state.record_member(member, None);
                 }
                 state.members_listed.notify_one();
-                break;
+                break listing.revision.era;
             }
             Err(e) => backoff.pause_after("list of members", &e).await,
         }
-    }
+    };
     let started = now();
     loop {
-        sleep(MEMBER_CHECK_INTERVAL).await;
+        // Ends early only when the store was restored.
+        let _ = timeout(MEMBER_CHECK_INTERVAL, eras.wait_for(|it| *it > registered_in)).await;
+        if state.store_era() > registered_in {
+            registered_in = state.store_era();
+            sleep(Duration::from_millis(rand::random_range(0..MAX_REGISTRATION_DELAY_MS))).await;
+            write_registration(&state).await;
+        }
         let at = now();
         let removed = state.retain_members(|it| {
             let silent_since = it.last_contact.unwrap_or(started);
--- a/crates/entry/tests/cluster_view.rs
+++ b/crates/entry/tests/cluster_view.rs
@@ -3,7 +3,7 @@
 use guava_core::units::Millis;
 use guava_entry::changes::Changes;
 use guava_entry::cluster_view::{ClusterView, EXPIRY_GRACE_MS};
-use guava_fleet::model::{BackendServer, HeldModel, ServerState};
+use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
 use guava_fleet::placement::EngineModels;
 
 fn server(id: &str, state: ServerState) -> BackendServer {
@@ -15,6 +15,7 @@
         slots: 64,
         state,
         born_ms: 1,
+        writes: 0,
         leaves_in_ms: None,
         held: vec![held("m1")],
         in_memory: Vec::new(),
@@ -22,6 +23,11 @@
     }
 }
 
+/// Revision of the store in its first era.
+fn at(number: u64) -> StoreRevision {
+    StoreRevision { era: 1, number }
+}
+
 fn held(name: &str) -> HeldModel {
     HeldModel {
         name: name.to_owned(),
@@ -52,13 +58,13 @@
     view.record_store_contact(Millis(1_000));
     view.put_server_list(
         vec![server("a", ServerState::Ready), server("b", ServerState::Ready)],
-        1,
+        at(1),
         Millis(1_000),
     );
 
     let was_away = view.record_store_contact(Millis(6_000));
-    view.put_server_list(Vec::new(), 2, Millis(6_000));
-    view.put_server(server("a", ServerState::Ready));
+    view.put_server_list(Vec::new(), at(2), Millis(6_000));
+    view.put_server(server("a", ServerState::Ready), at(3), Millis(6_000));
     let kept = ids(&view);
     view.remove_expired(Millis(6_000 + EXPIRY_GRACE_MS));
 
@@ -72,10 +78,10 @@
 fn a_removal_applies_at_once_without_an_outage() {
     let mut view = ClusterView::default();
     view.record_store_contact(Millis(1_000));
-    view.put_server_list(vec![server("a", ServerState::Ready)], 1, Millis(1_000));
+    view.put_server_list(vec![server("a", ServerState::Ready)], at(1), Millis(1_000));
     view.record_store_contact(Millis(1_500));
 
-    assert!(view.remove_server("a", Millis(1_500)));
+    assert!(view.remove_server("a", at(2), Millis(1_500)));
     assert_eq!(ids(&view), Vec::<String>::new());
 }
 
@@ -85,16 +91,16 @@
     let mut view = ClusterView::default();
     view.put_server_list(
         vec![server("a", ServerState::Ready), server("b", ServerState::Ready)],
-        1,
+        at(1),
         Millis(0),
     );
     let whole = view.server_changes_since(None);
 
     let mut other_models = server("a", ServerState::Ready);
     other_models.held = vec![held("m2")];
-    let is_published = view.put_server(other_models);
-    view.put_server(server("b", ServerState::Draining));
-    view.remove_server("a", Millis(10));
+    let is_published = view.put_server(other_models, at(2), Millis(5));
+    view.put_server(server("b", ServerState::Draining), at(3), Millis(5));
+    view.remove_server("a", at(4), Millis(10));
     let changes = view.server_changes_since(Some(whole.change));
     let none = view.server_changes_since(Some(changes.change));
 
@@ -150,7 +156,7 @@
 fn a_fresh_placement_takes_precedence_over_the_entry() {
     let mut view = ClusterView::default();
     let entry = server("a", ServerState::Ready);
-    view.put_server(entry.clone());
+    view.put_server(entry.clone(), at(1), Millis(0));
     let placed = EngineModels {
         server: "a".to_owned(),
         born_ms: 1,
@@ -172,19 +178,20 @@
 fn a_revision_is_complete_only_when_all_changes_are_in_force() {
     let mut view = ClusterView::default();
     view.record_store_contact(Millis(1_000));
-    view.record_complete(7);
+    view.record_complete(at(7));
     let before_first_list = view.complete_to();
-    view.put_server_list(vec![server("a", ServerState::Ready)], 7, Millis(1_000));
+    view.put_server_list(vec![server("a", ServerState::Ready)], at(7), Millis(1_000));
     let listed = view.complete_to();
 
     view.record_store_contact(Millis(6_000));
-    view.remove_server("a", Millis(6_000));
-    view.record_complete(9);
+    view.remove_server("a", at(8), Millis(6_000));
+    view.record_complete(at(9));
     let while_held_back = view.complete_to();
     view.remove_expired(Millis(6_000 + EXPIRY_GRACE_MS));
 
-    assert_eq!((before_first_list, listed, while_held_back), (0, 7, 0));
-    assert_eq!(view.complete_to(), 9);
+    let unknown = StoreRevision::default();
+    assert_eq!((before_first_list, listed, while_held_back), (unknown, at(7), unknown));
+    assert_eq!(view.complete_to(), at(9));
 }
 
 /// Guards against server lists that include the weights cached on each engine, which followers never use.
@@ -194,9 +201,42 @@
     let mut with_copies = server("a", ServerState::Ready);
     with_copies.on_disk = vec!["m2".to_owned()];
     with_copies.in_memory = vec!["m3".to_owned()];
-    view.put_server_list(vec![with_copies], 1, Millis(1_000));
+    view.put_server_list(vec![with_copies], at(1), Millis(1_000));
 
     let changes = view.server_changes_since(None);
 
     assert_eq!(changes.present, [server("a", ServerState::Ready)]);
 }
+
+fn server_after(id: &str, writes: u64) -> BackendServer {
+    BackendServer {
+        writes,
+        ..server(id, ServerState::Ready)
+    }
+}
+
+/// Guards against a process that ignores all changes after the store was restored, because its revisions are lower than
+/// before, and against live servers being dropped because they registered after the copy was made.
+#[test]
+fn view_of_a_restored_store_is_newer_whatever_its_revision() {
+    let mut view = ClusterView::default();
+    view.record_era(1, Millis(1_000));
+    view.record_store_contact(Millis(1_000));
+    view.put_server_list(vec![server_after("a", 3), server_after("b", 1)], at(500), Millis(1_000));
+
+    let in_second_era = |number| StoreRevision { era: 2, number };
+    view.record_era(2, Millis(1_500));
+    let is_change = view.put_server_list(vec![server_after("a", 2)], in_second_era(90), Millis(1_500));
+    let kept = ids(&view);
+    let mut draining = server_after("a", 4);
+    draining.state = ServerState::Draining;
+    view.put_server(draining, in_second_era(95), Millis(1_600));
+    view.put_server_list(vec![server_after("a", 3)], at(510), Millis(1_700));
+
+    assert!(!is_change);
+    assert_eq!(kept, ["a", "b"]);
+    assert_eq!(view.known_revision(), in_second_era(95));
+    assert!(!view.accepts_requests(&server_after("a", 4)));
+    view.remove_expired(Millis(1_500 + EXPIRY_GRACE_MS));
+    assert_eq!(ids(&view), ["a"]);
+}
--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use guava_entry::state::EntryState;
-use guava_fleet::model::{BackendServer, ServerState};
+use guava_fleet::model::{BackendServer, ServerState, StoreRevision};
 use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH};
 use rstest::rstest;
 use support::{
@@ -65,7 +65,8 @@
         state: ServerState::Draining,
         ..server.entry.clone()
     };
-    state.apply_server(id, Some(draining), 2, guava_entry::state::now());
+    let revision = StoreRevision { era: 1, number: 2 };
+    state.apply_server(id, Some(draining), revision, guava_entry::state::now());
 }
 
 /// Guards against a request that reaches a server long after the server's leaving was known, because the request waited
--- a/crates/entry/tests/feed.rs
+++ b/crates/entry/tests/feed.rs
@@ -6,14 +6,16 @@
 
 use guava_entry::feed::{FeedAnswer, FeedQuery};
 use guava_entry::state::{EntryState, now};
-use guava_fleet::model::{BackendServer, ServerState};
+use guava_fleet::model::{BackendServer, ServerState, StoreRevision};
 use rstest::rstest;
 use support::{FakePeers, start_entry};
 
 /// Store revision of the view that has missed the last change.
-const OLD_REVISION: u64 = 90;
+const OLD_REVISION: StoreRevision = StoreRevision { era: 1, number: 90 };
 /// Store revision of the last change.
-const NEW_REVISION: u64 = 98;
+const NEW_REVISION: StoreRevision = StoreRevision { era: 1, number: 98 };
+/// Revision of the store after it was restored from an older copy.
+const RESTORED_REVISION: StoreRevision = StoreRevision { era: 2, number: 40 };
 
 fn server(id: &str) -> BackendServer {
     BackendServer {
@@ -24,6 +26,7 @@
         slots: 6,
         state: ServerState::Ready,
         born_ms: 1,
+        writes: 0,
         leaves_in_ms: None,
         held: Vec::new(),
         in_memory: Vec::new(),
@@ -56,7 +59,7 @@
     let source = start_entry(Arc::default()).await.state;
     let follower = start_entry(Arc::default()).await.state;
     for state in [&source, &follower] {
-        state.record_store_contact(now());
+        state.record_store_contact(1, now());
         state.apply_server_list(vec![server("a"), server("b")], OLD_REVISION, now());
     }
     follower.apply_server("a", None, NEW_REVISION, now());
@@ -73,7 +76,11 @@
     assert_eq!(ids(&follower), ["b"]);
 
     source.apply_server("a", None, NEW_REVISION, now());
-    source.apply_server("b", None, NEW_REVISION + 1, now());
+    let newest = StoreRevision {
+        number: NEW_REVISION.number + 1,
+        ..NEW_REVISION
+    };
+    source.apply_server("b", None, newest, now());
     let answer = source.feed_answer(&query(&follower));
     assert!(follower.apply_feed(answer, now()).servers);
     assert_eq!(ids(&follower), Vec::<String>::new());
@@ -81,7 +88,7 @@
 
 fn source_list(source: &EntryState) -> guava_entry::changes::Changes<BackendServer> {
     let all = FeedQuery {
-        servers_revision: 0,
+        servers_revision: StoreRevision::default(),
         ..query(source)
     };
     source.feed_answer(&all).servers.expect("the source has servers")
@@ -122,9 +129,56 @@
     };
 
     let stale = guava_entry::feed::answer(&source, &search).await;
-    source.record_store_contact(now());
+    source.record_store_contact(1, now());
     let fresh = guava_entry::feed::answer(&source, &search).await;
 
     assert_eq!((stale.servers, stale.config), (None, None));
     assert!(fresh.servers.is_some_and(|it| it.is_whole) && fresh.config.is_some());
 }
+
+/// Guards against a follower that takes no more changes after the store was restored, because they have lower revisions
+/// than what it knows, and so sends requests to servers that leave.
+#[tokio::test]
+async fn follower_takes_changes_of_a_restored_store() {
+    let source = start_entry(Arc::default()).await.state;
+    let follower = start_entry(Arc::default()).await.state;
+    for state in [&source, &follower] {
+        state.record_store_contact(1, now());
+        state.apply_server_list(vec![server("a"), server("b")], NEW_REVISION, now());
+    }
+    source.record_store_contact(2, now());
+    source.apply_server_list(vec![server("a"), server("b")], RESTORED_REVISION, now());
+    let leaving = BackendServer {
+        state: ServerState::Draining,
+        ..server("a")
+    };
+    source.apply_server("a", Some(leaving), RESTORED_REVISION, now());
+
+    let answer = source.feed_answer(&query(&follower));
+    let applied = follower.apply_feed(answer, now());
+
+    assert!(applied.servers);
+    assert!(!follower.accepts_requests(&server("a")));
+    assert_eq!(follower.store_era(), 2);
+}
+
+/// Guards against a VM that uses a server that has left because it knows only the older copy of a restored store.
+#[tokio::test]
+async fn departures_bind_a_process_that_reads_an_older_copy() {
+    let informed = start_entry(Arc::default()).await.state;
+    let starting = start_entry(Arc::default()).await.state;
+    informed.record_store_contact(1, now());
+    informed.apply_server_list(vec![server("a"), server("b")], OLD_REVISION, now());
+    informed.apply_server("a", None, NEW_REVISION, now());
+
+    starting.record_store_contact(2, now());
+    starting.apply_server_list(vec![server("a"), server("b")], RESTORED_REVISION, now());
+    starting.apply_departures(informed.departures(now()), now());
+    informed.record_store_contact(2, now());
+    informed.apply_server_list(vec![server("a"), server("b")], RESTORED_REVISION, now());
+
+    for state in [&informed, &starting] {
+        assert!(!state.accepts_requests(&server("a")));
+        assert!(state.accepts_requests(&server("b")));
+    }
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use guava_entry::listeners::{self, Connections};
 use guava_entry::peers::{PaceAnswer, PaceRequest};
 use guava_entry::state::{EntryState, Member, now};
-use guava_fleet::model::{BackendServer, HeldModel, ServerState};
+use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
 use guava_platform::settings::Settings;
 use guava_platform::{CallError, Http, config};
 pub use guava_platform_standin::raw::answer_head;
@@ -29,7 +29,7 @@
 /// Model that all engines hold.
 pub const MODEL: &str = "m1";
 /// Address at which nobody listens.
-const NOWHERE: ([u8; 4], u16) = ([127, 0, 0, 1], 9);
+pub const NOWHERE: ([u8; 4], u16) = ([127, 0, 0, 1], 9);
 
 /// Other entry processes: they answer requests to send a prompt, and nothing else.
 #[derive(Debug, Default)]
@@ -77,6 +77,7 @@
         peers: NOWHERE.into(),
         seeds: Vec::new(),
         store: NOWHERE.into(),
+        is_first_start: true,
     };
     let settings = Settings::parse(&settings::file(&vm)).expect("valid settings");
     let clients = Clients {
@@ -179,6 +180,7 @@
             slots: 64,
             state: ServerState::Ready,
             born_ms: 1,
+            writes: 0,
             leaves_in_ms: None,
             held: is_engine.then_some(held).into_iter().collect(),
             in_memory: Vec::new(),
@@ -191,7 +193,7 @@
 /// Makes the servers known to the entry process.
 pub fn list_servers(state: &EntryState, servers: &[&ScriptedServer]) {
     let entries = servers.iter().map(|it| it.entry.clone()).collect();
-    state.apply_server_list(entries, 1, now());
+    state.apply_server_list(entries, StoreRevision { era: 1, number: 1 }, now());
 }
 
 /// Whole answer to the attempt.
--- /dev/null
+++ b/crates/fleet/src/departures.rs
@@ -0,0 +1,139 @@
+//! Backend servers that are known to leave or to have left.
+//!
+//! Views of the store do not always grow newer: a store that was restored from a copy shows a server as ready that has
+//! left since the copy was made, and so does a process that has read nothing else. What the server itself has written
+//! tells which entry is older: its start time, and its count of writes. Departures are spread to all VMs, so that one
+//! that was cut off or has just started does not use such a server either.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+use guava_core::derive_value;
+use guava_core::units::Millis;
+
+use crate::model::{BackendServer, StoreRevision};
+
+/// Time for which departures are kept, in milliseconds. A copy of the store is some seconds old, and an entry that is
+/// not renewed lapses within a few.
+const KEPT_MS: u64 = 120_000;
+/// Limit on departures that are kept; the oldest are dropped.
+const MAX_KEPT: usize = 4_096;
+/// Limit on departures in one message; the latest are sent.
+const MAX_SENT: usize = 64;
+/// Longest id of a server in a message.
+const MAX_ID: usize = 128;
+
+derive_value! {
+    /// What one VM tells another of a server that leaves or has left.
+    pub struct Departure {
+        /// Id of the server.
+        pub server: String,
+        /// Wall-clock time of its start.
+        pub born_ms: u64,
+        /// Changes of its entry up to the departure.
+        pub writes: u64,
+        /// Revision of the view in which it departed.
+        pub revision: StoreRevision,
+        /// Milliseconds since it became known.
+        pub age_ms: u64,
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    born_ms: u64,
+    writes: u64,
+    revision: StoreRevision,
+    at: Millis,
+}
+
+/// Departures that one VM knows.
+#[derive(Debug, Default)]
+pub struct Departures {
+    by_server: HashMap<String, Known>,
+}
+
+impl Departures {
+    /// Records that a server leaves or has left, by a view of the given revision.
+    pub fn record(&mut self, server: &BackendServer, revision: StoreRevision, now: Millis) {
+        let known = Known {
+            born_ms: server.born_ms,
+            writes: server.writes,
+            revision,
+            at: now,
+        };
+        self.put(&server.id, known, now);
+    }
+
+    /// Merges what another VM tells; returns the servers whose departure was unknown. Malformed and expired departures
+    /// are ignored.
+    pub fn merge(&mut self, told: Vec<Departure>, now: Millis) -> Vec<String> {
+        let is_valid = |it: &Departure| (1..=MAX_ID).contains(&it.server.len()) && it.age_ms < KEPT_MS;
+        let told = told.into_iter().filter(is_valid);
+        let mut learnt = Vec::new();
+        for it in told {
+            let known = Known {
+                born_ms: it.born_ms,
+                writes: it.writes,
+                revision: it.revision,
+                at: now - it.age_ms,
+            };
+            if self.put(&it.server, known, now) {
+                learnt.push(it.server);
+            }
+        }
+        learnt
+    }
+
+    /// Forgets the departure of a server that has written a new entry.
+    pub fn forget(&mut self, server: &str) {
+        self.by_server.remove(server);
+    }
+
+    /// Whether an entry of a server, in a view of the given revision, is older than its departure.
+    pub fn covers(&self, server: &BackendServer, revision: StoreRevision) -> bool {
+        self.by_server.get(&server.id).is_some_and(|known| {
+            let is_later_view = revision.era == known.revision.era && revision > known.revision;
+            !is_later_view && (server.born_ms, server.writes) <= (known.born_ms, known.writes)
+        })
+    }
+
+    /// Latest departures, for another VM.
+    pub fn recent(&self, now: Millis) -> Vec<Departure> {
+        let kept = self.by_server.iter().filter(|(_, it)| now.since(it.at) < KEPT_MS);
+        let mut kept: Vec<(&String, &Known)> = kept.collect();
+        kept.sort_by_key(|(_, it)| Reverse(it.at));
+        let recent = kept.into_iter().take(MAX_SENT).map(|(server, it)| Departure {
+            server: server.clone(),
+            born_ms: it.born_ms,
+            writes: it.writes,
+            revision: it.revision,
+            age_ms: now.since(it.at),
+        });
+        recent.collect()
+    }
+
+    /// Returns whether the departure was unknown.
+    fn put(&mut self, server: &str, known: Known, now: Millis) -> bool {
+        let order = |it: &Known| (it.born_ms, it.writes);
+        if let Some(earlier) = self.by_server.get_mut(server) {
+            if order(&known) > order(earlier) {
+                *earlier = known;
+                return true;
+            }
+            earlier.revision = earlier.revision.max(known.revision);
+            return false;
+        }
+        if self.by_server.len() >= MAX_KEPT {
+            self.by_server.retain(|_, it| now.since(it.at) < KEPT_MS);
+        }
+        if self.by_server.len() >= MAX_KEPT {
+            let oldest = self.by_server.iter().min_by_key(|(_, it)| it.at);
+            if let Some(oldest) = oldest.map(|(server, _)| server.clone()) {
+                self.by_server.remove(&oldest);
+            }
+        }
+        self.by_server.insert(server.to_owned(), known);
+        true
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod choice;
 pub mod crashes;
+pub mod departures;
 pub mod events;
 pub mod health;
 pub mod model;
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -25,6 +25,16 @@
     Draining,
 }
 
+/// Position in the changes of the platform's store. A store that was restored from an older copy gives out the same
+/// numbers again, in a later era.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+pub struct StoreRevision {
+    /// Number of restores; zero if the store does not count them.
+    pub era: u64,
+    /// Revision within the era; zero for none.
+    pub number: u64,
+}
+
 derive_value! {
     /// One version of the configuration that operators set.
     pub struct Configuration {
@@ -152,6 +162,8 @@
         pub state: ServerState,
         /// Wall-clock time of its start, in milliseconds; distinguishes restarts under the same id. Zero if not stated.
         pub born_ms: u64,
+        /// Number of changes that the server has made to its entry since its start; zero if not stated.
+        pub writes: u64,
         /// Remaining time in milliseconds, counted from when the entry was written, for a server that leaves at short
         /// notice; `None` for any other.
         pub leaves_in_ms: Option<u64>,
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -230,6 +230,7 @@
         slots: 64,
         state: ServerState::Ready,
         born_ms: 1,
+        writes: 0,
         leaves_in_ms: None,
         held: held.iter().map(model).collect(),
         in_memory: Vec::new(),
--- a/crates/node/src/lease_manager.rs
+++ b/crates/node/src/lease_manager.rs
@@ -202,7 +202,11 @@
         let rank = self.rank(shared);
         let holder = self.lease.lock().seen().cloned();
         let holder_ended = holder.is_some_and(|it| shared.members.has_ended(&it.holder, it.incarnation));
-        let candidacy = Candidacy { rank, holder_ended };
+        let candidacy = Candidacy {
+            rank,
+            holder_ended,
+            ..Candidacy::default()
+        };
         let now = shared.clock.now();
         self.lease.lock().step(candidacy, now, &mut rand::rng())
     }
@@ -272,7 +276,7 @@
         let events = self.lease.lock().take_events();
         for event in events {
             match event {
-                LeaseEvent::Acquired(term) => {
+                LeaseEvent::Acquired(term) | LeaseEvent::Reissued(term) => {
                     self.publish_holder(shared, term);
                     let detail = format!("{} term {}", self.name, term.0);
                     shared.timeline.record(Event::LeaseAcquired, None, None, &detail);
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -106,6 +106,14 @@
 /// Reports orders of two processes to one engine less than [`MIN_ORDER_GAP`] apart, fencing tokens that decrease, and
 /// fencing tokens that two processes use.
 fn check_orders(orders: &[ReceivedOrder], violations: &mut Vec<String>) {
+    let mut holder_by_token: BTreeMap<u64, &str> = BTreeMap::new();
+    for order in orders {
+        let holder = holder_by_token.entry(order.token).or_insert(&order.holder);
+        if *holder != order.holder {
+            let (token, other) = (order.token, &order.holder);
+            violations.push(format!("fencing token {token} of {holder} and {other}"));
+        }
+    }
     let mut last_order: BTreeMap<&str, &ReceivedOrder> = BTreeMap::new();
     for order in orders {
         if let Some(previous) = last_order.insert(&order.server, order) {
@@ -123,12 +131,6 @@
                     order.server, order.token, previous.token
                 ));
             }
-            if order.token == previous.token && order.holder != previous.holder {
-                violations.push(format!(
-                    "{}: two holders with fencing token {}",
-                    order.server, order.token
-                ));
-            }
         }
     }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -39,6 +39,8 @@
     Store(StoreFaults),
     /// Discards the store's history of changes, so that watches must list all objects again.
     Compact,
+    /// Takes the store down and restores it from a copy of this age.
+    Restore(Duration),
     /// Crashes a backend server and starts it again with another id and without loaded models.
     Crash(usize),
     /// Sets faults of a backend server.
@@ -74,7 +76,7 @@
 fn draw_fault(rng: &mut ChaCha8Rng, vms: usize, backends: usize) -> Fault {
     let vm = rng.random_range(0..vms);
     let backend = rng.random_range(0..backends);
-    match rng.random_range(0..16) {
+    match rng.random_range(0..18) {
         0 | 1 => Fault::Kill(vm),
         2 | 3 => Fault::Stop(vm),
         4 => Fault::Pause(vm),
@@ -86,6 +88,7 @@
         11 | 12 => Fault::Store(draw_store_faults(rng)),
         13 => Fault::Compact,
         14 => Fault::Crash(backend),
+        15 | 16 => Fault::Restore(Duration::from_millis(rng.random_range(500..10_000))),
         _ => Fault::Server(backend, draw_server_faults(rng)),
     }
 }
@@ -170,6 +173,18 @@
             fleet.lock().await.store.forget_history();
             Ok(())
         }
+        Fault::Restore(age) => {
+            let down = StoreFaults {
+                is_silent: true,
+                ..StoreFaults::default()
+            };
+            fleet.lock().await.store.set_faults(down);
+            sleep(duration).await;
+            let fleet = fleet.lock().await;
+            fleet.store.restore(*age);
+            fleet.store.set_faults(StoreFaults::default());
+            Ok(())
+        }
         Fault::Crash(index) => crash(fleet, *index, duration).await,
         Fault::Server(index, faults) => {
             set_server_faults(fleet, *index, *faults).await;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -54,12 +54,13 @@
 }
 
 impl Process {
-    /// Starts the program, whose output is appended to its log file. Does not wait until the process is ready.
+    /// Writes the settings and starts the program, whose output is appended to its log file. Does not wait until the process is ready.
     ///
     /// # Errors
     ///
-    /// Fails if the log file cannot be opened or the program cannot be started.
+    /// Fails if the settings or the log file cannot be written, or the program cannot be started.
     pub fn start(&mut self) -> Result<(), SoakError> {
+        std::fs::write(&self.settings, settings::file(&self.vm))?;
         let log = std::fs::File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new(&self.program)
             .env("GUAVAARCH_SETTINGS", &self.settings)
@@ -70,6 +71,7 @@
             .kill_on_drop(true)
             .spawn()?;
         self.child = Some(child);
+        self.vm.is_first_start = false;
         Ok(())
     }
 
@@ -185,9 +187,9 @@
                 peers,
                 seeds: seeds.clone(),
                 store: store_link.address,
+                is_first_start: true,
             };
             let settings = dir.join(format!("vm-{at}.toml"));
-            std::fs::write(&settings, settings::file(&vm))?;
             self.processes.push(Process {
                 vm,
                 store_link,
