--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -91,7 +91,13 @@
     ("E4020", "LinesLeftOut", &["kind", "count"]),
     ("E5001", "PlatformUnavailable", &["source_age_ms", "store_age_ms"]),
     ("E5002", "PlatformAvailable", &["source_age_ms", "store_age_ms"]),
+    ("E4021", "LeaseReissued", &["term", "previous"]),
     ("E5004", "ConfigUnreadable", &["revision", "why"]),
+    (
+        "E5005",
+        "StoreRestored",
+        &["era", "before", "source", "servers_revision"],
+    ),
 ];
 
 /// Returns the log lines of all processes.
@@ -317,8 +323,12 @@
     sleep(Duration::from_millis(300)).await;
 }
 
-/// Takes the store down and up again, pauses the coordinator, stops its successor gracefully and kills another process.
+/// Restores the store, takes it down and up again, pauses the coordinator, stops its successor gracefully and kills another process.
 async fn trigger_process_events(fleet: &Fleet, dir: &Path) {
+    fleet.store.restore(Duration::from_secs(1));
+    wait_for_event(dir, "E5005").await;
+    wait_for_event(dir, "E4021").await;
+
     let down = StoreFaults {
         is_down: true,
         ..StoreFaults::default()
