--- a/crates/entry/src/breakage.rs
+++ b/crates/entry/src/breakage.rs
@@ -56,17 +56,14 @@
     pub why: String,
 }
 
-/// Finds out whether the server of a broken attempt has crashed, and records the attempt. Does not wait for the result. Without effect for services whose requests have no prompts.
+/// Finds out whether the server of a broken attempt has crashed, and records the attempt. Does not wait for the result.
 pub fn examine(state: &Arc<EntryState>, inbound: &Arc<Inbound>, broken: BrokenAttempt) {
-    if inbound.caller.model.is_none() {
-        return;
-    }
     let (state, inbound) = (Arc::clone(state), Arc::clone(inbound));
     tokio::spawn(async move {
         let is_leaving = !state.accepts_requests(&broken.server);
         let listening = probe(broken.server.address).await;
         log_broken(&inbound, &broken, listening, is_leaving);
-        if listening == Listening::Refused && !is_leaving {
+        if listening == Listening::Refused && !is_leaving && inbound.caller.model.is_some() {
             record_suspect(&state, &inbound, &broken);
         }
     });
@@ -112,9 +109,10 @@
     log_event!(
         Event::AttemptBroken,
         &inbound.caller.attempt_id,
-        "server={} begun_ms={begun_ms} listening={listening} leaving={is_leaving} took_ms={} parts={} why={}",
+        "server={} begun_ms={begun_ms} listening={listening} leaving={is_leaving} took_ms={} identity={} parts={} why={}",
         broken.server.id,
         now().since(broken.at),
+        inbound.identity,
         if logged.is_empty() {
             "-".to_owned()
         } else {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -7,11 +7,12 @@
 use guava_core::codes::{Code, Run};
 use guava_core::events::Event;
 use guava_core::units::Millis;
-use guava_fleet::crashes::Decision;
+use guava_fleet::crashes::{self, Decision};
 use guava_fleet::model::{Organisation, Route};
 use guava_fleet::routes::{ActiveConfig, draw_service};
 use guava_platform::headers::{self, CallerHeaders};
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -45,6 +46,8 @@
     pub caller: CallerHeaders,
     /// Whole body.
     pub body: Bytes,
+    /// Id by which the request is recognised when it comes again.
+    pub identity: String,
     /// When the head of the request had arrived.
     pub arrived: Millis,
 }
@@ -118,7 +121,10 @@
 }
 
 fn build_inbound(head: Parts, caller: CallerHeaders, body: Bytes, arrived: Millis) -> Inbound {
+    let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    let identity = crashes::identity(path, caller.key.as_deref().unwrap_or_default(), &body);
     Inbound {
+        identity,
         method: head.method,
         uri: head.uri,
         headers: head.headers,
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -13,7 +13,7 @@
 
 use guava_core::derive_value;
 use guava_core::units::Millis;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// Time after the begin of an answer from which on the attempt is a proof and no suspect: the longest pause between
 /// events with which deployments count a stream as on time. A request that crashes an engine does so in one step.
@@ -68,6 +68,19 @@
 /// Longest id of a part or server in a message.
 const MAX_ID: usize = 128;
 
+/// Begin of the id of a whole request. Ids of prompt parts are hexadecimal.
+const IDENTITY_MARK: char = '=';
+
+/// Id of a whole request, by which it is recognised when it comes again at any VM.
+pub fn identity(path: &str, caller: &str, body: &[u8]) -> String {
+    let mut hash = Xxh3::new();
+    for field in [path.as_bytes(), caller.as_bytes(), body] {
+        hash.update(&(field.len() as u64).to_le_bytes());
+        hash.update(field);
+    }
+    format!("{IDENTITY_MARK}{:032x}", hash.digest128())
+}
+
 /// Evidence that condemns a part. A single request may meet several unrelated crashes.
 #[derive(Debug, Clone, Copy)]
 struct Threshold {
