--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -24,7 +24,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 39] = [
+const EVENTS: [(&str, &str, &[&str]); 41] = [
     (
         "E1001",
         "RequestAdmitted",
