Recognise a request that crashes backend servers when it comes again

Callers: one request crashed server after server, so streams that shared the servers broke, and sound requests with one of its prompt parts were refused (BUDGET).

Cause: evidence was kept for parts of prompts only, and by the id of the attempt, which is new with each repeat. What the crashes had in common, the request, had no name; its parts are shared with sound requests, whose proofs cleared them, or without such proofs were condemned for it. Requests without a model were no evidence at all.

Change: a hash of path, caller and body is one more part of each request, in the same evidence, spreading and store copy. A request is condemned after three crashes without a proof, five while servers crash for other reasons; its repeats count as one request against its parts, and what it explains does not count against them.

In virtual time with 6, 60 and 300 VMs: one request that comes again at two rates, VMs cut off or restarted.

--- a/crates/core/src/codes.rs
+++ b/crates/core/src/codes.rs
@@ -69,7 +69,7 @@
     DeadlineExceeded = 1205, 504, "The request was not started before its deadline.";
     QuotaUnavailable = 1206, 503, "No holder of the organisation's quota could be reached.";
     NoCapacity = 1207, 503, "No backend server can take the request.";
-    HarmfulPrompt = 1208, 503, "A part of the prompt crashes backend servers.";
+    HarmfulPrompt = 1208, 503, "The request, or a part of its prompt, crashes backend servers.";
 
     // 13xx: execution.
     BackendFailed = 1301, 502, "The backend server failed before it gave an answer.";
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -51,7 +51,7 @@
     QuotaShareReleased = 1011, Info, "This router handed over a quota share.";
     QuotaGranted = 1012, Debug, "Tokens were granted to another router.";
     QuotaRefused = 1013, Debug, "An organisation's rate and burst are used up.";
-    PromptRefused = 1014, Debug, "A request was refused because a part of its prompt crashes backend servers.";
+    PromptRefused = 1014, Debug, "A request was refused because it, or a part of its prompt, crashes backend servers.";
     IdempotencyClaimed = 1020, Debug, "An idempotency record was claimed.";
     IdempotencyReplayed = 1021, Info, "A stored answer was given to a repeated request.";
     JobAccepted = 1030, Info, "A job was stored and accepted.";
@@ -79,8 +79,8 @@
     EngineState = 2016, Info, "A model engine reported the models that it holds.";
     CoordinatorChanged = 2017, Info, "The coordinator has changed.";
     AttemptBroken = 2018, Info, "A backend server broke off an attempt.";
-    PromptCondemned = 2019, Warn, "A part of prompts crashes backend servers, and requests with it are refused.";
-    PromptReleased = 2020, Info, "Requests with a part of prompts are no longer refused.";
+    PromptCondemned = 2019, Warn, "A request, or a part of prompts, crashes backend servers and is refused.";
+    PromptReleased = 2020, Info, "A request, or a part of prompts, is no longer refused.";
 
     // 3xxx: administration.
     ObjectWritten = 3001, Info, "An operator's change was accepted.";
--- a/crates/entry/src/breakage.rs
+++ b/crates/entry/src/breakage.rs
@@ -12,7 +12,7 @@
 use guava_core::events::Event;
 use guava_core::rendezvous;
 use guava_core::units::Millis;
-use guava_fleet::crashes::{PROOF_AFTER_MS, Suspect};
+use guava_fleet::crashes::{MAX_PARTS, PROOF_AFTER_MS, Suspect};
 use guava_fleet::model::BackendServer;
 use tokio::net::TcpStream;
 
@@ -63,7 +63,7 @@
         let is_leaving = !state.accepts_requests(&broken.server);
         let listening = probe(broken.server.address).await;
         log_broken(&inbound, &broken, listening, is_leaving);
-        if listening == Listening::Refused && !is_leaving && inbound.caller.model.is_some() {
+        if listening == Listening::Refused && !is_leaving {
             record_suspect(&state, &inbound, &broken);
         }
     });
@@ -71,18 +71,20 @@
 
 /// Records the crash, and the attempt as one that may have caused it unless its answer had run on.
 fn record_suspect(state: &EntryState, inbound: &Inbound, broken: &BrokenAttempt) {
-    let caller = &inbound.caller;
     let is_proof = broken.begun.is_some_and(|it| broken.at.since(it) >= PROOF_AFTER_MS);
     let parts = if is_proof {
         Vec::new()
     } else {
-        caller.shared_prompt_parts.clone()
+        inbound.clues.iter().take(MAX_PARTS).cloned().collect()
     };
     let at = now();
     let suspect = Suspect {
         server: broken.server.id.clone(),
         born_ms: broken.server.born_ms,
-        request: rendezvous::weight(&caller.attempt_id, ""),
+        request: rendezvous::weight(
+            &inbound.clues.join(","),
+            inbound.caller.last_prompt_part.as_deref().unwrap_or(""),
+        ),
         parts,
         has_begun: broken.begun.is_some(),
         age_ms: at.since(broken.at),
@@ -112,7 +114,7 @@
         "server={} begun_ms={begun_ms} listening={listening} leaving={is_leaving} took_ms={} identity={} parts={} why={}",
         broken.server.id,
         now().since(broken.at),
-        inbound.identity,
+        inbound.clues[0],
         if logged.is_empty() {
             "-".to_owned()
         } else {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -376,8 +376,7 @@
 
     /// Records that the server survived an answer to the request that began at `begun`.
     pub fn record_proof(&self, begun: Millis) {
-        let parts = &self.inbound.caller.shared_prompt_parts;
-        if !parts.is_empty() && self.state.findings.record_proof(now(), parts, begun) {
+        if self.state.findings.record_proof(now(), &self.inbound.clues, begun) {
             self.state.signal_change();
         }
     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -46,8 +46,8 @@
     pub caller: CallerHeaders,
     /// Whole body.
     pub body: Bytes,
-    /// Id by which the request is recognised when it comes again.
-    pub identity: String,
+    /// Id by which the request is recognised when it comes again, followed by the shared parts of its prompt.
+    pub clues: Vec<String>,
     /// When the head of the request had arrived.
     pub arrived: Millis,
 }
@@ -123,8 +123,9 @@
 fn build_inbound(head: Parts, caller: CallerHeaders, body: Bytes, arrived: Millis) -> Inbound {
     let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str);
     let identity = crashes::identity(path, caller.key.as_deref().unwrap_or_default(), &body);
+    let clues = std::iter::once(identity).chain(caller.shared_prompt_parts.iter().cloned());
     Inbound {
-        identity,
+        clues: clues.collect(),
         method: head.method,
         uri: head.uri,
         headers: head.headers,
@@ -169,24 +170,20 @@
     answer
 }
 
-/// Checks that no part of the request's prompt is known to crash backend servers. Returns whether the request is let
-/// through to find out whether such a part still does.
+/// Checks that neither the request nor a part of its prompt is known to crash backend servers. Returns whether the request
+/// is let through to find out whether it still does.
 ///
 /// # Errors
 ///
-/// Fails if a part is, and the request is to be refused.
+/// Fails if the request is to be refused.
 pub fn check_prompt(state: &EntryState, inbound: &Inbound) -> Result<bool, Failure> {
-    let caller = &inbound.caller;
-    if caller.shared_prompt_parts.is_empty() {
-        return Ok(false);
-    }
-    match state.check_prompt(&caller.shared_prompt_parts) {
+    match state.check_prompt(&inbound.clues) {
         Decision::Serve => Ok(false),
         Decision::Try => Ok(true),
         Decision::Refuse { parts, age_ms } => {
             log_event!(
                 Event::PromptRefused,
-                &caller.attempt_id,
+                &inbound.caller.attempt_id,
                 "parts={} condemned_ms_ago={age_ms}",
                 parts.join(",")
             );
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -720,7 +720,7 @@
         (rendezvous::weight(key, &best.member.vm) > own).then_some(best.member.address)
     }
 
-    /// Decides on a request by the shared parts of its prompt.
+    /// Decides on a request by its identity and the shared parts of its prompt.
     pub fn check_prompt(&self, parts: &[String]) -> Decision {
         self.findings
             .check(now(), parts, |part| self.assigned_vm(part).is_none())
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -1,7 +1,9 @@
-//! Parts of prompts that crash backend servers, found from the crashes that all VMs observe.
+//! Requests, and parts of prompts, that crash backend servers, found from the crashes that all VMs observe.
 //!
 //! Each VM reports the attempts of its own that a crash broke off as *suspects*, and answers that ran on as *proofs* that
-//! the parts of their prompts are sound. All VMs receive both and decide by the same rule, so there is no owner whose
+//! the parts of their prompts are sound. A request that comes again is recognised by its *identity*, which is treated as
+//! one more part of its prompt: a request that crashes servers by itself is condemned by its identity, and its other
+//! parts are cleared of the crashes that this explains. All VMs receive both and decide by the same rule, so there is no owner whose
 //! loss would lose what is known. A part that only suspects and no later proof name is condemned, and requests with it
 //! are refused. Parts that cannot be told apart are condemned together: only requests with all of them are refused, so
 //! sound requests with some of them can still prove those.
@@ -35,6 +37,20 @@
     episodes: 6,
     requests: 3,
 };
+/// Evidence against a request that comes again, by its identity.
+const REPEATED: Threshold = Threshold {
+    episodes: 3,
+    requests: 1,
+};
+/// The same while servers crash for other reasons as well: a sound request may meet several crashes in a row.
+const REPEATED_AMONG_OTHERS: Threshold = Threshold {
+    episodes: 5,
+    requests: 1,
+};
+/// Time in which other crashes are counted.
+const OTHERS_MS: u64 = 10_000;
+/// Other crashes in that time from which on servers count as crashing for other reasons as well.
+const MIN_OTHERS: usize = 3;
 /// Time for which suspects and proofs are kept.
 const EVIDENCE_MS: u64 = 60_000;
 /// Time after the first crash before a part is condemned that was proven in the minute before. Within this time a sound
@@ -49,6 +65,8 @@
 const IDLE_MS: u64 = 600_000;
 /// Time before the first trial of condemned parts that are still requested.
 const FIRST_TRIAL_MS: u64 = 20_000;
+/// The same for a condemned request: another one with its parts is served meanwhile.
+const FIRST_REPEAT_TRIAL_MS: u64 = 60_000;
 /// Factor by which the time to the next trial grows.
 const TRIAL_FACTOR: u64 = 8;
 /// Longest time between trials.
@@ -62,7 +80,7 @@
 /// Limit on verdicts; the one that was used least recently is dropped.
 const MAX_VERDICTS: usize = 64;
 /// Limit on the parts of one suspect.
-const MAX_PARTS: usize = 32;
+pub const MAX_PARTS: usize = 32;
 /// Limit on suspects, and on proofs, in an exchange of the gossip.
 const MAX_EXCHANGED: usize = 64;
 /// Longest id of a part or server in a message.
@@ -81,6 +99,11 @@
     format!("{IDENTITY_MARK}{:032x}", hash.digest128())
 }
 
+/// Whether a part is the identity of a whole request.
+fn is_identity(part: &str) -> bool {
+    part.starts_with(IDENTITY_MARK)
+}
+
 /// Evidence that condemns a part. A single request may meet several unrelated crashes.
 #[derive(Debug, Clone, Copy)]
 struct Threshold {
@@ -97,9 +120,9 @@
         pub server: String,
         /// Wall-clock time of the server's start, which distinguishes restarts under one id.
         pub born_ms: u64,
-        /// Hash of the request's id.
+        /// Hash by which the request is told from others; the same when it comes again.
         pub request: u64,
-        /// Shared parts of its prompt. Empty if its answer had run on; it only tells of the crash.
+        /// Its identity and the shared parts of its prompt. Empty if its answer had run on; it only tells of the crash.
         pub parts: Vec<String>,
         /// Whether its answer had begun.
         pub has_begun: bool,
@@ -240,7 +263,12 @@
 
     fn next_trial(&self) -> Millis {
         let factor = TRIAL_FACTOR.saturating_pow(self.trials);
-        self.tried + FIRST_TRIAL_MS.saturating_mul(factor).min(MAX_TRIAL_MS)
+        let first = if self.parts.iter().any(|it| is_identity(it)) {
+            FIRST_REPEAT_TRIAL_MS
+        } else {
+            FIRST_TRIAL_MS
+        };
+        self.tried + first.saturating_mul(factor).min(MAX_TRIAL_MS)
     }
 
     fn to_message(&self, now: Millis) -> Verdict {
@@ -337,6 +365,10 @@
     pub fn record_proof(&mut self, now: Millis, parts: &[String], begun: Millis) -> Vec<Change> {
         let mut changes = Vec::new();
         for part in parts {
+            // Most requests never come again, and their proofs would displace those of parts.
+            if is_identity(part) && !self.is_suspected(part) {
+                continue;
+            }
             self.put_proof(now, part, begun);
             self.offer_proof(part);
             changes.extend(self.apply_proof(part, begun));
@@ -531,9 +563,13 @@
         self.proofs.insert(part.to_owned(), KnownProof { begun, shared: None });
     }
 
+    fn is_suspected(&self, part: &str) -> bool {
+        self.suspected.contains(part) || self.verdicts.iter().any(|it| it.has(part))
+    }
+
     /// Sends the proof of a part to other VMs if the part is suspected and they do not have one as new.
     fn offer_proof(&mut self, part: &str) {
-        let is_suspected = self.suspected.contains(part) || self.verdicts.iter().any(|it| it.has(part));
+        let is_suspected = self.is_suspected(part);
         let is_new = self.proofs.get(part).is_some_and(|it| {
             let shared = it.shared;
             shared.is_none_or(|shared| is_later(it.begun, shared))
@@ -652,7 +688,11 @@
             .filter_map(|(part, named)| self.candidate(part, named, &episodes, now));
         let is_new = |it: &Candidate| !self.verdicts.iter().any(|verdict| verdict.is_within(&it.parts));
         let new = candidates.filter(is_new);
-        new.min_by_key(|it| (it.was_proven, Reverse(it.episodes), it.parts.len()))
+        // Of a request and its parts that account for the same crashes, the request is the narrower verdict.
+        new.min_by_key(|it| {
+            let is_request = it.parts.iter().any(|part| is_identity(part));
+            (it.was_proven, Reverse(it.episodes), !is_request, it.parts.len())
+        })
     }
 
     fn crashes(&self) -> Vec<Crash<'_>> {
@@ -686,6 +726,9 @@
         }
         let requests: BTreeSet<u64> = named.suspects.iter().map(|it| it.request).collect();
         let meets = |it: Threshold| named.episodes >= it.episodes && requests.len() >= it.requests;
+        if is_identity(part) {
+            return self.repeated_candidate(part, named, episodes, now);
+        }
         let since_first = episodes.iter().filter(|it| it[0].at >= first);
         let open = since_first.filter(|it| it.iter().any(|crash| crash.is_open_for(part)));
         let open = open.count();
@@ -715,6 +758,34 @@
         })
     }
 
+    /// Candidate for a request that comes again.
+    fn repeated_candidate(
+        &self,
+        identity: &str,
+        named: &Named<'_>,
+        episodes: &[&[Crash<'_>]],
+        now: Millis,
+    ) -> Option<Candidate> {
+        let is_other = |it: &&&[Crash<'_>]| {
+            now.since(it[0].at) < OTHERS_MS
+                && it
+                    .iter()
+                    .any(|crash| crash.is_open_for(identity) && !crash.names(identity))
+        };
+        let others = episodes.iter().filter(is_other).count();
+        let threshold = if others < MIN_OTHERS {
+            REPEATED
+        } else {
+            REPEATED_AMONG_OTHERS
+        };
+        let is_condemned = named.episodes >= threshold.episodes && now.since(named.first?) >= PROOF_SPREAD_MS;
+        is_condemned.then(|| Candidate {
+            parts: vec![identity.to_owned()],
+            was_proven: self.was_proven(identity, now),
+            episodes: named.episodes,
+        })
+    }
+
     /// Whether an answer that began after `at` ran on.
     fn is_any_proven_since(&self, at: Millis) -> bool {
         self.proofs.values().any(|it| it.begun > at)
--- a/crates/fleet/tests/crash_load/mod.rs
+++ b/crates/fleet/tests/crash_load/mod.rs
@@ -1,11 +1,11 @@
 //! Load in virtual time: VMs with the real decision code send requests to engines that crash, and tell each other what
 //! they find out.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use guava_core::rendezvous;
 use guava_core::units::Millis;
-use guava_fleet::crashes::{CrashFindings, Crashes, Decision, PROOF_AFTER_MS, Suspect};
+use guava_fleet::crashes::{CrashFindings, Crashes, Decision, PROOF_AFTER_MS, Suspect, identity};
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -47,6 +47,11 @@
     pub bad_from_ms: u64,
     /// Whether sound requests contain the part before that time.
     pub is_used_before: bool,
+    /// Requests that crash engines by themselves, each of which comes again at this rate a second.
+    pub deadly: usize,
+    pub deadly_rate: f64,
+    /// Whether callers send a request that failed once more, at another VM.
+    pub callers_retry: bool,
     /// Times at which this many engines crash at once for another reason.
     pub other_crashes: Vec<(u64, usize)>,
     /// VMs that exchange no message with others between two times.
@@ -66,6 +71,9 @@
             bad_rate: 6.0,
             bad_from_ms: 2_000,
             is_used_before: false,
+            deadly: 0,
+            deadly_rate: 0.7,
+            callers_retry: false,
             other_crashes: Vec::new(),
             cut: None,
             restarts: Vec::new(),
@@ -73,9 +81,20 @@
     }
 }
 
+/// What became of a request that crashes engines by itself.
+#[derive(Debug, Default)]
+pub struct Repeated {
+    /// Times of the crashes that it caused.
+    pub crashes: Vec<u64>,
+    /// Times at which it was sent to engines, and for how long the VM that sent it had been running.
+    pub sent: Vec<(u64, u64)>,
+}
+
 /// What a day showed.
 #[derive(Debug, Default)]
 pub struct Outcome {
+    /// Requests that crash engines by themselves.
+    pub repeated: BTreeMap<usize, Repeated>,
     /// Times of the crashes that the part caused.
     pub crashes: Vec<u64>,
     /// Times at which requests with the part were sent to engines.
@@ -102,15 +121,28 @@
         sent.filter(|(at, age)| **at > fifth + stable_ms && **age > stable_ms)
             .count()
     }
+
+    /// For each request that crashes engines by itself, how often it was sent later than `stable_ms` after its third
+    /// crash.
+    pub fn late_repeats(&self, stable_ms: u64) -> Vec<usize> {
+        let late = self.repeated.values().map(|it| {
+            let third = it.crashes.get(2).copied().unwrap_or(u64::MAX - stable_ms);
+            let is_late = |(at, age): &&(u64, u64)| *at > third + stable_ms && *age > stable_ms;
+            it.sent.iter().filter(is_late).count()
+        });
+        late.collect()
+    }
 }
 
 #[derive(Debug, Clone)]
 struct Running {
     vm: usize,
-    request: u64,
     attempt: u32,
     parts: Vec<String>,
     is_bad: bool,
+    /// Which of the requests that crash engines by themselves it is.
+    deadly: Option<usize>,
+    is_retried_by_caller: bool,
     begins: u64,
     is_proven: bool,
 }
@@ -308,25 +340,53 @@
         for _ in 0..count(bad + used_before, &mut self.rng) {
             self.new_request(true);
         }
+        for index in 0..self.day.deadly {
+            let rate = if has_turned_bad { self.day.deadly_rate } else { 0.0 };
+            for _ in 0..count(rate, &mut self.rng) {
+                self.repeat_request(index);
+            }
+        }
+    }
+
+    /// Sends one of the requests that crash engines by themselves once more. Its parts are those of sound requests.
+    fn repeat_request(&mut self, index: usize) {
+        let running = Running {
+            vm: self.rng.random_range(0..self.vms.len()),
+            attempt: 0,
+            parts: vec![
+                identity("/deadly", &index.to_string(), b""),
+                COMMON_PART.to_owned(),
+                format!("c{}", index % 5),
+                format!("d{index}"),
+            ],
+            is_bad: true,
+            deadly: Some(index),
+            is_retried_by_caller: false,
+            begins: 0,
+            is_proven: false,
+        };
+        self.dispatch(running);
     }
 
     fn new_request(&mut self, has_part: bool) {
         self.requests += 1;
-        // A popular part, one of several topics, and one that few requests share.
+        // The request itself, a popular part, one of several topics, and one that few requests share.
         let mut parts = vec![
+            identity("/sound", &self.requests.to_string(), b""),
             COMMON_PART.to_owned(),
             format!("c{}", self.rng.random_range(0..5)),
             format!("d{}", self.rng.random_range(0..200)),
         ];
         if has_part {
-            parts.insert(1, BAD_PART.to_owned());
+            parts.insert(2, BAD_PART.to_owned());
         }
         let running = Running {
             vm: self.rng.random_range(0..self.vms.len()),
-            request: self.requests,
             attempt: 0,
             parts,
             is_bad: has_part,
+            deadly: None,
+            is_retried_by_caller: false,
             begins: 0,
             is_proven: false,
         };
@@ -347,10 +407,13 @@
         let Some(engine) = up.choose(&mut self.rng) else {
             return;
         };
-        if running.is_bad {
+        let age_ms = self.started[running.vm].map_or(u64::MAX, |it| now - it);
+        if let Some(index) = running.deadly {
+            let repeated = self.outcome.repeated.entry(index).or_default();
+            repeated.sent.push((now, age_ms));
+        } else if running.is_bad {
             self.outcome.bad_sent.push(now);
-            let started = self.started[running.vm];
-            self.outcome.sender_age_ms.push(started.map_or(u64::MAX, |it| now - it));
+            self.outcome.sender_age_ms.push(age_ms);
         } else {
             self.outcome.sound_sent += 1;
         }
@@ -367,8 +430,11 @@
             // Answers that began before the part turned bad run on.
             let bad_from = self.day.bad_from_ms;
             let is_fatal = |it: &Running| crashes(it) && it.begins >= bad_from;
-            if self.engines[at].running.iter().any(is_fatal) {
-                self.outcome.crashes.push(now);
+            if let Some(fatal) = self.engines[at].running.iter().find(|it| is_fatal(it)) {
+                match fatal.deadly {
+                    Some(index) => self.outcome.repeated.entry(index).or_default().crashes.push(now),
+                    None => self.outcome.crashes.push(now),
+                }
                 self.crash(at);
                 continue;
             }
@@ -398,7 +464,7 @@
             let suspect = Suspect {
                 server: format!("engine-{at}"),
                 born_ms,
-                request: rendezvous::weight("", &it.request.to_string()),
+                request: rendezvous::weight("", &it.parts.join(",")),
                 parts: if is_suspect { it.parts.clone() } else { Vec::new() },
                 has_begun: now >= it.begins,
                 age_ms: 0,
@@ -407,6 +473,15 @@
             self.note_verdicts(it.vm);
             if it.attempt < MAX_ATTEMPTS {
                 self.dispatch(Running { is_proven: false, ..it });
+            } else if self.day.callers_retry && !it.is_retried_by_caller {
+                let again = Running {
+                    vm: self.rng.random_range(0..self.vms.len()),
+                    attempt: 0,
+                    is_retried_by_caller: true,
+                    is_proven: false,
+                    ..it
+                };
+                self.dispatch(again);
             }
         }
     }
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -5,12 +5,13 @@
 
 use crash_load::{BAD_PART, Day, Outcome, play};
 use guava_core::units::Millis;
-use guava_fleet::crashes::{Change, CrashFindings, Crashes, Decision, Proof, Suspect, Verdict};
+use guava_fleet::crashes::{Change, CrashFindings, Crashes, Decision, Proof, Suspect, Verdict, identity};
 use rstest::rstest;
 
 /// Engines of fleets with these numbers of VMs, and the time within which they must have learnt, in milliseconds.
 const FLEETS: [(usize, usize, u64); 3] = [(6, 9, 3_000), (60, 60, 4_000), (300, 160, 5_000)];
-/// Requests with the part that may reach engines after that time.
+/// Requests with the part that may reach engines after that time, and times that a request that crashes engines by itself
+/// may.
 const MAX_LATE: usize = 3;
 const START: Millis = Millis(10_000_000);
 
@@ -49,6 +50,110 @@
     }
 }
 
+fn assert_repeats_end(day: &Day, outcome: &Outcome, stable_ms: u64) {
+    let late = outcome.late_repeats(stable_ms);
+    let name = format!("seed {} with {} VMs", day.seed, day.vms);
+    assert!(late.iter().all(|it| *it <= MAX_LATE), "{name}: {late:?} late");
+    assert_eq!(
+        outcome.sound_refused,
+        Vec::<u64>::new(),
+        "{name}: {:?}",
+        outcome.condemned
+    );
+}
+
+/// Days with a request that crashes engines by itself. Fleets of 300 VMs play one seed each, because they take long.
+fn deadly_days(change: impl Fn(&mut Day)) -> Vec<(Day, u64)> {
+    let mut days = days(|day| {
+        day.bad_rate = 0.0;
+        day.deadly = 1;
+        change(day);
+    });
+    days.retain(|(day, _)| day.vms < 300 || day.seed == 1);
+    days
+}
+
+/// Guards against one request that crashes engines being sent to one after the other when it comes again, and against
+/// sound requests being refused because they share its parts.
+#[rstest]
+#[case::one(1, 0.7)]
+#[case::one_that_comes_often(1, 3.0)]
+#[case::three(3, 0.5)]
+fn request_that_crashes_engines_is_condemned_by_all_vms(#[case] deadly: usize, #[case] rate: f64) {
+    for (day, stable_ms) in deadly_days(|day| {
+        day.deadly = deadly;
+        day.deadly_rate = rate;
+    }) {
+        let outcome = play(day.clone());
+
+        assert!(outcome.repeated[&0].crashes.len() >= 3);
+        assert_repeats_end(&day, &outcome, stable_ms);
+    }
+}
+
+/// The same while a part of the VMs exchanges no messages, from the time at which they do again.
+#[test]
+fn vms_that_were_cut_off_learn_of_a_deadly_request() {
+    for (day, stable_ms) in deadly_days(|day| day.cut = Some((day.vms / 4, 0, 6_000))) {
+        let outcome = play(day.clone());
+
+        let sent = outcome.repeated.values().flat_map(|it| &it.sent);
+        let late = sent.filter(|(at, _)| *at > 6_000 + stable_ms).count();
+        assert!(late <= MAX_LATE, "seed {} with {} VMs: {late}", day.seed, day.vms);
+    }
+}
+
+/// The same while VMs start again and know nothing.
+#[test]
+fn restarted_vms_learn_of_a_deadly_request() {
+    let change = |day: &mut Day| day.restarts = (0..8).map(|it| (3_000 + it * 1_500, day.vms / 3)).collect();
+    for (day, stable_ms) in deadly_days(change) {
+        let outcome = play(day.clone());
+
+        let late = outcome.late_repeats(stable_ms);
+        assert!(
+            late.iter().all(|it| *it <= MAX_LATE),
+            "seed {} with {} VMs: {late:?}",
+            day.seed,
+            day.vms
+        );
+    }
+}
+
+/// The same while engines crash for other reasons as well.
+#[test]
+fn deadly_request_is_condemned_among_other_crashes() {
+    let change = |day: &mut Day| day.other_crashes = (0..20).map(|it| (1_000 + it * 900, 1)).collect();
+    for (day, stable_ms) in deadly_days(change) {
+        let outcome = play(day.clone());
+
+        assert_repeats_end(&day, &outcome, stable_ms);
+    }
+}
+
+/// Guards against a sound request being refused when it comes again, because it met several unrelated crashes in a row.
+#[rstest]
+#[case::one_after_the_other(1_000)]
+#[case::two_a_second(500)]
+fn other_crashes_condemn_no_request(#[case] pause_ms: usize) {
+    let change = |day: &mut Day| {
+        day.bad_rate = 0.0;
+        day.callers_retry = true;
+        day.other_crashes = (1_500..15_000).step_by(pause_ms).map(|at| (at as u64, 1)).collect();
+    };
+    for (day, _) in days(change) {
+        let outcome = play(day.clone());
+
+        assert!(
+            outcome.condemned.is_empty(),
+            "seed {} with {} VMs: {:?}",
+            day.seed,
+            day.vms,
+            outcome.condemned
+        );
+    }
+}
+
 /// The same while a part of the VMs exchanges no messages, from the time at which they do again.
 #[test]
 fn vms_that_were_cut_off_learn_from_the_others() {
@@ -340,3 +445,32 @@
     let news = crashes.take_news(START + 5_000);
     assert!(news.suspects.len() <= 256 && news.verdicts.len() <= 64);
 }
+
+/// Guards against a request that comes again counting as several, so that the parts that it shares with sound ones are
+/// condemned, and against a verdict on it that also refuses others.
+#[test]
+fn request_that_comes_again_is_condemned_alone() {
+    let deadly = identity("/advice/", "key-1", b"the pump hums");
+    let other = identity("/advice/", "key-2", b"the pump hums");
+    let parts = [deadly.as_str(), "a", "d"];
+
+    let mut crashes = condemned([&parts; 3].map(<[&str; 3]>::as_slice));
+
+    assert_ne!(deadly, other);
+    assert!(is_refused(&mut crashes, START, &parts));
+    assert!(is_refused(&mut crashes, START, &[&deadly]));
+    assert!(!is_refused(&mut crashes, START, &[&other, "a", "d"]));
+}
+
+/// Guards against a field that runs into the next one: path, caller and body together must be the same.
+#[rstest]
+#[case::path("/a", "bc", "d")]
+#[case::caller("/ab", "c", "de")]
+#[case::body("/ab", "cd", "e")]
+fn identity_tells_requests_apart(#[case] path: &str, #[case] caller: &str, #[case] body: &str) {
+    let all =
+        [("/ab", "c", "d"), (path, caller, body)].map(|(path, caller, body)| identity(path, caller, body.as_bytes()));
+
+    assert_ne!(all[0], all[1]);
+    assert_eq!(all[1], identity(path, caller, body.as_bytes()));
+}
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -72,6 +72,7 @@
             key: self.keys[rng.random_range(0..self.keys.len())].clone(),
             model,
             prompt: ANY_PROMPT.to_owned(),
+            body: format!("request {number}"),
             deadline: Duration::from_millis(deadline),
         }
     }
--- a/crates/soak/tests/crashing_part.rs
+++ b/crates/soak/tests/crashing_part.rs
@@ -1,4 +1,4 @@
-//! A part of a prompt that crashes engines, against the entry processes themselves.
+//! A part of a prompt, and a request, that crash engines, against the entry processes themselves.
 
 mod support;
 
@@ -21,6 +21,12 @@
 const ENGINES: usize = 6;
 /// Part that crashes engines.
 const BAD_PART: &str = "bad0";
+/// Body of the request that crashes engines.
+const DEADLY_BODY: &str = "the pump hums";
+/// Crashes from which on the time to learn of that request counts.
+const CRASHES_TO_LEARN_REQUEST: usize = 3;
+/// Pause until it comes again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(700);
 /// Time within which what one VM has seen must bind all others.
 const STABLE: Duration = Duration::from_secs(3);
 /// Crashes from which on that time counts.
@@ -92,6 +98,26 @@
     })
 }
 
+/// One request that comes again and again, at the VMs in turn, until the time is over.
+fn repeat_request(fleet: &Fleet, time: Duration) -> JoinHandle<()> {
+    let addresses: Vec<_> = fleet.processes.iter().map(|it| it.vm.callers).collect();
+    tokio::spawn(async move {
+        let started = Instant::now();
+        for number in 0.. {
+            if started.elapsed() >= time {
+                return;
+            }
+            let request = Call {
+                prompt: "a1:100,c1:50,e1:10".to_owned(),
+                body: DEADLY_BODY.to_owned(),
+                ..call(&format!("deadly-{number}"), STREAM_PATH)
+            };
+            tokio::spawn(send(addresses[number % addresses.len()], request));
+            sleep(REPEAT_PAUSE).await;
+        }
+    })
+}
+
 async fn disrupt(fleet: &mut Fleet, disruption: Disruption) {
     match disruption {
         Disruption::None | Disruption::StoreCut => {}
@@ -173,3 +199,49 @@
     );
     assert!(bad.iter().all(|it| it.outcome != Outcome::Served));
 }
+
+/// Guards against one request that crashes engines being sent to one after the other when it comes again, and against
+/// sound requests with its caller, model and prompt parts being refused.
+#[rstest]
+#[case::undisturbed(Disruption::None)]
+#[case::one_vm_cut_from_the_store(Disruption::StoreCut)]
+#[case::restarts_in_turn(Disruption::Restarts)]
+#[case::restart_of_all(Disruption::RestartOfAll)]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashes_engines_is_refused_everywhere(#[case] disruption: Disruption) {
+    let dir = dir(&format!("deadly-{disruption:?}"));
+    let mut fleet = Fleet::start(&program(), &dir, &keys()).await.expect("the fleet starts");
+    let part = CrashingPart::default();
+    let _engines = start_engines(&mut fleet, &part).await;
+    sleep(Duration::from_secs(3)).await;
+    if disruption == Disruption::StoreCut {
+        fleet.processes[1].store_link.set(Link::Silent);
+    }
+    part.set_body(Some(DEADLY_BODY));
+
+    let before = send_requests(&fleet, "before", "", BEFORE).await.expect("it ends");
+    let sound = send_requests(&fleet, "sound", "", DURING);
+    let repeats = repeat_request(&fleet, DURING);
+    sleep(Duration::from_secs(5)).await;
+    disrupt(&mut fleet, disruption).await;
+    let sound = sound.await.expect("it ends");
+    repeats.await.expect("it ends");
+
+    let crashes = part.crashes();
+    let learnt_at = crashes
+        .get(CRASHES_TO_LEARN_REQUEST - 1)
+        .map_or_else(Instant::now, |it| *it + STABLE);
+    let runs = fleet.record.runs();
+    let late = runs
+        .iter()
+        .filter(|it| it.attempt.starts_with("deadly-") && it.at > learnt_at);
+    let late: Vec<&str> = late.map(|it| it.attempt.as_str()).collect();
+    let settled = sound.iter().filter(|it| it.at > learnt_at + STABLE);
+    let (served, usual) = (served_fraction(settled), served_fraction(&before));
+    assert!(!crashes.is_empty());
+    assert!(late.len() <= MAX_LATE, "{} crashes, late: {late:?}", crashes.len());
+    assert!(
+        served >= usual / 2.0,
+        "{served} of the sound requests were served, {usual} before"
+    );
+}
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -66,7 +66,16 @@
     (
         "E2018",
         "AttemptBroken",
-        &["server", "begun_ms", "listening", "leaving", "took_ms", "identity", "parts", "why"],
+        &[
+            "server",
+            "begun_ms",
+            "listening",
+            "leaving",
+            "took_ms",
+            "identity",
+            "parts",
+            "why",
+        ],
     ),
     ("E2019", "PromptCondemned", &["parts"]),
     ("E2020", "PromptReleased", &["parts"]),
--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -41,6 +41,7 @@
         key: "key-1".to_owned(),
         model: (path == STREAM_PATH).then(|| "m1".to_owned()),
         prompt: ANY_PROMPT.to_owned(),
+        body: attempt.to_owned(),
         deadline: Duration::from_secs(10),
     }
 }
