--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -391,3 +391,111 @@
     assert!(answer.starts_with("HTTP/1.1 429"), "{answer}");
     assert_eq!(server.received.lock().len(), 0);
 }
+
+/// Guards against a request being refused as not run because its server wrote an earlier refusal once more: the server
+/// may be running it, so it must not run at another one either.
+#[rstest]
+#[case::full("503 Service Unavailable", "x-not-executed: 1\r\n")]
+#[case::rate_limit("429 Too Many Requests", "x-not-executed: 1\r\n")]
+#[case::other_server("421 Misdirected Request", "")]
+#[tokio::test]
+async fn earlier_refusal_written_once_more_promises_nothing(#[case] status: &str, #[case] headers: &str) {
+    let entry = start_entry(Arc::default()).await;
+    let refusal = format!("HTTP/1.1 {status}\r\nx-attempt-id: earlier\r\n{headers}content-length: 0\r\n\r\n");
+    let mut servers = Vec::new();
+    for id in ["a", "b"] {
+        let refusal = refusal.clone();
+        let script = move |mut stream: TcpStream, attempt: String| {
+            let text = refusal.clone() + &whole_answer(&attempt, "the booking");
+            async move {
+                write(&mut stream, &text).await;
+                sleep(Duration::from_millis(200)).await;
+            }
+        };
+        servers.push(start_server(id, false, script).await);
+    }
+    list_servers(&entry.state, &[&servers[0], &servers[1]]);
+
+    let (answer, _) = call(entry.address, "r1", BOOKING_PATH).await;
+
+    let requests: usize = servers.iter().map(|it| it.received.lock().len()).sum();
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(answer.contains("outcome_unknown"), "{answer}");
+    assert_eq!(requests, 1);
+}
+
+/// Guards against the text of a failure, or its head, in the middle of a stream that continues at another server, and
+/// against the stream ending there as if it were complete.
+#[rstest]
+#[case::failure("HTTP/1.1 500 Internal Server Error\r\n", "")]
+#[case::refusal("HTTP/1.1 503 Service Unavailable\r\n", "x-not-executed: 1\r\n")]
+#[case::not_an_answer("id: 4\ndata: no head\n\n", "")]
+#[tokio::test]
+async fn failure_of_the_next_server_is_no_part_of_a_stream(
+    #[case] first_line: &'static str,
+    #[case] headers: &'static str,
+) {
+    let entry = start_entry(Arc::default()).await;
+    let requests = Arc::new(AtomicUsize::new(0));
+    let mut engines = Vec::new();
+    for id in ["a", "b"] {
+        let requests = Arc::clone(&requests);
+        let script = move |mut stream: TcpStream, attempt: String| {
+            let is_first = requests.fetch_add(1, Ordering::Relaxed) == 0;
+            async move {
+                if is_first {
+                    write(&mut stream, &answer_head(&attempt, "transfer-encoding: chunked\r\n")).await;
+                    for id in 1..=3 {
+                        write(&mut stream, &chunk(&event(id))).await;
+                    }
+                    sleep(Duration::from_millis(50)).await;
+                    return;
+                }
+                let body = "id: 4\ndata: the failure's text\n\n";
+                let text = format!(
+                    "{first_line}x-attempt-id: {attempt}\r\nx-response-seal: s\r\n{headers}content-length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+                write(&mut stream, &text).await;
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        engines.push(start_server(id, true, script).await);
+    }
+    list_servers(&entry.state, &[&engines[0], &engines[1]]);
+
+    let (answer, _) = call(entry.address, "r1", STREAM_PATH).await;
+
+    assert!(requests.load(Ordering::Relaxed) >= 2, "the stream continues elsewhere");
+    assert!(answer.contains("id: 3\n"), "{answer}");
+    assert!(!answer.contains("id: 4") && !answer.contains("failure"), "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "the stream looks complete: {answer}");
+}
+
+/// Guards against a success with an empty or short body, framed as whole, when a server closes in the middle of the head
+/// of its answer.
+#[rstest]
+#[case::status_line("HTTP/1.1 200 OK")]
+#[case::status_line_ended("HTTP/1.1 200 OK\r\n")]
+#[case::header("HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-se")]
+#[case::headers("HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-seal: s\r\ncontent-length: 11\r\n")]
+#[case::last_line("HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-seal: s\r\ncontent-length: 0\r\n\r")]
+#[tokio::test]
+async fn head_that_breaks_off_is_no_answer(
+    #[case] head: &'static str,
+    #[values((BOOKING_PATH, false), (STREAM_PATH, true))] (path, is_engine): (&str, bool),
+) {
+    let entry = start_entry(Arc::default()).await;
+    let server = start_server("a", is_engine, move |mut stream, _| async move {
+        write(&mut stream, head).await;
+    })
+    .await;
+    list_servers(&entry.state, &[&server]);
+
+    let (answer, _) = call(entry.address, "r1", path).await;
+
+    // Without another engine a stream waits for one until its deadline.
+    let expected = if is_engine { "HTTP/1.1 504" } else { "HTTP/1.1 502" };
+    assert!(answer.starts_with(expected), "{answer}");
+}
