--- a/crates/fleet/src/departures.rs
+++ b/crates/fleet/src/departures.rs
@@ -19,7 +19,7 @@
 /// Limit on departures that are kept; the oldest are dropped.
 const MAX_KEPT: usize = 4_096;
 /// Limit on departures in one message; the latest are sent.
-const MAX_SENT: usize = 64;
+const MAX_SENT: usize = 32;
 /// Longest id of a server in a message.
 const MAX_ID: usize = 128;
 
