--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -9,6 +9,7 @@
 
 use guava_entry::state::EntryState;
 use guava_fleet::model::{BackendServer, ServerState, StoreRevision};
+use guava_platform_standin::raw::{failure_head, refusal_head};
 use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH};
 use rstest::rstest;
 use support::{
@@ -395,22 +396,18 @@
 /// Guards against a request being refused as not run because its server wrote an earlier refusal once more: the server
 /// may be running it, so it must not run at another one either.
 #[rstest]
-#[case::full("503 Service Unavailable", "x-not-executed: 1\r\n")]
-#[case::rate_limit("429 Too Many Requests", "x-not-executed: 1\r\n")]
-#[case::other_server("421 Misdirected Request", "")]
+#[case::full("503 Service Unavailable")]
+#[case::rate_limit("429 Too Many Requests")]
+#[case::other_server("421 Misdirected Request")]
 #[tokio::test]
-async fn earlier_refusal_written_once_more_promises_nothing(#[case] status: &str, #[case] headers: &str) {
+async fn earlier_refusal_written_once_more_promises_nothing(#[case] status: &'static str) {
     let entry = start_entry(Arc::default()).await;
-    let refusal = format!("HTTP/1.1 {status}\r\nx-attempt-id: earlier\r\n{headers}content-length: 0\r\n\r\n");
     let mut servers = Vec::new();
     for id in ["a", "b"] {
-        let refusal = refusal.clone();
-        let script = move |mut stream: TcpStream, attempt: String| {
-            let text = refusal.clone() + &whole_answer(&attempt, "the booking");
-            async move {
-                write(&mut stream, &text).await;
-                sleep(Duration::from_millis(200)).await;
-            }
+        let script = move |mut stream: TcpStream, attempt: String| async move {
+            let text = refusal_head(status, "earlier") + &whole_answer(&attempt, "the booking");
+            write(&mut stream, &text).await;
+            sleep(Duration::from_millis(200)).await;
         };
         servers.push(start_server(id, false, script).await);
     }
@@ -424,17 +421,22 @@
     assert_eq!(requests, 1);
 }
 
+/// What a server sends to which a stream continues.
+#[derive(Debug, Clone, Copy)]
+enum Next {
+    Failure,
+    Refusal,
+    NoHead,
+}
+
 /// Guards against the text of a failure, or its head, in the middle of a stream that continues at another server, and
 /// against the stream ending there as if it were complete.
 #[rstest]
-#[case::failure("HTTP/1.1 500 Internal Server Error\r\n", "")]
-#[case::refusal("HTTP/1.1 503 Service Unavailable\r\n", "x-not-executed: 1\r\n")]
-#[case::not_an_answer("id: 4\ndata: no head\n\n", "")]
+#[case::failure(Next::Failure)]
+#[case::refusal(Next::Refusal)]
+#[case::no_head(Next::NoHead)]
 #[tokio::test]
-async fn failure_of_the_next_server_is_no_part_of_a_stream(
-    #[case] first_line: &'static str,
-    #[case] headers: &'static str,
-) {
+async fn failure_of_the_next_server_is_no_part_of_a_stream(#[case] next: Next) {
     let entry = start_entry(Arc::default()).await;
     let requests = Arc::new(AtomicUsize::new(0));
     let mut engines = Vec::new();
@@ -448,15 +450,15 @@
                     for id in 1..=3 {
                         write(&mut stream, &chunk(&event(id))).await;
                     }
-                    sleep(Duration::from_millis(50)).await;
-                    return;
+                } else {
+                    let body = "id: 4\ndata: the failure's text\n\n";
+                    let head = match next {
+                        Next::Failure => failure_head(&attempt, body.len()),
+                        Next::Refusal => refusal_head("503 Service Unavailable", &attempt),
+                        Next::NoHead => String::new(),
+                    };
+                    write(&mut stream, &(head + body)).await;
                 }
-                let body = "id: 4\ndata: the failure's text\n\n";
-                let text = format!(
-                    "{first_line}x-attempt-id: {attempt}\r\nx-response-seal: s\r\n{headers}content-length: {}\r\n\r\n{body}",
-                    body.len()
-                );
-                write(&mut stream, &text).await;
                 sleep(Duration::from_millis(50)).await;
             }
         };
@@ -476,19 +478,21 @@
 /// Guards against a success with an empty or short body, framed as whole, when a server closes in the middle of the head
 /// of its answer.
 #[rstest]
-#[case::status_line("HTTP/1.1 200 OK")]
-#[case::status_line_ended("HTTP/1.1 200 OK\r\n")]
-#[case::header("HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-se")]
-#[case::headers("HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-seal: s\r\ncontent-length: 11\r\n")]
-#[case::last_line("HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-seal: s\r\ncontent-length: 0\r\n\r")]
+#[case::status_line(15)]
+#[case::status_line_ended(17)]
+#[case::header(40)]
+#[case::length(70)]
+#[case::last_line(1_000)]
 #[tokio::test]
 async fn head_that_breaks_off_is_no_answer(
-    #[case] head: &'static str,
+    #[case] count: usize,
     #[values((BOOKING_PATH, false), (STREAM_PATH, true))] (path, is_engine): (&str, bool),
 ) {
     let entry = start_entry(Arc::default()).await;
-    let server = start_server("a", is_engine, move |mut stream, _| async move {
-        write(&mut stream, head).await;
+    let server = start_server("a", is_engine, move |mut stream, attempt| async move {
+        let head = answer_head(&attempt, "content-length: 0\r\n");
+        // All but the last byte at most.
+        write(&mut stream, &head[..count.min(head.len() - 1)]).await;
     })
     .await;
     list_servers(&entry.state, &[&server]);
