Let departures of servers expire, as their comment says

Callers: a server whose entry had lapsed, and which a restored store lists with the same count of writes, would have got no requests for as long as the process ran.

Cause, found by rereading: departures were kept for two minutes only when the limit of 4,096 was reached; the check of an entry never looked at their age.

Change: a departure older than two minutes covers no entry. Evidence: crates/fleet/tests/departures.rs, whose case long_ago does not hold on the code before, by reading: it had no time to compare.

--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -274,7 +274,7 @@
 
     /// Applies an entry that may be older than what is known: of another process, or in a list of a restored store.
     fn put_told_server(&mut self, mut server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
-        if self.departures.covers(&server, revision) {
+        if self.departures.covers(&server, revision, now) {
             server.state = ServerState::Draining;
         }
         self.insert_server(server, revision, now)
@@ -322,7 +322,7 @@
             let Some(known) = self.servers.get(&id).map(|it| Arc::clone(&it.server)) else {
                 continue;
             };
-            if known.state == ServerState::Ready && self.departures.covers(&known, self.servers_revision) {
+            if known.state == ServerState::Ready && self.departures.covers(&known, self.servers_revision, now) {
                 let mut leaving = (*known).clone();
                 leaving.state = ServerState::Draining;
                 is_change |= self.insert_server(leaving, self.servers_revision, now);
--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -3,8 +3,8 @@
 //! Each VM reports the attempts of its own that a crash broke off as *suspects*, and answers that ran on as *proofs* that
 //! the parts of their prompts are sound. A request that comes again is recognised by its *identity*, which is treated as
 //! one more part of its prompt: a request that crashes servers by itself is condemned by its identity, and its other
-//! parts are cleared of the crashes that this explains. All VMs receive both and decide by the same rule, so there is no owner whose
-//! loss would lose what is known. A part that only suspects and no later proof name is condemned, and requests with it
+//! parts are cleared of the crashes that this explains. All VMs receive both and decide by the same rule, so there is no
+//! owner whose loss would lose what is known. A part that only suspects and no later proof name is condemned, and requests with it
 //! are refused. Parts that cannot be told apart are condemned together: only requests with all of them are refused, so
 //! sound requests with some of them can still prove those.
 //!
--- a/crates/fleet/src/departures.rs
+++ b/crates/fleet/src/departures.rs
@@ -91,8 +91,9 @@
     }
 
     /// Whether an entry of a server, in a view of the given revision, is older than its departure.
-    pub fn covers(&self, server: &BackendServer, revision: StoreRevision) -> bool {
-        self.by_server.get(&server.id).is_some_and(|known| {
+    pub fn covers(&self, server: &BackendServer, revision: StoreRevision, now: Millis) -> bool {
+        let known = self.by_server.get(&server.id);
+        known.filter(|it| now.since(it.at) < KEPT_MS).is_some_and(|known| {
             let is_later_view = revision.era == known.revision.era && revision > known.revision;
             !is_later_view && (server.born_ms, server.writes) <= (known.born_ms, known.writes)
         })
--- /dev/null
+++ b/crates/fleet/tests/departures.rs
@@ -0,0 +1,74 @@
+//! Tests of servers that are known to leave or to have left.
+
+use guava_core::units::Millis;
+use guava_fleet::departures::{Departure, Departures};
+use guava_fleet::model::{BackendServer, ServerState, StoreRevision};
+use rstest::rstest;
+
+const START: Millis = Millis(1_000_000);
+/// Revision of the view in which the server departs.
+const DEPARTED_AT: StoreRevision = StoreRevision { era: 1, number: 100 };
+
+fn server(born_ms: u64, writes: u64) -> BackendServer {
+    BackendServer {
+        id: "a".to_owned(),
+        service: "advice".to_owned(),
+        address: ([127, 0, 0, 1], 8_000).into(),
+        zone: "caerdydd".to_owned(),
+        slots: 64,
+        state: ServerState::Ready,
+        born_ms,
+        writes,
+        leaves_in_ms: None,
+        held: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+/// Guards against an older entry of a server that has left, and against a live server that is taken for one.
+#[rstest]
+#[case::same_entry_in_a_copy(5, 3, (2, 40), 0, true)]
+#[case::older_entry_in_a_copy(5, 2, (2, 40), 0, true)]
+#[case::older_view(5, 3, (1, 90), 0, true)]
+#[case::later_view_of_the_same_era(5, 3, (1, 101), 0, false)]
+#[case::later_entry(5, 4, (2, 40), 0, false)]
+#[case::later_start(6, 1, (2, 40), 0, false)]
+#[case::long_ago(5, 3, (2, 40), 120_000, false)]
+fn departure_covers_older_entries_only(
+    #[case] born_ms: u64,
+    #[case] writes: u64,
+    #[case] (era, number): (u64, u64),
+    #[case] age_ms: u64,
+    #[case] expected: bool,
+) {
+    let mut departures = Departures::default();
+    departures.record(&server(5, 3), DEPARTED_AT, START);
+
+    let covers = departures.covers(&server(born_ms, writes), StoreRevision { era, number }, START + age_ms);
+
+    assert_eq!(covers, expected);
+}
+
+/// Guards against state that grows with what other processes send.
+#[test]
+fn departures_of_others_are_checked_and_bounded() {
+    let mut departures = Departures::default();
+    let told = (0..5_000).map(|index| Departure {
+        server: if index == 0 {
+            "x".repeat(1_000)
+        } else {
+            format!("s{index}")
+        },
+        born_ms: 1,
+        writes: 1,
+        revision: DEPARTED_AT,
+        age_ms: if index == 1 { u64::MAX } else { 0 },
+    });
+
+    let learnt = departures.merge(told.collect(), START);
+
+    assert_eq!(learnt.len(), 4_998);
+    assert_eq!(departures.recent(START).len(), 32);
+    assert!(departures.recent(START + 120_000).is_empty());
+}
