Log the software version of servers and the stream that a request takes up

What callers saw: streams that they took up went on at another software version than the one that began them (ORDER). Cause: not fixed here. No decision depends on the new fields. Evidence: the fields of E1004 and E2012 are checked by crates/soak/tests/lines.rs.

--- a/crates/bench/src/slopes/placement.rs
+++ b/crates/bench/src/slopes/placement.rs
@@ -63,6 +63,7 @@
         service: SERVICE.to_owned(),
         address: ([10, 1, (index / 250) as u8, (index % 250) as u8], 8_000).into(),
         zone: format!("zone-{}", index % 3),
+        version: Some("v1".to_owned()),
         slots: 48,
         state: ServerState::Ready,
         born_ms: 1,
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -46,11 +46,16 @@
     log_event!(
         Event::RequestAdmitted,
         &inbound.caller.attempt_id,
-        "route={} config_version={} organisation={} tokens={} quota={quota} wait_ms={wait_ms}",
+        "route={} config_version={} organisation={} tokens={} quota={quota} wait_ms={wait_ms} takes_up={}",
         resolved.route.name,
         resolved.in_force.config.version,
         resolved.organisation.as_ref().map_or("-", |it| &it.name),
-        taken.tokens
+        taken.tokens,
+        inbound
+            .caller
+            .taken_up
+            .as_ref()
+            .map_or("-", |it| it.attempt.as_deref().unwrap_or("unnamed"))
     );
 }
 
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -515,5 +515,6 @@
         && a.born_ms == b.born_ms
         && a.service == b.service
         && a.zone == b.zone
+        && a.version == b.version
         && a.slots == b.slots
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -82,6 +82,11 @@
     Ok(buf.freeze())
 }
 
+/// Version of a server's software, for log lines; `-` if it states none.
+fn version_name(server: &BackendServer) -> &str {
+    server.version.as_deref().unwrap_or("-")
+}
+
 /// Server selected for an attempt.
 #[derive(Debug)]
 pub struct SelectedServer {
@@ -184,8 +189,14 @@
         loop {
             let (selected, incoming) = self.send_until_answered(None).await?;
             if self.resolved.route.kind == RouteKind::Streaming && incoming.status.is_success() {
-                let server = &selected.server.id;
-                log_event!(Event::RequestFinished, self.id(), "stream begins server={server}");
+                let server = &selected.server;
+                log_event!(
+                    Event::RequestFinished,
+                    self.id(),
+                    "stream begins server={} version={}",
+                    server.id,
+                    version_name(server)
+                );
                 return Ok(relay::stream(self, selected, incoming));
             }
             if let Some(answer) = self.read_whole(selected, incoming).await? {
@@ -330,7 +341,8 @@
             log_event!(
                 Event::RequestSent,
                 self.id(),
-                "server={server} route={} left_ms={} waited_ms={}",
+                "server={server} version={} route={} left_ms={} waited_ms={}",
+                version_name(&selected.server),
                 self.resolved.route.name,
                 self.deadline.since(at),
                 at.since(self.inbound.arrived)
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -448,6 +448,7 @@
     /// Applies a changed entry; `None` if it was removed or does not describe a usable server.
     pub fn apply_server(&self, id: &str, server: Option<BackendServer>, revision: StoreRevision, now: Millis) {
         let state = server.as_ref().map(|it| it.state);
+        let version = server.as_ref().and_then(|it| it.version.clone());
         let is_change = {
             let mut view = self.view.lock();
             match server {
@@ -460,7 +461,12 @@
         }
         let revision = format!("{}.{}", revision.era, revision.number);
         match state {
-            Some(ServerState::Ready) => log_event!(Event::ServerListed, "-", "server={id} revision={revision}"),
+            Some(ServerState::Ready) => log_event!(
+                Event::ServerListed,
+                "-",
+                "server={id} version={} revision={revision}",
+                version.as_deref().unwrap_or("-")
+            ),
             Some(ServerState::Draining) => log_event!(Event::ServerLeaving, "-", "server={id} revision={revision}"),
             None => log_event!(Event::ServerEnded, "-", "server={id} revision={revision}"),
         }
--- a/crates/entry/tests/cluster_view.rs
+++ b/crates/entry/tests/cluster_view.rs
@@ -12,6 +12,7 @@
         service: "advice".to_owned(),
         address: ([127, 0, 0, 1], 8_000).into(),
         zone: "caerdydd".to_owned(),
+        version: Some("v1".to_owned()),
         slots: 64,
         state,
         born_ms: 1,
--- a/crates/entry/tests/feed.rs
+++ b/crates/entry/tests/feed.rs
@@ -23,6 +23,7 @@
         service: "desk".to_owned(),
         address: ([127, 0, 0, 1], 8_000).into(),
         zone: "caerdydd".to_owned(),
+        version: Some("v1".to_owned()),
         slots: 6,
         state: ServerState::Ready,
         born_ms: 1,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -177,6 +177,7 @@
             service: service.to_owned(),
             address,
             zone: "caerdydd".to_owned(),
+            version: Some("v1".to_owned()),
             slots: 64,
             state: ServerState::Ready,
             born_ms: 1,
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -156,6 +156,8 @@
         pub address: SocketAddr,
         /// Availability zone in which it runs.
         pub zone: String,
+        /// Version of its software; `None` if it states none. What two versions write does not fit together.
+        pub version: Option<String>,
         /// Requests that it runs concurrently.
         pub slots: u32,
         /// Whether it accepts new requests.
@@ -205,6 +207,7 @@
             id: self.id.clone(),
             service: self.service.clone(),
             zone: self.zone.clone(),
+            version: self.version.clone(),
             held: self.held.clone(),
             ..*self
         }
--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -15,6 +15,7 @@
         service: "advice".to_owned(),
         address: ([127, 0, 0, 1], 8_000).into(),
         zone: "caerdydd".to_owned(),
+        version: Some("v1".to_owned()),
         slots: 64,
         state: ServerState::Ready,
         born_ms,
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -227,6 +227,7 @@
         service: SERVICE.to_owned(),
         address: ([127, 0, 0, 1], 8_000 + at as u16).into(),
         zone: "caerdydd".to_owned(),
+        version: Some("v1".to_owned()),
         slots: 64,
         state: ServerState::Ready,
         born_ms: 1,
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -36,7 +36,7 @@
         &["code", "status", "run", "after_ms", "retry_after_ms"],
     ),
     ("E1003", "RequestQueued", &["model", "adapter", "left_ms"]),
-    ("E1004", "RequestSent", &["server", "route", "left_ms", "waited_ms"]),
+    ("E1004", "RequestSent", &["server", "version", "route", "left_ms", "waited_ms"]),
     ("E1005", "RequestRetried", &["server", "why"]),
     ("E1006", "RequestFinished", &["server", "after_ms"]),
     ("E1007", "RequestFailed", &["server", "why"]),
@@ -49,7 +49,7 @@
     ("E1014", "PromptRefused", &["parts", "condemned_ms_ago"]),
     ("E2009", "ServerLeaving", &["server", "revision"]),
     ("E2010", "ServerEnded", &["server", "revision"]),
-    ("E2012", "ServerListed", &["server", "revision"]),
+    ("E2012", "ServerListed", &["server", "version", "revision"]),
     ("E2013", "ServerAvoided", &["server", "why"]),
     (
         "E2014",
