Add the interface for the origin of streams

What callers saw: streams that they took up went on at another software version than the one that began them (ORDER). Cause: nothing tells to which version the first event of an attempt belongs. Not fixed here. Change: the border between what is known of streams and their dispatch, without a decision behind it yet. Evidence: compiles; nothing calls it. Measured result: none.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod sampling;
 pub mod state;
 pub mod store_watch;
+pub mod streams;
 pub mod supervision;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -35,6 +35,7 @@
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{PaceAnswer, PaceRequest};
+use crate::streams::Streams;
 
 /// Time without a heartbeat after which a member does not count as live. In a fleet of 300 VMs, heartbeats reach all
 /// members within about six seconds.
@@ -181,6 +182,8 @@
     pub health: Mutex<Health>,
     /// Prompts that crash backend servers, as far as any VM has found out.
     pub findings: Findings,
+    /// Streams that began, for callers that take them up.
+    pub streams: Streams,
     /// Notified when the coordinator should receive a report at once.
     pub demand_changed: Notify,
     /// Notified when the list of members has been read from the store.
@@ -210,6 +213,7 @@
             pacer: Mutex::default(),
             health: Mutex::default(),
             findings: Findings::default(),
+            streams: Streams::default(),
             demand_changed: Notify::new(),
             members_listed: Notify::new(),
             budgets: Mutex::default(),
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -36,7 +36,11 @@
         &["code", "status", "run", "after_ms", "retry_after_ms"],
     ),
     ("E1003", "RequestQueued", &["model", "adapter", "left_ms"]),
-    ("E1004", "RequestSent", &["server", "version", "route", "left_ms", "waited_ms"]),
+    (
+        "E1004",
+        "RequestSent",
+        &["server", "version", "route", "left_ms", "waited_ms"],
+    ),
     ("E1005", "RequestRetried", &["server", "why"]),
     ("E1006", "RequestFinished", &["server", "after_ms"]),
     ("E1007", "RequestFailed", &["server", "why"]),
