Let what backend stand-ins write depend on their software version

What callers saw: streams joined from two software versions with nothing in the answer to show it (ORDER). Our stand-ins could not show it: all of them wrote the same text. Cause: not fixed here. Callers check the events as they arrive; one of another version makes the outcome Joined, which the soak reports as a violation. The other checks of answers are as strict as before.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -53,7 +53,7 @@
     for it in observations.finished {
         let attempt = &it.call.attempt;
         match &it.outcome {
-            Outcome::Wrong(why) => violations.push(format!("{attempt}: {why}")),
+            Outcome::Wrong(why) | Outcome::Joined(why) => violations.push(format!("{attempt}: {why}")),
             Outcome::NotRun(status) if must_run_at_most_once(it) && runs.contains_key(attempt) => {
                 violations.push(format!(
                     "{attempt}: refused as not run with status {status}, but it ran"
--- a/crates/soak/src/cmd.rs
+++ b/crates/soak/src/cmd.rs
@@ -208,5 +208,6 @@
         Outcome::Failed(_) => "failed",
         Outcome::Cut => "cut",
         Outcome::Wrong(_) => "wrong",
+        Outcome::Joined(_) => "joined",
     }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use guava_platform_standin::caller::is_ready;
 use guava_platform_standin::record::Record;
-use guava_platform_standin::server::{Server, ServerSpec};
+use guava_platform_standin::server::{ANY_VERSION, Server, ServerSpec};
 use guava_platform_standin::settings::{self, ENGINE_SERVICE, PLAIN_SERVICE, Vm};
 use guava_platform_standin::store::Store;
 use rustix::process::{Pid, Signal, kill_process};
@@ -211,6 +211,7 @@
             id: format!("{service}-{at}"),
             service: service.to_owned(),
             zone: ZONES[at % ZONES.len()].to_owned(),
+            version: ANY_VERSION.to_owned(),
             models,
         };
         let server = Server::start(spec.clone(), listener, link.address, &self.store, &self.record);
--- a/crates/soak/tests/crashing_part.rs
+++ b/crates/soak/tests/crashing_part.rs
@@ -6,7 +6,7 @@
 
 use guava_platform_standin::caller::{Call, Finished, Outcome, is_ready, send};
 use guava_platform_standin::crashing::{CrashingEngine, CrashingPart};
-use guava_platform_standin::server::ServerSpec;
+use guava_platform_standin::server::{ANY_VERSION, ServerSpec};
 use guava_platform_standin::settings::{ENGINE_SERVICE, STREAM_PATH};
 use guava_soak::fleet::{ENGINE_COUNT, Fleet, VM_COUNT};
 use guava_soak::proxy::Link;
@@ -67,6 +67,7 @@
             id: format!("engine-{index}"),
             service: ENGINE_SERVICE.to_owned(),
             zone: "caerdydd".to_owned(),
+            version: ANY_VERSION.to_owned(),
             models: Some(vec!["m1".to_owned()]),
         };
         let (store, record) = (fleet.store.clone(), fleet.record.clone());
