Add releases, silent servers and quick changes of the configuration to the soak

What callers saw: streams joined from two software versions (ORDER). The soak had one version and took no stream up, so it could not see this. Cause: not fixed here. Change: the soak takes streams up that break off. `--work N` adds releases of a newer version (one engine after the other, the old one draining beside the new one), servers that fall silent, and quick changes of the configuration to the faults; these are drawn after the faults, so the series of a seed stays as it was. Checked in addition: at most two streams with events of two versions; of 12 or more streams taken up at calm VMs while two servers of their version serve, at least half as many go on as new ones begin; a request at a calm VM ends with an answer. The check of recovery counts first attempts, and the check of runs knows the attempts of a call, so both are as strict as before.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,16 +1,27 @@
 //! Checks the guarantees of the system against what callers and backend servers observed.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use guava_platform_standin::caller::{Finished, Outcome};
+use guava_platform_standin::caller::{Finished, Outcome, Try};
 use guava_platform_standin::record::{ReceivedOrder, Record, Run};
-use guava_platform_standin::settings::{BOOKING_PATH, REPORT_PATH};
+use guava_platform_standin::settings::{BOOKING_PATH, ENGINE_SERVICE, REPORT_PATH, STREAM_PATH};
+
+use crate::faults::Disturbance;
 
 /// Shortest permitted time between the last order of one process to an engine and the first order of another process.
 const MIN_ORDER_GAP: Duration = Duration::from_secs(3);
 /// Sliding window in which the tokens of an organisation are summed.
 const RATE_WINDOW: Duration = Duration::from_secs(8);
+/// Number of streams that may hold events of two software versions.
+const MAX_JOINED: usize = 2;
+/// Number of streams taken up from which on their share counts.
+const MIN_TAKEN_UP: usize = 12;
+/// Number of servers of its version with which a stream that is taken up must go on.
+const MIN_SERVERS: usize = 2;
+/// Time after a disturbance until what it concerned is calm.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Fraction, from 0 to 1, of the requests after recovery that must be served.
 const MIN_SERVED_FRACTION: f64 = 0.9;
 
@@ -27,6 +38,27 @@
     pub rate: f64,
     /// Time from which requests must be served as usual, because the recovery time after the last fault has passed.
     pub recovered_at: Instant,
+    /// Injected faults.
+    pub disturbances: &'a [Disturbance],
+    /// Addresses of the entry processes for callers.
+    pub addresses: &'a [SocketAddr],
+}
+
+impl Observations<'_> {
+    /// Whether neither the VM with this address nor the store was disturbed at any time between the two.
+    fn is_calm(&self, address: SocketAddr, from: Instant, to: Instant) -> bool {
+        let Some(vm) = self.addresses.iter().position(|it| *it == address) else {
+            return false;
+        };
+        let mut concerning = self.disturbances.iter().filter(|it| it.concerns_vm(vm));
+        !concerning.any(|it| it.from <= to && from <= it.to + SETTLING_TIME)
+    }
+
+    /// Whether no fault kept backend servers from answering at any time between the two.
+    fn have_servers_been_sound(&self, from: Instant, to: Instant) -> bool {
+        let mut concerning = self.disturbances.iter().filter(|it| it.concerns_servers());
+        !concerning.any(|it| it.from <= to && from <= it.to + SETTLING_TIME)
+    }
 }
 
 /// Returns a description of each violated guarantee; empty if all guarantees held.
@@ -37,6 +69,9 @@
     check_orders(&observations.record.orders(), &mut violations);
     check_rates(observations, &mut violations);
     check_recovery(observations, &mut violations);
+    check_versions(observations.finished, &mut violations);
+    check_taken_up(observations, &mut violations);
+    check_planned_work(observations, &mut violations);
     violations.extend(
         observations
             .record
@@ -51,15 +86,16 @@
 fn check_answers(observations: &Observations<'_>, violations: &mut Vec<String>) {
     let runs = observations.record.runs_by_attempt();
     for it in observations.finished {
-        let attempt = &it.call.attempt;
-        match &it.outcome {
-            Outcome::Wrong(why) | Outcome::Joined(why) => violations.push(format!("{attempt}: {why}")),
-            Outcome::NotRun(status) if must_run_at_most_once(it) && runs.contains_key(attempt) => {
-                violations.push(format!(
-                    "{attempt}: refused as not run with status {status}, but it ran"
-                ));
+        for Try { attempt, outcome, .. } in &it.tries {
+            match outcome {
+                Outcome::Wrong(why) => violations.push(format!("{attempt}: {why}")),
+                Outcome::NotRun(status) if must_run_at_most_once(it) && runs.contains_key(attempt) => {
+                    violations.push(format!(
+                        "{attempt}: refused as not run with status {status}, but it ran"
+                    ));
+                }
+                _ => {}
             }
-            _ => {}
         }
     }
 }
@@ -75,7 +111,7 @@
     let calls: BTreeMap<&str, &Finished> = observations
         .finished
         .iter()
-        .map(|it| (it.call.attempt.as_str(), it))
+        .flat_map(|it| it.tries.iter().map(move |sent| (sent.attempt.as_str(), it)))
         .collect();
     for (attempt, runs) in &runs {
         let Some(finished) = calls.get(attempt.as_str()) else {
@@ -169,12 +205,15 @@
         .iter()
         .filter(|it| it.at >= observations.recovered_at)
         .collect();
-    let served = after_recovery.iter().filter(|it| it.outcome == Outcome::Served).count();
+    let served = after_recovery
+        .iter()
+        .filter(|it| it.tries[0].outcome == Outcome::Served);
+    let served = served.count();
     if (served as f64) < MIN_SERVED_FRACTION * after_recovery.len() as f64 {
         let mut outcomes: BTreeMap<String, usize> = BTreeMap::new();
         for it in &after_recovery {
             *outcomes
-                .entry(format!("{} {:?}", it.call.path, it.outcome))
+                .entry(format!("{} {:?}", it.call.path, it.tries[0].outcome))
                 .or_default() += 1;
         }
         violations.push(format!(
@@ -183,3 +222,77 @@
         ));
     }
 }
+
+/// Reports streams with events of two software versions, if there are more than [`MAX_JOINED`].
+fn check_versions(finished: &[Finished], violations: &mut Vec<String>) {
+    let joined = finished.iter().filter_map(|it| match &it.outcome {
+        Outcome::Joined(why) => Some(format!("{}: {why}", it.call.attempt)),
+        _ => None,
+    });
+    let joined: Vec<String> = joined.collect();
+    if joined.len() > MAX_JOINED {
+        violations.extend(joined);
+    }
+}
+
+/// Reports when the share of the streams that go on, of those that are taken up at calm VMs while two servers of their
+/// version serve, is under half of the share of new streams that begin.
+fn check_taken_up(observations: &Observations<'_>, violations: &mut Vec<String>) {
+    let lives = observations.record.lives();
+    let have_servers = |version: &str, sent: &Try| {
+        let serving = lives.iter().filter(|it| {
+            it.service == ENGINE_SERVICE
+                && it.version == version
+                && it.from + SETTLING_TIME <= sent.at
+                && it.to.is_none_or(|to| to > sent.ended)
+        });
+        serving.count() >= MIN_SERVERS
+    };
+    let is_calm = |sent: &Try| {
+        observations.is_calm(sent.address, sent.at, sent.ended)
+            && observations.have_servers_been_sound(sent.at, sent.ended)
+    };
+    let streams = || observations.finished.iter().filter(|it| it.call.path == STREAM_PATH);
+    let taken_up = streams().filter(|it| {
+        let mut later = it.tries.iter().filter(|it| it.events_before > 0).peekable();
+        let version = it.version.as_deref().unwrap_or_default();
+        later.peek().is_some() && later.all(|it| is_calm(it) && have_servers(version, it))
+    });
+    let taken_up: Vec<bool> = taken_up.map(Finished::has_gone_on).collect();
+    let new: Vec<bool> = streams()
+        .filter(|it| is_calm(&it.tries[0]))
+        .map(|it| it.version.is_some())
+        .collect();
+    let count = |streams: &[bool]| streams.iter().filter(|it| **it).count();
+    let (gone_on, begun) = (count(&taken_up), count(&new));
+    if taken_up.len() >= MIN_TAKEN_UP && gone_on * new.len() * 2 < begun * taken_up.len() {
+        violations.push(format!(
+            "{gone_on} of {} streams taken up went on, {begun} of {} new ones began",
+            taken_up.len(),
+            new.len()
+        ));
+    }
+}
+
+/// Reports requests that ended without a complete answer at calm VMs although servers were silent or the configuration
+/// changed at most.
+fn check_planned_work(observations: &Observations<'_>, violations: &mut Vec<String>) {
+    let tries = observations
+        .finished
+        .iter()
+        .flat_map(|it| it.tries.iter().map(move |sent| (it, sent)));
+    for (it, sent) in tries {
+        let had_time = sent.ended - it.at < it.call.deadline;
+        let lives = observations.record.lives();
+        let mut ends = lives.iter().filter_map(|it| it.to);
+        if sent.outcome == Outcome::Cut
+            && had_time
+            && observations.is_calm(sent.address, sent.at, sent.ended)
+            && observations.have_servers_been_sound(sent.at, sent.ended)
+            && !ends.any(|end| end <= sent.ended && sent.at <= end + SETTLING_TIME)
+        {
+            let after = (sent.ended - sent.at).as_millis();
+            violations.push(format!("{}: no complete answer after {after} ms", sent.attempt));
+        }
+    }
+}
--- a/crates/soak/src/cmd.rs
+++ b/crates/soak/src/cmd.rs
@@ -16,7 +16,7 @@
 
 use crate::checks::{self, Observations};
 use crate::error::SoakError;
-use crate::faults::{self, Planned};
+use crate::faults::{self, Disturbance, Planned};
 use crate::fleet::{ENGINE_COUNT, Fleet, PLAIN_SERVER_COUNT, RATE, VM_COUNT};
 use crate::traffic::Traffic;
 
@@ -41,6 +41,9 @@
     /// Number of faults in each run.
     #[arg(long, default_value_t = 8)]
     pub faults: usize,
+    /// Number of disturbances by planned work and silent servers in each run, in addition to the faults.
+    #[arg(long, default_value_t = 4)]
+    pub work: usize,
     /// Time in seconds, from the start of traffic, within which faults begin.
     #[arg(long, default_value_t = 12)]
     pub span_s: u64,
@@ -62,7 +65,7 @@
     pub seed: u64,
     /// Injected faults in the order of their start.
     pub faults: Vec<Planned>,
-    /// Number of requests by outcome; outcomes that did not occur are absent.
+    /// Number of requests by outcome, and of streams that were taken up; what did not occur is absent.
     pub outcomes: BTreeMap<&'static str, usize>,
     /// Description of each violated guarantee; empty if all held.
     pub violations: Vec<String>,
@@ -124,16 +127,14 @@
         .map(|at| (format!("o{at}"), vec![format!("key-{seed}-{at}")]))
         .collect();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let planned = faults::plan(
-        &mut rng,
-        args.faults,
-        args.span_s * 1_000,
-        VM_COUNT,
-        ENGINE_COUNT + PLAIN_SERVER_COUNT,
-    );
+    let (span_ms, backends) = (args.span_s * 1_000, ENGINE_COUNT + PLAIN_SERVER_COUNT);
+    let mut planned = faults::plan(&mut rng, args.faults, span_ms, VM_COUNT, backends);
+    planned.extend(faults::plan_work(&mut rng, args.work, span_ms, backends));
+    planned.sort_by_key(|it| it.at_ms);
     let fleet = Fleet::start(&args.program, &dir, &organisations).await?;
+    let vms = fleet.addresses();
     let traffic = Traffic {
-        addresses: fleet.processes.iter().map(|it| it.vm.callers).collect(),
+        addresses: vms.clone(),
         keys: organisations.iter().flat_map(|(_, keys)| keys.clone()).collect(),
         seed,
     };
@@ -142,7 +143,7 @@
     let should_stop = Arc::new(AtomicBool::new(false));
     let requests = tokio::spawn(traffic.run(Arc::clone(&should_stop)));
 
-    inject_faults(&fleet, &planned).await?;
+    let disturbances = inject_faults(&fleet, &planned).await?;
     sleep(RECOVERY_TIME).await;
     let recovered_at = Instant::now();
     sleep(OBSERVATION_TIME).await;
@@ -158,12 +159,18 @@
         organisation_by_key: &keys.collect(),
         rate: RATE,
         recovered_at,
+        disturbances: &disturbances,
+        addresses: &vms.iter().map(|it| it.callers).collect::<Vec<_>>(),
     };
     let violations = checks::check(&observations);
     let mut outcomes = BTreeMap::new();
     for it in &finished {
         *outcomes.entry(outcome_name(&it.outcome)).or_default() += 1;
     }
+    let taken_up = finished.iter().filter(|it| it.is_taken_up()).count();
+    if taken_up > 0 {
+        outcomes.insert("taken up", taken_up);
+    }
     drop(fleet);
     if violations.is_empty() {
         std::fs::remove_dir_all(&dir)?;
@@ -176,22 +183,28 @@
     })
 }
 
-async fn inject_faults(fleet: &Arc<Mutex<Fleet>>, planned: &[Planned]) -> Result<(), SoakError> {
+async fn inject_faults(fleet: &Arc<Mutex<Fleet>>, planned: &[Planned]) -> Result<Vec<Disturbance>, SoakError> {
     let started = tokio::time::Instant::now();
     let mut injecting = JoinSet::new();
     for it in planned.iter().cloned() {
         let fleet = Arc::clone(fleet);
         injecting.spawn(async move {
             sleep_until(started + Duration::from_millis(it.at_ms)).await;
+            let from = Instant::now();
             let limit = Duration::from_millis(it.for_ms + MAX_STOP_MS + 5_000);
             let injected = tokio::time::timeout(limit, faults::inject(&fleet, &it)).await;
-            injected.unwrap_or(Err(SoakError::TimedOut))
+            injected.unwrap_or(Err(SoakError::TimedOut)).map(|()| Disturbance {
+                fault: it.fault,
+                from,
+                to: Instant::now(),
+            })
         });
     }
+    let mut disturbances = Vec::new();
     while let Some(injected) = injecting.join_next().await {
-        injected.map_err(std::io::Error::other)??;
+        disturbances.push(injected.map_err(std::io::Error::other)??);
     }
-    Ok(())
+    Ok(disturbances)
 }
 
 fn recreate_dir(dir: &Path) -> Result<(), SoakError> {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,6 +1,6 @@
 //! Random series of faults, and how each fault is injected.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use guava_platform_standin::server::ServerFaults;
 use guava_platform_standin::store::StoreFaults;
@@ -16,6 +16,9 @@
 /// Time after SIGTERM at which a process that has not exited is killed.
 const STOP_GRACE_PERIOD: Duration = Duration::from_secs(8);
 
+/// Interval between two changes of the configuration.
+const CONFIGURATION_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Kind of fault. Numbers are indexes in the fleet's list of processes or backend servers.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fault {
@@ -45,6 +48,12 @@
     Crash(usize),
     /// Sets faults of a backend server.
     Server(usize, ServerFaults),
+    /// Makes a backend server send nothing for a time, after which it goes on.
+    Silence(usize),
+    /// Replaces one engine after the other by one of this software version.
+    Release(String),
+    /// Changes the configuration again and again.
+    Reconfigure,
 }
 
 /// Fault with its start and duration.
@@ -58,6 +67,40 @@
     pub fault: Fault,
 }
 
+/// Fault that was injected.
+#[derive(Debug, Clone)]
+pub struct Disturbance {
+    /// Kind of fault.
+    pub fault: Fault,
+    /// Time at which it began.
+    pub from: Instant,
+    /// Time at which it ended; processes that were started again may not be ready yet.
+    pub to: Instant,
+}
+
+impl Disturbance {
+    /// Whether it disturbs this entry process or the store, without which no process can do its work.
+    pub fn concerns_vm(&self, vm: usize) -> bool {
+        match &self.fault {
+            Fault::Kill(index)
+            | Fault::Stop(index)
+            | Fault::Pause(index)
+            | Fault::Hangup(index)
+            | Fault::StoreLink(index, _)
+            | Fault::PeerLink(index, _) => *index == vm,
+            fault => matches!(
+                fault,
+                Fault::KillAll | Fault::Store(_) | Fault::Compact | Fault::Restore(_)
+            ),
+        }
+    }
+
+    /// Whether it keeps backend servers from answering.
+    pub fn concerns_servers(&self) -> bool {
+        matches!(self.fault, Fault::ServerLink(..) | Fault::Crash(_) | Fault::Server(..))
+    }
+}
+
 /// Draws `count` faults that start within `span_ms` milliseconds, sorted by start; they may overlap.
 ///
 /// `vms` and `backends` are the numbers of entry processes and backend servers to draw from.
@@ -73,6 +116,21 @@
     planned
 }
 
+/// Draws `count` disturbances by planned work, as [`plan`] does for faults: releases of new software versions of the
+/// engines, changes of the configuration, and servers that fall silent meanwhile.
+pub fn plan_work(rng: &mut ChaCha8Rng, count: usize, span_ms: u64, backends: usize) -> Vec<Planned> {
+    let work = (0..count).map(|number| Planned {
+        at_ms: rng.random_range(0..span_ms),
+        for_ms: rng.random_range(700..1_500),
+        fault: match number % 4 {
+            0 => Fault::Release(format!("v{}", number / 4 + 2)),
+            2 => Fault::Reconfigure,
+            _ => Fault::Silence(rng.random_range(0..backends)),
+        },
+    });
+    work.collect()
+}
+
 fn draw_fault(rng: &mut ChaCha8Rng, vms: usize, backends: usize) -> Fault {
     let vm = rng.random_range(0..vms);
     let backend = rng.random_range(0..backends);
@@ -192,9 +250,41 @@
             set_server_faults(fleet, *index, ServerFaults::default()).await;
             Ok(())
         }
+        Fault::Silence(index) => {
+            if let Some(server) = &fleet.lock().await.backends[*index].server {
+                server.fall_silent(duration);
+            }
+            sleep(duration).await;
+            Ok(())
+        }
+        Fault::Release(version) => release(fleet, version, duration).await,
+        Fault::Reconfigure => {
+            let started = tokio::time::Instant::now();
+            while started.elapsed() < duration {
+                fleet.lock().await.change_configuration();
+                sleep(CONFIGURATION_INTERVAL).await;
+            }
+            Ok(())
+        }
     }
 }
 
+/// Replaces the engines one after the other; the server of the old version drains beside the new one for `duration`.
+async fn release(fleet: &tokio::sync::Mutex<Fleet>, version: &str, duration: Duration) -> Result<(), SoakError> {
+    for index in 0..ENGINE_COUNT {
+        let old = fleet.lock().await.release(index, version).await?;
+        sleep(duration / 2).await;
+        if let Some(server) = old.as_ref().and_then(|it| it.server.as_ref()) {
+            server.drain();
+        }
+        sleep(duration).await;
+        if let Some(server) = old.and_then(|it| it.server) {
+            server.shut_down();
+        }
+    }
+    Ok(())
+}
+
 async fn set_server_faults(fleet: &tokio::sync::Mutex<Fleet>, index: usize, faults: ServerFaults) {
     if let Some(server) = &fleet.lock().await.backends[index].server {
         server.set_faults(faults);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -11,6 +11,7 @@
 use guava_platform_standin::server::{ANY_VERSION, Server, ServerSpec};
 use guava_platform_standin::settings::{self, ENGINE_SERVICE, PLAIN_SERVICE, Vm};
 use guava_platform_standin::store::Store;
+use guava_platform_standin::taking_up::EntryAddress;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::net::TcpListener;
 use tokio::process::{Child, Command};
@@ -29,6 +30,8 @@
 pub const MODEL_COUNT: usize = 14;
 /// Rate limit of each organisation in tokens per second, and its burst in tokens.
 pub const RATE: f64 = 30_000.0;
+/// Difference between the timeouts of successive configurations.
+const TIMEOUT_STEP_MS: u64 = 500;
 /// Availability zones, among which processes and servers are spread.
 const ZONES: [&str; 2] = ["caerdydd", "abertawe"];
 /// Lowest port that an entry process may use.
@@ -122,6 +125,8 @@
     pub processes: Vec<Process>,
     /// Backend servers: first [`ENGINE_COUNT`] engines, then [`PLAIN_SERVER_COUNT`] plain servers.
     pub backends: Vec<Backend>,
+    organisations: Vec<(String, Vec<String>)>,
+    configuration_version: u64,
 }
 
 impl Fleet {
@@ -144,6 +149,8 @@
             record: Record::default(),
             processes: Vec::new(),
             backends: Vec::new(),
+            organisations: organisations.to_vec(),
+            configuration_version: 1,
         };
         for at in 0..ENGINE_COUNT {
             let models = vec![format!("m{}", 2 * at), format!("m{}", 2 * at + 1)];
@@ -203,10 +210,56 @@
         Ok(())
     }
 
+    /// Addresses of the entry processes.
+    pub fn addresses(&self) -> Vec<EntryAddress> {
+        let vms = self.processes.iter().map(|it| EntryAddress {
+            callers: it.vm.callers,
+            readiness: it.vm.readiness,
+        });
+        vms.collect()
+    }
+
+    /// Writes the next version of the configuration, with other timeouts and, every other time, one more route.
+    pub fn change_configuration(&mut self) {
+        self.configuration_version += 1;
+        let version = self.configuration_version;
+        let mut configuration = settings::configuration(version, MODEL_COUNT, &self.organisations, RATE);
+        if let Some(routes) = configuration["routes"].as_array_mut() {
+            for route in &mut *routes {
+                let timeout_ms = route["timeoutMs"].as_u64().unwrap_or_default();
+                route["timeoutMs"] = (timeout_ms + version % 3 * TIMEOUT_STEP_MS).into();
+            }
+            if version.is_multiple_of(2) {
+                let mut extra = routes[0].clone();
+                extra["name"] = "extra".into();
+                extra["pathPrefix"] = "/extra/".into();
+                routes.push(extra);
+            }
+        }
+        self.store.put("config", "main", configuration);
+    }
+
+    /// Starts a server of `version` in place of a backend server and returns the one that was there, which goes on
+    /// serving; `None` if that one is down.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn release(&mut self, index: usize, version: &str) -> Result<Option<Backend>, SoakError> {
+        let before = &self.backends[index];
+        if before.server.is_none() {
+            return Ok(None);
+        }
+        let spec = ServerSpec {
+            id: format!("{}-{version}", before.spec.id),
+            version: version.to_owned(),
+            ..before.spec.clone()
+        };
+        let new = self.start_backend(spec).await?;
+        Ok(Some(std::mem::replace(&mut self.backends[index], new)))
+    }
+
     async fn add_backend(&mut self, service: &str, at: usize, models: Option<Vec<String>>) -> Result<(), SoakError> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let link = Proxy::start(address).await?;
         let spec = ServerSpec {
             id: format!("{service}-{at}"),
             service: service.to_owned(),
@@ -214,15 +267,23 @@
             version: ANY_VERSION.to_owned(),
             models,
         };
+        let backend = self.start_backend(spec).await?;
+        self.backends.push(backend);
+        Ok(())
+    }
+
+    async fn start_backend(&self, spec: ServerSpec) -> Result<Backend, SoakError> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let link = Proxy::start(address).await?;
         let server = Server::start(spec.clone(), listener, link.address, &self.store, &self.record);
-        self.backends.push(Backend {
+        Ok(Backend {
             server: Some(server),
             link,
             address,
             spec,
             start_count: 1,
-        });
-        Ok(())
+        })
     }
 }
 
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -6,6 +6,7 @@
 
 use guava_platform_standin::caller::{ANY_PROMPT, Call, Finished, send};
 use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, REPORT_PATH, STREAM_PATH};
+use guava_platform_standin::taking_up::{EntryAddress, send_resumable};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::mpsc;
@@ -21,8 +22,8 @@
 /// Generator of random requests.
 #[derive(Debug, Clone)]
 pub struct Traffic {
-    /// Addresses on which the entry processes listen for callers; each request goes to a random one.
-    pub addresses: Vec<std::net::SocketAddr>,
+    /// Addresses of the entry processes; each request goes to a random one.
+    pub addresses: Vec<EntryAddress>,
     /// Keys of the callers; each request uses a random one.
     pub keys: Vec<String>,
     /// Seed of the random choices; it also distinguishes the ids of attempts.
@@ -34,15 +35,21 @@
     /// they finished.
     pub async fn run(self, should_stop: Arc<AtomicBool>) -> Vec<Finished> {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ 0x7261_6666);
+        let addresses: Arc<[EntryAddress]> = self.addresses.as_slice().into();
         let (tx, mut rx) = mpsc::unbounded_channel();
         let number = AtomicU64::new(0);
         while !should_stop.load(Ordering::Relaxed) {
             let call = self.draw_call(number.fetch_add(1, Ordering::Relaxed), &mut rng);
-            let address = self.addresses[rng.random_range(0..self.addresses.len())];
-            let tx = tx.clone();
+            let vm = rng.random_range(0..addresses.len());
+            let (tx, addresses) = (tx.clone(), Arc::clone(&addresses));
             tokio::spawn(async move {
+                let finished = if call.path == STREAM_PATH {
+                    send_resumable(&addresses, vm, call).await
+                } else {
+                    send(addresses[vm].callers, call).await
+                };
                 // Cannot fail: the receiver is kept until all senders are dropped.
-                let _ = tx.send(send(address, call).await);
+                let _ = tx.send(finished);
             });
             sleep(Duration::from_millis(rng.random_range(0..2 * MEAN_INTERVAL_MS))).await;
         }
--- a/crates/soak/tests/regressions.rs
+++ b/crates/soak/tests/regressions.rs
@@ -29,6 +29,7 @@
         seed,
         seeds: 1,
         faults,
+        work: 0,
         span_s: 12,
         jobs: 1,
         program: program(),
