Log silent servers and connections that end with an unanswered request

E1016 names the silent server, the length of the silence, whether its answer had begun, the attempts so far and the time left; E1017 names why a caller's connection ended while an answer on it was incomplete. No logic changes.

Evidence: `each_event_has_its_fields` and `each_event_is_listed` of crates/soak/tests/lines.rs trigger both events and check their fields.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -281,6 +281,17 @@
         Err(Failure::unknown(Code::OutcomeUnknown))
     }
 
+    /// Logs that a server with the request has been silent; `next` tells what is done about it.
+    pub fn log_silence(&self, server: &str, silent_ms: u64, has_begun: bool, next: &str) {
+        log_event!(
+            Event::ServerSilent,
+            self.id(),
+            "server={server} silent_ms={silent_ms} begun={has_begun} attempts={} left_ms={} next={next}",
+            self.may_have_run.len(),
+            self.deadline.since(now())
+        );
+    }
+
     /// Sends the request to servers until one answers. `last_event_id` is the id of the last event received, for a
     /// stream that continues.
     ///
@@ -353,7 +364,10 @@
                     );
                     return Err(Failure::unknown(Code::TimedOut));
                 }
-                Err(_) => AttemptError::Unknown("no answer in time".to_owned()),
+                Err(_) => {
+                    self.log_silence(&server, now().since(at), false, "given up");
+                    AttemptError::Unknown("no answer in time".to_owned())
+                }
             };
             self.handle_error(selected, error).await?;
         }
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -8,20 +8,24 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use guava_core::events::Event;
 use guava_core::units::Millis;
+use guava_platform::headers::ATTEMPT_ID;
 use guava_telemetry::Metrics;
-use http::{Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::caller_stream::CallerStream;
 use crate::coordinator::Coordinator;
+use crate::log_event;
 use crate::peers;
 use crate::reply::Body;
 use crate::request;
@@ -97,6 +101,8 @@
     busy: AtomicUsize,
     /// Time of the end of the last request, or of the start of the connection, in milliseconds of [`now`].
     idle_since: AtomicU64,
+    /// Id of the last request, used in log lines.
+    last_id: Mutex<Option<HeaderValue>>,
 }
 
 impl ConnectionUse {
@@ -138,23 +144,29 @@
         .serve_connection(TokioIo::new(socket.clone()), service);
     let mut serving = pin!(serving);
     let mut is_closing = false;
-    loop {
+    let end = loop {
         let interval = if is_closing {
             CLOSING_CHECK_INTERVAL
         } else {
             IDLE_CHECK_INTERVAL
         };
         tokio::select! {
-            // Failures were reported by the requests on the connection; the caller sees it closed.
-            _ = serving.as_mut() => break,
+            result = serving.as_mut() => break result.err().map(|e| e.to_string()),
             _ = closing.wait_for(|it| *it), if !is_closing => is_closing = true,
             () = sleep(interval) => {
                 let max_idle_ms = if is_closing { CLOSING_IDLE_MS } else { idle_ms };
                 if usage.idle_ms() > max_idle_ms && !socket.has_unread_bytes() {
-                    break;
+                    break None;
                 }
             }
         }
+    };
+    let unanswered = usage.busy.load(Ordering::Relaxed);
+    if end.is_some() || unanswered > 0 {
+        let why = end.as_deref().unwrap_or("closed");
+        let last_id = usage.last_id.lock().take();
+        let id = last_id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("-");
+        log_event!(Event::ConnectionCut, id, "unanswered={unanswered} why={why}");
     }
     connections.open.fetch_sub(1, Ordering::Relaxed);
 }
@@ -164,12 +176,13 @@
     usage: Arc<ConnectionUse>,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
+    *usage.last_id.lock() = req.headers().get(ATTEMPT_ID).cloned();
     let guard = ConnectionUseGuard::new(usage);
     let mut answer = request::serve(Arc::clone(&state), req).await;
     if state.is_stopping() {
         answer
             .headers_mut()
-            .insert(header::CONNECTION, http::HeaderValue::from_static("close"));
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     // The connection is in use until the body has been sent or dropped.
     Ok(answer.map(|body| {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -86,7 +86,7 @@
         progress.parts += 1;
         let server = Arc::clone(&selected.server);
         let begun = incoming.begun;
-        let end = relay_part(&dispatch, incoming, &mut splitter, &mut progress, &tx).await;
+        let end = relay_part(&dispatch, &server.id, incoming, &mut splitter, &mut progress, &tx).await;
         drop(selected);
         match end {
             PartEnd::Complete => {
@@ -145,6 +145,7 @@
 
 async fn relay_part(
     dispatch: &Dispatch,
+    server: &str,
     incoming: IncomingAnswer,
     splitter: &mut Splitter,
     progress: &mut Progress,
@@ -168,7 +169,7 @@
         let at = now();
         let frame = match next {
             None if at >= dispatch.deadline() => return PartEnd::DeadlinePassed,
-            None if at >= stalled_at => return stalled(at.since(last_data_at)),
+            None if at >= stalled_at => return stalled(dispatch, server, at.since(last_data_at)),
             None => continue,
             Some(Some(Err(e))) => return PartEnd::Interrupted(e.to_string()),
             Some(None) if splitter.rest().is_empty() => {
@@ -196,7 +197,7 @@
                 dispatch.record_proof(begun);
             }
         } else if at >= stalled_at {
-            return stalled(at.since(last_data_at));
+            return stalled(dispatch, server, at.since(last_data_at));
         }
         let give_up_at = dispatch.deadline() + LATE_DELIVERY_MS;
         if at >= give_up_at {
@@ -221,7 +222,8 @@
     }
 }
 
-fn stalled(silent_ms: u64) -> PartEnd {
+fn stalled(dispatch: &Dispatch, server: &str, silent_ms: u64) -> PartEnd {
+    dispatch.log_silence(server, silent_ms, true, "given up");
     PartEnd::Interrupted(format!("no event for {silent_ms} ms"))
 }
 
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -24,7 +24,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 41] = [
+const EVENTS: [(&str, &str, &[&str]); 43] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -47,6 +47,12 @@
         &["organisation", "tokens", "rate", "local_wait_ms", "central"],
     ),
     ("E1014", "PromptRefused", &["parts", "condemned_ms_ago"]),
+    (
+        "E1016",
+        "ServerSilent",
+        &["server", "silent_ms", "begun", "attempts", "left_ms", "next"],
+    ),
+    ("E1017", "ConnectionCut", &["unanswered", "why"]),
     ("E2009", "ServerLeaving", &["server", "revision"]),
     ("E2010", "ServerEnded", &["server", "revision"]),
     ("E2012", "ServerListed", &["server", "revision"]),
@@ -184,6 +190,12 @@
     }
     set_server_faults(&fleet.backends[..ENGINE_COUNT], cut_answers);
     send(address, call("broken", STREAM_PATH)).await;
+    let silent = ServerFaults {
+        mute: 1.0,
+        ..ServerFaults::default()
+    };
+    set_server_faults(&fleet.backends[ENGINE_COUNT..], silent);
+    send(address, call("silent", LOOKUP_PATH)).await;
     set_server_faults(&fleet.backends, ServerFaults::default());
     let abandoned = Call {
         model: Some("m13".to_owned()),
