Keep a silent server's attempt until a replacement is ready

Cause: the silence itself ended the attempt, and only then were a retry, a server and a connection looked for. Without a retry left, another server, a connection or a route that still serves the request there was no way back.

Change: silence starts a search. The attempt is given up only when a retry is left, another server of the same service can be selected and paced, and the connection to it is open; otherwise the request stays where it is and the search is repeated every 500 ms until the deadline. A server that goes on meanwhile keeps the request. The first connection is closed before the request is sent again; a request that may not be repeated is never moved. Streams are moved after 1.4 s or four gaps instead of 1 s or four gaps: a sound server may be silent for about a second, callers abandon a stream after two. The silence is recorded against the server once, as before.

Evidence: crates/entry/tests/silence.rs.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatch of one request: selection of a backend server, pacing, sending and retries.
 
 use std::fmt::Display;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,6 +59,8 @@
 const HEAD_TIMEOUT_OBJECTIVES: u64 = 2;
 /// Lower bound of the timeout given by [`HEAD_TIMEOUT_OBJECTIVES`].
 const HEAD_TIMEOUT_MIN_MS: u64 = 250;
+/// Interval at which a replacement for a silent server is looked for.
+pub const REPLACEMENT_INTERVAL_MS: u64 = 500;
 /// Deadline of a request that states none.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
@@ -91,6 +94,19 @@
     pub guard: RunningGuard,
 }
 
+/// Server with an open connection on which nothing has been sent yet.
+#[derive(Debug)]
+pub struct NextServer {
+    selected: SelectedServer,
+    connection: OpenConnection,
+}
+
+/// What ends the wait for the head of an answer.
+enum Head {
+    Received(Result<IncomingAnswer, AttemptError>),
+    Replaced(NextServer),
+}
+
 /// State of one request across its attempts.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -101,6 +117,8 @@
     /// Servers that may have run the request.
     may_have_run: Vec<String>,
     refusals: u32,
+    /// Last server whose silence was recorded.
+    silent_server: Option<String>,
     /// Whether the request finds out if its prompt still crashes servers. It is sent once.
     is_trial: bool,
     /// Earlier of the caller's deadline and the route's timeout.
@@ -126,6 +144,7 @@
             resolved,
             may_have_run: Vec::new(),
             refusals: 0,
+            silent_server: None,
             is_trial,
         }
     }
@@ -182,7 +201,7 @@
             self.state.record_arrival(&self.service, model, adapter, prompt_tokens);
         }
         loop {
-            let (selected, incoming) = self.send_until_answered(None).await?;
+            let (selected, incoming) = self.send_until_answered(None, None).await?;
             if self.resolved.route.kind == RouteKind::Streaming && incoming.status.is_success() {
                 let server = &selected.server.id;
                 log_event!(Event::RequestFinished, self.id(), "stream begins server={server}");
@@ -262,14 +281,7 @@
         why: &str,
     ) -> Result<(), Failure> {
         let at = now();
-        self.is_trial = false;
-        let broken = BrokenAttempt {
-            server: Arc::clone(server),
-            begun,
-            at,
-            why: why.to_owned(),
-        };
-        breakage::examine(&self.state, &self.inbound, broken);
+        self.examine_broken(server, begun, why);
         let server = server.id.as_str();
         self.record_failure(server, why);
         let has_time_left = at + RETURN_MARGIN_MS < self.deadline;
@@ -281,8 +293,89 @@
         Err(Failure::unknown(Code::OutcomeUnknown))
     }
 
+    fn examine_broken(&mut self, server: &Arc<BackendServer>, begun: Option<Millis>, why: &str) {
+        self.is_trial = false;
+        let broken = BrokenAttempt {
+            server: Arc::clone(server),
+            begun,
+            at: now(),
+            why: why.to_owned(),
+        };
+        breakage::examine(&self.state, &self.inbound, broken);
+    }
+
+    /// Prepares a replacement for a server that has the request and is silent, up to an open connection. Returns `None`
+    /// if there is none; the request must then stay where it is.
+    pub async fn secure_replacement(
+        &mut self,
+        silent: &BackendServer,
+        silent_ms: u64,
+        has_begun: bool,
+    ) -> Option<NextServer> {
+        let is_new = self.silent_server.as_deref() != Some(silent.id.as_str());
+        if is_new {
+            self.silent_server = Some(silent.id.clone());
+            self.record_failure(&silent.id, format_args!("silent for {silent_ms} ms"));
+        }
+        let left = until(self.deadline - RETURN_MARGIN_MS);
+        let connecting = tokio::time::timeout(left, self.connect_replacement(silent)).await;
+        match connecting.unwrap_or(Err("no time left")) {
+            Ok(next) => Some(next),
+            Err(why) => {
+                if is_new {
+                    self.log_silence(&silent.id, silent_ms, has_begun, format_args!("kept why={why}"));
+                }
+                None
+            }
+        }
+    }
+
+    async fn connect_replacement(&mut self, silent: &BackendServer) -> Result<NextServer, &'static str> {
+        if !self.may_retry() {
+            return Err("must not be sent again");
+        }
+        self.resolve_again().map_err(|e| e.code.text())?;
+        if self.service != silent.service {
+            return Err("another service");
+        }
+        if !self.may_retry() || !self.state.has_retry(&self.service, now()) {
+            return Err("no retry left");
+        }
+        let selected = self.select_server(None).ok_or("no other server")?;
+        if let Some((tokens, _)) = self.inbound.caller.tokens
+            && self.resolved.route.kind == RouteKind::Streaming
+            && self.request_pace(&selected, tokens, SHORT_PACE_WAIT_MS).await.is_some()
+        {
+            return Err("other servers are busy");
+        }
+        let connection = match OpenConnection::open(selected.server.address).await {
+            Ok(connection) => connection,
+            Err(e) => {
+                self.record_failure(&selected.server.id, e);
+                return Err("no connection to another server");
+            }
+        };
+        if !self.state.accepts_requests(&selected.server) {
+            return Err("the other server leaves");
+        }
+        Ok(NextServer { selected, connection })
+    }
+
+    /// Takes a retry to send the request to a replacement of a silent server. Returns false if none is left. `begun` is
+    /// the time at which the head of the silent server's answer arrived.
+    pub fn give_up_silent(&mut self, silent: &Arc<BackendServer>, begun: Option<Millis>, silent_ms: u64) -> bool {
+        if !self.state.try_take_retry(&self.service, now()) {
+            return false;
+        }
+        let why = format!("silent for {silent_ms} ms");
+        self.log_silence(&silent.id, silent_ms, begun.is_some(), "replaced");
+        log_event!(Event::RequestRetried, self.id(), "server={} why={why}", silent.id);
+        self.examine_broken(silent, begun, &why);
+        true
+    }
+
     /// Logs that a server with the request has been silent; `next` tells what is done about it.
-    pub fn log_silence(&self, server: &str, silent_ms: u64, has_begun: bool, next: &str) {
+    fn log_silence(&self, server: &str, silent_ms: u64, has_begun: bool, next: impl Display) {
         log_event!(
             Event::ServerSilent,
             self.id(),
@@ -292,8 +385,8 @@
         );
     }
 
-    /// Sends the request to servers until one answers. `last_event_id` is the id of the last event received, for a
-    /// stream that continues.
+    /// Sends the request to servers until one answers, at first to `replacement`. `last_event_id` is the id of the last
+    /// event received, for a stream that continues.
     ///
     /// # Errors
     ///
@@ -301,8 +394,9 @@
     pub async fn send_until_answered(
         &mut self,
         last_event_id: Option<&str>,
+        replacement: Option<NextServer>,
     ) -> Result<(SelectedServer, IncomingAnswer), Failure> {
-        let outcome = self.try_servers(last_event_id).await;
+        let outcome = self.try_servers(last_event_id, replacement).await;
         outcome.map_err(|failure| match failure.run {
             // An earlier attempt may have run the request, so no failure of a later one proves that it has not run.
             Run::NotRun if !self.may_have_run.is_empty() => Failure::unknown(Code::OutcomeUnknown),
@@ -310,66 +404,111 @@
         })
     }
 
-    async fn try_servers(&mut self, last_event_id: Option<&str>) -> Result<(SelectedServer, IncomingAnswer), Failure> {
+    async fn try_servers(
+        &mut self,
+        last_event_id: Option<&str>,
+        mut replacement: Option<NextServer>,
+    ) -> Result<(SelectedServer, IncomingAnswer), Failure> {
+        let inbound = Arc::clone(&self.inbound);
         loop {
-            let selected = self.wait_for_server().await?;
-            let selected = self.pace_prompt(selected).await?;
-            let server = selected.server.id.clone();
-            let connection = match OpenConnection::open(selected.server.address).await {
-                Ok(connection) => connection,
-                Err(e) => {
-                    self.handle_error(selected, e).await?;
-                    continue;
-                }
+            let next = match replacement.take() {
+                Some(next) => Some(next),
+                None => self.connect_next().await?,
             };
-            // Pacing and connecting take time, in which the server may leave, or the route or the key may change.
-            self.resolve_again()?;
-            if now() >= self.deadline {
-                return Err(self.deadline_failure());
-            }
-            let has_service_changed = selected.server.service != self.service;
-            if has_service_changed || !self.state.accepts_requests(&selected.server) {
-                log_event!(
-                    Event::RequestRetried,
-                    self.id(),
-                    "server={server} why=not selectable any more service_changed={has_service_changed}"
-                );
+            let Some(NextServer { selected, connection }) = next else {
                 continue;
-            }
+            };
             let outgoing = self.outgoing(&selected.server, last_event_id);
             let at = now();
             log_event!(
                 Event::RequestSent,
                 self.id(),
-                "server={server} route={} left_ms={} waited_ms={}",
+                "server={} route={} left_ms={} waited_ms={}",
+                selected.server.id,
                 self.resolved.route.name,
                 self.deadline.since(at),
                 at.since(self.inbound.arrived)
             );
-            self.may_have_run.push(server.clone());
-            let sending = connection.send(outgoing, &self.inbound.caller.attempt_id);
+            self.may_have_run.push(selected.server.id.clone());
+            let head = {
+                let sending = pin!(connection.send(outgoing, &inbound.caller.attempt_id));
+                self.wait_for_head(&selected.server, sending).await?
+            };
+            match head {
+                Head::Received(Ok(incoming)) => return Ok((selected, incoming)),
+                Head::Received(Err(e)) => self.handle_error(selected, e).await?,
+                Head::Replaced(next) => replacement = Some(next),
+            }
+        }
+    }
+
+    /// Waits until a server can take the request, and opens a connection to it. Returns `None` if the server must not get
+    /// the request any more or does not accept the connection.
+    async fn connect_next(&mut self) -> Result<Option<NextServer>, Failure> {
+        let selected = self.wait_for_server().await?;
+        let selected = self.pace_prompt(selected).await?;
+        let connection = match OpenConnection::open(selected.server.address).await {
+            Ok(connection) => connection,
+            Err(e) => {
+                self.handle_error(selected, e).await?;
+                return Ok(None);
+            }
+        };
+        // Pacing and connecting take time, in which the server may leave, or the route or the key may change.
+        self.resolve_again()?;
+        if now() >= self.deadline {
+            return Err(self.deadline_failure());
+        }
+        let has_service_changed = selected.server.service != self.service;
+        if has_service_changed || !self.state.accepts_requests(&selected.server) {
+            log_event!(
+                Event::RequestRetried,
+                self.id(),
+                "server={} why=not selectable any more service_changed={has_service_changed}",
+                selected.server.id
+            );
+            return Ok(None);
+        }
+        Ok(Some(NextServer { selected, connection }))
+    }
+
+    /// Waits for the head of an answer until the deadline. A silent server is replaced if another one is ready to take
+    /// the request.
+    async fn wait_for_head<F>(&mut self, server: &Arc<BackendServer>, mut sending: Pin<&mut F>) -> Result<Head, Failure>
+    where
+        F: Future<Output = Result<IncomingAnswer, AttemptError>>,
+    {
+        let sent = now();
+        let mut pause = self.head_timeout();
+        loop {
             let outcome = tokio::select! {
-                outcome = tokio::time::timeout(self.head_timeout(), sending) => outcome,
+                outcome = tokio::time::timeout(pause, sending.as_mut()) => outcome,
                 // Closing the connection makes the server drop the request, which may not have begun there.
                 failure = self.prompt_failure() => return Err(failure),
             };
-            let error = match outcome {
-                Ok(Ok(incoming)) => return Ok((selected, incoming)),
-                Ok(Err(e)) => e,
-                Err(_) if now() >= self.deadline => {
-                    log_event!(
-                        Event::RequestFailed,
-                        self.id(),
-                        "server={server} why=no answer before the deadline"
-                    );
-                    return Err(Failure::unknown(Code::TimedOut));
-                }
-                Err(_) => {
-                    self.log_silence(&server, now().since(at), false, "given up");
-                    AttemptError::Unknown("no answer in time".to_owned())
-                }
+            if let Ok(outcome) = outcome {
+                return Ok(Head::Received(outcome));
+            }
+            if now() >= self.deadline {
+                log_event!(
+                    Event::RequestFailed,
+                    self.id(),
+                    "server={} why=no answer before the deadline",
+                    server.id
+                );
+                return Err(Failure::unknown(Code::TimedOut));
+            }
+            let replacement = tokio::select! {
+                biased;
+                outcome = sending.as_mut() => return Ok(Head::Received(outcome)),
+                replacement = self.secure_replacement(server, now().since(sent), false) => replacement,
             };
-            self.handle_error(selected, error).await?;
+            if let Some(next) = replacement
+                && self.give_up_silent(server, None, now().since(sent))
+            {
+                return Ok(Head::Replaced(next));
+            }
+            pause = until(self.deadline).min(Duration::from_millis(REPLACEMENT_INTERVAL_MS));
         }
     }
 
@@ -424,7 +563,7 @@
         Ok(())
     }
 
-    /// Timeout for the head of an answer; shorter for a request that may be sent to another server.
+    /// Time without the head of an answer after which the server is replaced, if the request may be sent to another one.
     fn head_timeout(&self) -> Duration {
         let left = until(self.deadline);
         if !self.may_retry() {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,23 +1,25 @@
 //! Relays event streams from backend servers to callers.
 //!
-//! Complete events are forwarded as they arrive. If a stream is interrupted or stays silent, it continues from another
-//! server within the same answer, where its route allows that. Otherwise the answer is aborted, so that it does not
-//! look complete.
+//! Complete events are forwarded as they arrive. If a stream is interrupted, it continues from another server within the
+//! same answer, where its route allows that. Otherwise the answer is aborted, so that it does not look complete. A
+//! silent server is given up only once another one is ready to take the stream.
 
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use guava_core::events::Event;
 use guava_core::units::Millis;
 use guava_fleet::crashes::PROOF_AFTER_MS;
 use guava_fleet::events::{Splitter, has_data};
+use guava_fleet::model::BackendServer;
 use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use tokio::sync::mpsc::{self, Sender};
 
 use crate::attempt::IncomingAnswer;
-use crate::dispatch::{Dispatch, SelectedServer};
+use crate::dispatch::{Dispatch, NextServer, REPLACEMENT_INTERVAL_MS, SelectedServer};
 use crate::log_event;
 use crate::metrics;
 use crate::reply::{Body, BodyError, forwarded_response};
@@ -25,12 +27,12 @@
 
 /// Number of frames buffered for a slow caller.
 const BUFFERED_EVENTS: usize = 8;
-/// Time without events after which a stream continues from another server, as a multiple of its route's longest allowed
-/// gap.
+/// Time without events after which a stream continues from another server if one is ready, as a multiple of its route's
+/// longest allowed gap.
 const SILENCE_TIMEOUT_GAPS: u64 = 4;
-/// Lower bound of the time given by [`SILENCE_TIMEOUT_GAPS`]; an engine that is busy with prompts may pause for a few
-/// hundred milliseconds.
-const SILENCE_TIMEOUT_MIN_MS: u64 = 1_000;
+/// Lower bound of the time given by [`SILENCE_TIMEOUT_GAPS`]. A sound server may be silent for about a second, callers
+/// abandon a stream after two, and the next server's first event takes half a second at most.
+const SILENCE_TIMEOUT_MIN_MS: u64 = 1_400;
 
 /// Time after the deadline, in milliseconds, for which events that are ready are still passed on. A route's time limit
 /// must not be exceeded by more than half a second.
@@ -62,6 +64,7 @@
     CallerLeft,
     DeadlinePassed,
     Interrupted(String),
+    Replaced(Box<NextServer>),
 }
 
 /// Returns the answer; a task of its own relays the body.
@@ -86,9 +89,9 @@
         progress.parts += 1;
         let server = Arc::clone(&selected.server);
         let begun = incoming.begun;
-        let end = relay_part(&dispatch, &server.id, incoming, &mut splitter, &mut progress, &tx).await;
+        let end = relay_part(&mut dispatch, &server, incoming, &mut splitter, &mut progress, &tx).await;
         drop(selected);
-        match end {
+        let replacement = match end {
             PartEnd::Complete => {
                 dispatch.state().health.lock().record_success(now(), &server.id);
                 log_event!(
@@ -128,12 +131,14 @@
                 if dispatch.handle_lost_answer(&server, Some(begun), &why).is_err() {
                     return abort(&tx).await;
                 }
+                None
             }
-        }
+            PartEnd::Replaced(next) => Some(*next),
+        };
         splitter.discard_rest();
         let last_event_id = splitter.last_id().map(str::to_owned);
         let outcome = tokio::select! {
-            outcome = dispatch.send_until_answered(last_event_id.as_deref()) => outcome,
+            outcome = dispatch.send_until_answered(last_event_id.as_deref(), replacement) => outcome,
             () = tx.closed() => return,
         };
         match outcome {
@@ -144,8 +149,8 @@
 }
 
 async fn relay_part(
-    dispatch: &Dispatch,
-    server: &str,
+    dispatch: &mut Dispatch,
+    server: &Arc<BackendServer>,
     incoming: IncomingAnswer,
     splitter: &mut Splitter,
     progress: &mut Progress,
@@ -158,19 +163,32 @@
         ..
     } = incoming;
     let mut last_data_at = now();
+    let mut silence = Silence::default();
     let mut has_events = false;
     let mut is_proven = false;
     loop {
         let stalled_at = last_data_at + silence_timeout_ms(dispatch);
-        let next = tokio::select! {
-            next = tokio::time::timeout(until(stalled_at.min(dispatch.deadline())), body.frame()) => next.ok(),
-            () = tx.closed() => return PartEnd::CallerLeft,
+        let check_at = stalled_at.max(silence.checked + REPLACEMENT_INTERVAL_MS);
+        let next = if silence.replacement.is_some() {
+            // Events that arrived while the replacement was prepared.
+            body.frame().now_or_never()
+        } else {
+            tokio::select! {
+                next = tokio::time::timeout(until(check_at.min(dispatch.deadline())), body.frame()) => next.ok(),
+                () = tx.closed() => return PartEnd::CallerLeft,
+            }
         };
         let at = now();
         let frame = match next {
             None if at >= dispatch.deadline() => return PartEnd::DeadlinePassed,
-            None if at >= stalled_at => return stalled(dispatch, server, at.since(last_data_at)),
-            None => continue,
+            None => {
+                if at >= check_at
+                    && let Some(end) = silence.check(dispatch, server, begun, at.since(last_data_at), tx).await
+                {
+                    return end;
+                }
+                continue;
+            }
             Some(Some(Err(e))) => return PartEnd::Interrupted(e.to_string()),
             Some(None) if splitter.rest().is_empty() => {
                 drop(connection);
@@ -191,13 +209,16 @@
         // on even if this process was held up beyond the time limit.
         if has_data(&events) {
             last_data_at = at;
+            silence.replacement = None;
             has_events = true;
             if !is_proven && at.since(begun) >= PROOF_AFTER_MS {
                 is_proven = true;
                 dispatch.record_proof(begun);
             }
-        } else if at >= stalled_at {
-            return stalled(dispatch, server, at.since(last_data_at));
+        } else if at >= check_at
+            && let Some(end) = silence.check(dispatch, server, begun, at.since(last_data_at), tx).await
+        {
+            return end;
         }
         let give_up_at = dispatch.deadline() + LATE_DELIVERY_MS;
         if at >= give_up_at {
@@ -222,13 +243,45 @@
     }
 }
 
-fn stalled(dispatch: &Dispatch, server: &str, silent_ms: u64) -> PartEnd {
-    dispatch.log_silence(server, silent_ms, true, "given up");
-    PartEnd::Interrupted(format!("no event for {silent_ms} ms"))
+/// Search for a replacement of a silent server.
+#[derive(Debug, Default)]
+struct Silence {
+    /// Last time at which there was no replacement.
+    checked: Millis,
+    /// Server that is ready to take the stream.
+    replacement: Option<NextServer>,
+}
+
+impl Silence {
+    /// Prepares a replacement, or gives up the silent server if one is ready. Returns how the silent server's part ends;
+    /// `None` if it goes on.
+    async fn check(
+        &mut self,
+        dispatch: &mut Dispatch,
+        server: &Arc<BackendServer>,
+        begun: Millis,
+        silent_ms: u64,
+        tx: &FrameSender,
+    ) -> Option<PartEnd> {
+        if let Some(next) = self.replacement.take() {
+            if dispatch.give_up_silent(server, Some(begun), silent_ms) {
+                return Some(PartEnd::Replaced(Box::new(next)));
+            }
+        } else {
+            self.replacement = tokio::select! {
+                replacement = dispatch.secure_replacement(server, silent_ms, true) => replacement,
+                () = tx.closed() => return Some(PartEnd::CallerLeft),
+            };
+        }
+        if self.replacement.is_none() {
+            self.checked = now();
+        }
+        None
+    }
 }
 
-/// Time without events, in milliseconds, after which the stream continues from another server. A stream that cannot
-/// continue is given until its deadline.
+/// Time without events, in milliseconds, after which the server is replaced if another one is ready. A stream that
+/// cannot continue is given until its deadline.
 fn silence_timeout_ms(dispatch: &Dispatch) -> u64 {
     if !dispatch.may_retry() {
         return u64::MAX;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -735,12 +735,7 @@
 
     /// Takes one retry from the budget of a service. Returns whether the budget allows it.
     pub fn try_take_retry(&self, service: &str, now: Millis) -> bool {
-        let limits = BudgetLimits {
-            ratio: self.settings.retry_ratio,
-            slack: self.settings.retry_slack,
-            window_ms: self.settings.retry_window_ms,
-            vms: self.vms(),
-        };
+        let limits = self.budget_limits();
         let mut budgets = self.budgets.lock();
         budgets
             .entry(service.to_owned())
@@ -748,6 +743,23 @@
             .try_take_retry(now, limits)
     }
 
+    /// Whether a retry can be taken from the budget of a service.
+    pub fn has_retry(&self, service: &str, now: Millis) -> bool {
+        let limits = self.budget_limits();
+        let mut budgets = self.budgets.lock();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.has_retry(now, limits)
+    }
+
+    fn budget_limits(&self) -> BudgetLimits {
+        BudgetLimits {
+            ratio: self.settings.retry_ratio,
+            slack: self.settings.retry_slack,
+            window_ms: self.settings.retry_window_ms,
+            vms: self.vms(),
+        }
+    }
+
     /// Counts a caller's request towards the retry budget of a service.
     pub fn record_request(&self, service: &str, now: Millis) {
         let mut budgets = self.budgets.lock();
--- /dev/null
+++ b/crates/entry/tests/silence.rs
@@ -0,0 +1,170 @@
+//! Tests of backend servers that are silent for a while and go on.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH};
+use rstest::rstest;
+use support::{
+    Entry, ScriptedServer, answer_head, call, chunk, event, list_servers, start_entry, start_server, whole_answer,
+    write,
+};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// Silence of a server that goes on; shorter than the gap after which callers abandon a stream.
+const SILENCE: Duration = Duration::from_millis(1_900);
+/// Events of a whole stream.
+const EVENTS: u32 = 6;
+
+/// Why a silent server cannot be replaced.
+#[derive(Debug, Clone, Copy)]
+enum Obstacle {
+    NoOtherServer,
+    NoRetryBudget,
+    OtherServerRefusesConnections,
+    RouteDropped,
+}
+
+/// Server that pauses after the first events of a stream, or before a whole answer.
+async fn pausing_server(id: &str, is_engine: bool) -> ScriptedServer {
+    start_server(id, is_engine, move |mut stream, attempt| async move {
+        if !is_engine {
+            sleep(SILENCE).await;
+            write(&mut stream, &whole_answer(&attempt, "served")).await;
+            return;
+        }
+        write(&mut stream, &answer_head(&attempt, "transfer-encoding: chunked\r\n")).await;
+        for id in 1..=EVENTS {
+            if id == 4 {
+                sleep(SILENCE).await;
+            }
+            write(&mut stream, &chunk(&event(id))).await;
+        }
+        write(&mut stream, "0\r\n\r\n").await;
+    })
+    .await
+}
+
+async fn put_obstacle(entry: &Entry, obstacle: Obstacle, first: &ScriptedServer) {
+    let spare = start_server("spare", !first.entry.held.is_empty(), |_, _| async {}).await;
+    match obstacle {
+        Obstacle::NoOtherServer => list_servers(&entry.state, &[first]),
+        Obstacle::NoRetryBudget => {
+            list_servers(&entry.state, &[first, &spare]);
+            while entry
+                .state
+                .try_take_retry(&first.entry.service, guava_entry::state::now())
+            {}
+        }
+        Obstacle::OtherServerRefusesConnections => {
+            let closed = ScriptedServer {
+                entry: guava_fleet::model::BackendServer {
+                    address: support::NOWHERE.into(),
+                    ..spare.entry
+                },
+                ..spare
+            };
+            list_servers(&entry.state, &[first, &closed]);
+        }
+        Obstacle::RouteDropped => list_servers(&entry.state, &[first, &spare]),
+    }
+}
+
+/// Guards against an answer that is cut because its server is silent for a second or two and nothing can replace it.
+#[rstest]
+#[tokio::test]
+async fn answer_of_a_silent_server_is_kept_without_a_replacement(
+    #[values((STREAM_PATH, true), (LOOKUP_PATH, false))] (path, is_engine): (&str, bool),
+    #[values(
+        Obstacle::NoOtherServer,
+        Obstacle::NoRetryBudget,
+        Obstacle::OtherServerRefusesConnections,
+        Obstacle::RouteDropped
+    )]
+    obstacle: Obstacle,
+) {
+    let entry = start_entry(Arc::default()).await;
+    let server = pausing_server("a", is_engine).await;
+    // The first request must go to the server that pauses.
+    list_servers(&entry.state, &[&server]);
+    let obstructed = async {
+        sleep(Duration::from_millis(150)).await;
+        put_obstacle(&entry, obstacle, &server).await;
+        if matches!(obstacle, Obstacle::RouteDropped) {
+            support::put_config(&entry.state, 2, &["other"]);
+        }
+    };
+
+    let ((answer, is_closed), ()) = tokio::join!(call(entry.address, "r1", path), obstructed);
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(is_closed && answer.ends_with("0\r\n\r\n"), "{answer}");
+    let pieces = if is_engine { EVENTS as usize } else { 0 };
+    assert_eq!(answer.matches("\nid: ").count(), pieces, "{answer}");
+    assert_eq!(server.received.lock().len(), 1);
+}
+
+/// Guards against a request that runs twice because its server is silent.
+#[tokio::test]
+async fn silent_server_keeps_a_request_that_must_not_be_repeated() {
+    let entry = start_entry(Arc::default()).await;
+    let servers = [pausing_server("a", false).await, pausing_server("b", false).await];
+    list_servers(&entry.state, &[&servers[0], &servers[1]]);
+
+    let (answer, _) = call(entry.address, "r1", BOOKING_PATH).await;
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let received: usize = servers.iter().map(|it| it.received.lock().len()).sum();
+    assert_eq!(received, 1);
+}
+
+/// Guards against a mute server that keeps a request which another server could answer, and against two servers that
+/// work on it at the same time.
+#[rstest]
+#[case::stream(STREAM_PATH, true)]
+#[case::whole_answer(LOOKUP_PATH, false)]
+#[tokio::test]
+async fn mute_server_is_replaced(#[case] path: &str, #[case] is_engine: bool) {
+    let entry = start_entry(Arc::default()).await;
+    let (requests, closed) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let mut servers = Vec::new();
+    for id in ["a", "b"] {
+        let (requests, closed) = (Arc::clone(&requests), Arc::clone(&closed));
+        let script = move |mut stream: TcpStream, attempt: String| {
+            let is_first = requests.fetch_add(1, Ordering::Relaxed) == 0;
+            let closed = Arc::clone(&closed);
+            async move {
+                if is_first {
+                    // Ends when the connection is closed.
+                    let _ = stream.read_u8().await;
+                    closed.fetch_add(1, Ordering::Relaxed);
+                    return;
+                }
+                sleep(Duration::from_millis(400)).await;
+                assert_eq!(closed.load(Ordering::Relaxed), 1, "the first connection is still open");
+                if is_engine {
+                    write(&mut stream, &answer_head(&attempt, "transfer-encoding: chunked\r\n")).await;
+                    for id in 1..=EVENTS {
+                        write(&mut stream, &chunk(&event(id))).await;
+                    }
+                    write(&mut stream, "0\r\n\r\n").await;
+                } else {
+                    write(&mut stream, &whole_answer(&attempt, "served")).await;
+                }
+            }
+        };
+        servers.push(start_server(id, is_engine, script).await);
+    }
+    list_servers(&entry.state, &[&servers[0], &servers[1]]);
+
+    let (answer, _) = call(entry.address, "r1", path).await;
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(requests.load(Ordering::Relaxed), 2);
+}
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -38,17 +38,22 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry from the budget. Returns false if the budget is used up.
-    pub fn try_take_retry(&mut self, now: Millis, limits: BudgetLimits) -> bool {
+    /// Whether a retry can be taken from the budget.
+    pub fn has_retry(&mut self, now: Millis, limits: BudgetLimits) -> bool {
         drop_before(&mut self.requests, now, limits.window_ms);
         drop_before(&mut self.retries, now, limits.window_ms);
         let share = limits.slack / limits.vms.max(1) as f64;
         let allowed = USED_FRACTION * (limits.ratio * self.requests.len() as f64 + share);
-        if self.retries.len() as f64 + 1.0 > allowed {
-            return false;
+        self.retries.len() as f64 + 1.0 <= allowed
+    }
+
+    /// Takes one retry from the budget. Returns false if the budget is used up.
+    pub fn try_take_retry(&mut self, now: Millis, limits: BudgetLimits) -> bool {
+        let has_retry = self.has_retry(now, limits);
+        if has_retry {
+            self.retries.push_back(now);
         }
-        self.retries.push_back(now);
-        true
+        has_retry
     }
 }
 
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -226,3 +226,21 @@
 fn a_request_must_fit_its_limit(#[case] tokens: f64, #[case] expected: bool) {
     assert_eq!(fits_limit(tokens, 1_000.0, 2_000.0), expected);
 }
+
+/// Guards against a search for a replacement that uses up the budget without a retry.
+#[test]
+fn question_for_a_retry_takes_none() {
+    let limits = BudgetLimits {
+        ratio: 0.0,
+        slack: 2.0,
+        window_ms: 1_000,
+        vms: 1,
+    };
+    let mut budget = RetryBudget::default();
+
+    let answers: Vec<bool> = (0..5).map(|_| budget.has_retry(Millis(1), limits)).collect();
+
+    assert_eq!(answers, [true; 5]);
+    assert!(budget.try_take_retry(Millis(1), limits));
+    assert!(!budget.has_retry(Millis(1), limits));
+}
