Keep connections open until slow callers have read their answers

Cause: a connection counts as unused as soon as hyper drops the body of the answer, which is when the rest of it is in hyper's write buffer, not when it has been sent.

Change: the caller's socket tells whether its last write was blocked, and when bytes were last accepted. A connection with unsent bytes is closed only after the idle timeout without any progress, also in a shutdown.

--- a/crates/entry/src/caller_stream.rs
+++ b/crates/entry/src/caller_stream.rs
@@ -1,40 +1,68 @@
-//! Socket of a caller's connection that shows whether received bytes have not been read yet.
+//! Socket of a caller's connection that shows whether received bytes have not been read yet, and whether bytes of an
+//! answer still wait for the caller to read.
 //!
-//! A connection that is closed with unread bytes is reset, and the caller cannot tell whether its request has run. A
-//! graceful shutdown therefore closes only connections without unread bytes.
+//! A connection that is closed with unread bytes is reset, and the caller cannot tell whether its request has run. One
+//! that is closed with unsent bytes cuts an answer. A graceful shutdown therefore closes only connections without either.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
+use guava_core::units::Millis;
 use rustix::io::ioctl_fionread;
 use rustix::net::Shutdown;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::state::now;
+
 /// Shared socket of a caller's connection.
 #[derive(Debug, Clone)]
-pub struct CallerStream(Arc<TcpStream>);
+pub struct CallerStream(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    stream: TcpStream,
+    /// Whether the last write found the send buffer full.
+    is_blocked: AtomicBool,
+    /// Time of the last successful write, in milliseconds of [`now`].
+    written: AtomicU64,
+}
 
 impl CallerStream {
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self(Arc::new(stream))
+        Self(Arc::new(Shared {
+            stream,
+            is_blocked: AtomicBool::new(false),
+            written: AtomicU64::new(now().0),
+        }))
+    }
+
+    /// Whether bytes of an answer wait until the caller reads.
+    pub fn has_unsent_bytes(&self) -> bool {
+        self.0.is_blocked.load(Ordering::Relaxed)
+    }
+
+    /// When bytes were last written, or else when the connection was accepted.
+    pub fn last_write(&self) -> Millis {
+        Millis(self.0.written.load(Ordering::Relaxed))
     }
 
     /// Whether bytes have been received that were not read yet. False if the system does not tell, so that an idle
     /// connection can be closed all the same.
     pub fn has_unread_bytes(&self) -> bool {
-        ioctl_fionread(&*self.0).is_ok_and(|it| it > 0)
+        ioctl_fionread(&self.0.stream).is_ok_and(|it| it > 0)
     }
 }
 
 impl AsyncRead for CallerStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(count) => {
                     buf.advance(count);
                     return Poll::Ready(Ok(()));
@@ -68,7 +96,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(rustix::net::shutdown(&*self.0, Shutdown::Write).map_err(io::Error::from))
+        Poll::Ready(rustix::net::shutdown(&self.0.stream, Shutdown::Write).map_err(io::Error::from))
     }
 }
 
@@ -78,11 +106,20 @@
         cx: &mut Context<'_>,
         mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        let shared = &*self.0;
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match write(&self.0) {
+            let Poll::Ready(ready) = shared.stream.poll_write_ready(cx) else {
+                shared.is_blocked.store(true, Ordering::Relaxed);
+                return Poll::Pending;
+            };
+            ready?;
+            match write(&shared.stream) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
+                result => {
+                    shared.is_blocked.store(false, Ordering::Relaxed);
+                    shared.written.store(now().0, Ordering::Relaxed);
+                    return Poll::Ready(result);
+                }
             }
         }
     }
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -154,14 +154,17 @@
             result = serving.as_mut() => break result.err().map(|e| e.to_string()),
             _ = closing.wait_for(|it| *it), if !is_closing => is_closing = true,
             () = sleep(interval) => {
-                let max_idle_ms = if is_closing { CLOSING_IDLE_MS } else { idle_ms };
-                if usage.idle_ms() > max_idle_ms && !socket.has_unread_bytes() {
+                // A caller that reads slowly still receives its answer.
+                let is_sent = !socket.has_unsent_bytes();
+                let max_idle_ms = if is_closing && is_sent { CLOSING_IDLE_MS } else { idle_ms };
+                let unused_ms = usage.idle_ms().min(now().since(socket.last_write()));
+                if unused_ms > max_idle_ms && !socket.has_unread_bytes() {
                     break None;
                 }
             }
         }
     };
-    let unanswered = usage.busy.load(Ordering::Relaxed);
+    let unanswered = usage.busy.load(Ordering::Relaxed) + usize::from(socket.has_unsent_bytes());
     if end.is_some() || unanswered > 0 {
         let why = end.as_deref().unwrap_or("closed");
         let last_id = usage.last_id.lock().take();
--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -10,9 +10,12 @@
 use guava_platform_standin::settings::BOOKING_PATH;
 use rstest::rstest;
 use support::{list_servers, read_to_end, request, start_entry, start_server, whole_answer, write};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::sleep;
 
+/// Size of an answer; a few fill the buffers of a connection.
+const LARGE_ANSWER_BYTES: usize = 1_000_000;
+
 /// Where a connection is when the shutdown closes connections.
 #[derive(Debug, Clone, Copy)]
 enum Stage {
@@ -91,3 +94,39 @@
     let ended = tokio::time::timeout(Duration::from_secs(1), read_to_end(&mut caller)).await;
     assert_eq!(ended.expect("closed in time"), (String::new(), true));
 }
+
+/// Guards against an answer that is cut in a shutdown because its caller has not read all of it when the connection counts
+/// as idle.
+#[rstest]
+#[tokio::test]
+async fn answer_that_is_read_slowly_is_not_cut(#[values(1, 2, 3, 4, 5, 6)] requests: usize) {
+    let entry = start_entry(Arc::default()).await;
+    let server = start_server("a", false, move |mut stream, attempt| async move {
+        write(&mut stream, &whole_answer(&attempt, &"x".repeat(LARGE_ANSWER_BYTES))).await;
+        sleep(Duration::from_secs(1)).await;
+    })
+    .await;
+    list_servers(&entry.state, &[&server]);
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("a socket");
+    let mut caller = socket
+        .connect(entry.address)
+        .await
+        .expect("the process accepts connections");
+    // One of these answers exceeds the buffers of the connection.
+    for index in 0..requests {
+        assert!(write(&mut caller, &request(&format!("r{index}"), BOOKING_PATH)).await);
+        sleep(Duration::from_millis(200)).await;
+    }
+
+    entry.state.begin_shutdown();
+    entry.state.begin_draining();
+    entry.closing.send_replace(true);
+    sleep(Duration::from_millis(500)).await;
+
+    let (answers, is_closed) = read_to_end(&mut caller).await;
+    let whole = answers.matches("\r\n0\r\n\r\n").count();
+    assert!(is_closed, "the connection is reset");
+    assert!(whole >= server.received.lock().len(), "{whole} whole answers");
+    assert!(answers.ends_with("\r\n0\r\n\r\n") || answers.ends_with('}'));
+}
