Know the version that began a stream

What callers saw: streams that they took up went on at another software version than the one that began them (ORDER). Cause: nothing told to which version the first event of an attempt belongs, at any VM, and a loss of power of all VMs forgot what could have told it. Change: a table in the store lists the versions in play. A version begins streams at a VM only after this VM has found it there, and leaves the table only when none of its streams can be taken up, so a table with one version tells the origin of each stream. With several versions, or while the table may lack some, records of the streams do: they are pushed to other processes and copied to the store. Where neither tells it, the origin is unknown. Dispatch does not ask yet.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -81,6 +81,8 @@
     AttemptBroken = 2018, Info, "A backend server broke off an attempt.";
     PromptCondemned = 2019, Warn, "A request, or a part of prompts, crashes backend servers and is refused.";
     PromptReleased = 2020, Info, "A request, or a part of prompts, is no longer refused.";
+    VersionsChanged = 2021, Info, "The software versions that may begin streams have changed.";
+    OriginUnknown = 2022, Info, "The version that began a stream that a caller takes up is unknown.";
 
     // 3xxx: administration.
     ObjectWritten = 3001, Info, "An operator's change was accepted.";
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -29,6 +29,7 @@
     store_call: Histogram<f64>,
     loads: Counter<u64>,
     peer_bytes: Counter<u64>,
+    origin_lookups: Counter<u64>,
 }
 
 /// Counts an event, whether or not its line is written to the log.
@@ -75,6 +76,13 @@
     }
 }
 
+/// Counts a look-up of the origin of a stream, by its result.
+pub fn origin_lookup(result: &'static str) {
+    if let Some(instruments) = INSTRUMENTS.get() {
+        instruments.origin_lookups.add(1, &[KeyValue::new("result", result)]);
+    }
+}
+
 /// Counts the bytes of a message between entry processes and of its answer.
 pub fn peer_bytes(message: &str, sent: usize, received: usize) {
     let Some(instruments) = INSTRUMENTS.get() else {
@@ -148,6 +156,11 @@
         "Parts of prompts, or combinations of them, whose requests are refused because they crash backend servers",
         |it| it.findings.verdict_count(),
     );
+    gauge(
+        "guava_stream_records",
+        "Records of streams that callers may take up",
+        |it| it.streams.record_count(),
+    );
     gauge(
         "guava_log_lines_dropped",
         "Log lines dropped because their reader was slow",
@@ -167,6 +180,10 @@
         store_call: histogram("guava_store_call", "Time that calls to the store took"),
         loads: counter("guava_loads", "Loads that engines accepted, by where the weights lie"),
         peer_bytes: counter("guava_peer_bytes", "Bytes of messages between entry processes"),
+        origin_lookups: counter(
+            "guava_origin_lookups",
+            "Look-ups of the origin of streams that callers take up",
+        ),
     });
     metrics
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,7 +4,8 @@
 //! receives them as well. `feed` passes on changes as they occur (see [`crate::feed`]). `report` sends waiting and
 //! running requests to the coordinator. `quota` takes tokens from the coordinator's share of an organisation's rate
 //! limit, `pace` reserves time on an engine for a prompt, `findings` pushes news of prompts that crash backend servers
-//! (see [`crate::findings`]), and `resign` announces the end of a coordinator's term. All
+//! (see [`crate::findings`]), `begun` pushes records of streams and `origin` asks for one (see [`crate::streams`]), and
+//! `resign` announces the end of a coordinator's term. All
 //! messages may be repeated safely: they replace earlier values, and a lost answer to `quota` or `pace` only wastes
 //! tokens.
 
@@ -21,6 +22,7 @@
 use guava_fleet::health::{Outcomes, SharedFailure};
 use guava_fleet::model::{BackendServer, Configuration, StoreRevision};
 use guava_fleet::placement::{Demand, OrderAges, Running, Wait};
+use guava_fleet::streams::RecordGroup;
 use guava_platform::CallError;
 use http::Request;
 use rand::seq::IteratorRandom;
@@ -210,6 +212,8 @@
             state.apply_findings(decode(body)?);
             encode(&true)
         }
+        "begun" => encode(&state.streams.merge(&decode::<Vec<RecordGroup>>(body)?)),
+        "origin" => encode(&state.streams.answer_origin(&decode(body)?)),
         "pace" => encode(&state.reserve_pace(&decode(body)?)),
         "quota" => encode(&coordinator.handle_quota_request(&decode(body)?)),
         _ => return None,
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -20,6 +20,7 @@
 use crate::peers;
 use crate::state::{EntryState, now};
 use crate::store_watch;
+use crate::streams;
 use crate::supervision::supervise;
 
 /// Time from the shutdown signal until connections are closed: the balancer checks readiness once a second and removes
@@ -145,6 +146,15 @@
         findings::keep_copy(state, coordinator)
     }));
     let own = handles();
+    tokio::spawn(supervise("table of versions", move || {
+        let (state, coordinator) = own();
+        streams::keep_table(state, coordinator)
+    }));
+    let own = handles();
+    tokio::spawn(supervise("push of streams", move || streams::push_records(own().0)));
+    let own = handles();
+    tokio::spawn(supervise("copy of streams", move || streams::keep_copy(own().0)));
+    let own = handles();
     tokio::spawn(supervise("registration", move || store_watch::register(own().0)));
     let own = handles();
     tokio::spawn(supervise("removal of expired servers", move || {
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -14,6 +14,7 @@
 use crate::coordinator::Coordinator;
 use crate::log_event;
 use crate::state::{EntryState, Member, now};
+use crate::streams;
 
 /// Kind of the objects under which entry processes register.
 const MEMBER_KIND: &str = "guava-members";
@@ -309,8 +310,10 @@
         });
         for vm in removed {
             log_event!(Event::MemberDown, "-", "member={vm} silent_ms={MEMBER_REMOVAL_MS}");
-            if let Err(e) = state.store.remove(MEMBER_KIND, &vm).await {
-                log::debug!("removal of the registration of {vm} failed: {e}");
+            for kind in [MEMBER_KIND, streams::COPY_KIND] {
+                if let Err(e) = state.store.remove(kind, &vm).await {
+                    log::debug!("removal of {kind} of {vm} failed: {e}");
+                }
             }
         }
     }
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -21,7 +21,7 @@
 /// Time within which processes follow a change of the servers.
 const FOLLOWED: Duration = Duration::from_secs(4);
 /// Time within which an origin is found or given up, with a margin for a busy machine.
-const FOUND: Duration = Duration::from_millis(1_000);
+const FOUND: Duration = Duration::from_secs(1);
 const ATTEMPT: &str = "86887a3ed1c02e4a";
 
 fn server_entry(version: &str) -> Value {
@@ -74,6 +74,8 @@
                 Arc::clone(&coordinator),
                 watches_store.subscribe(),
             )),
+            tokio::spawn(streams::keep_table(Arc::clone(&state), coordinator)),
+            tokio::spawn(streams::keep_copy(Arc::clone(&state))),
         ];
         Self {
             state,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod placement;
 pub mod quota;
 pub mod routes;
+pub mod streams;
 pub mod succession;
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -24,7 +24,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 41] = [
+const EVENTS: [(&str, &str, &[&str]); 43] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -83,6 +83,16 @@
     ),
     ("E2019", "PromptCondemned", &["parts"]),
     ("E2020", "PromptReleased", &["parts"]),
+    (
+        "E2021",
+        "VersionsChanged",
+        &["change", "service", "version", "era", "complete", "versions"],
+    ),
+    (
+        "E2022",
+        "OriginUnknown",
+        &["attempt", "why", "table_era", "era", "revision", "versions", "age_ms"],
+    ),
     ("E4001", "ProcessStarted", &["incarnation", "zone"]),
     ("E4002", "ProcessReady", &["config_version", "servers", "source_age_ms"]),
     ("E4003", "ShutdownStarted", &["connections"]),
