Keep a stream at the software version that began it

Cause: a stream was continued at any server of its service; nothing bound it to the version of its first event. Change: from its first event on the dispatch is bound to the service and version of that server, also when the route comes to lead elsewhere. Without an untried ready server of the version, or if the server stated none, the answer is aborted at once, with E1015. An attempt that brought no event still goes to any version.

--- a/crates/core/src/codes.rs
+++ b/crates/core/src/codes.rs
@@ -70,6 +70,7 @@
     QuotaUnavailable = 1206, 503, "No holder of the organisation's quota could be reached.";
     NoCapacity = 1207, 503, "No backend server can take the request.";
     HarmfulPrompt = 1208, 503, "The request, or a part of its prompt, crashes backend servers.";
+    StreamVersionGone = 1209, 503, "No server of the software version that began the stream is left.";
 
     // 13xx: execution.
     BackendFailed = 1301, 502, "The backend server failed before it gave an answer.";
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -52,6 +52,7 @@
     QuotaGranted = 1012, Debug, "Tokens were granted to another router.";
     QuotaRefused = 1013, Debug, "An organisation's rate and burst are used up.";
     PromptRefused = 1014, Debug, "A request was refused because it, or a part of its prompt, crashes backend servers.";
+    StreamNotContinued = 1015, Debug, "A stream cannot go on at the software version that began it.";
     IdempotencyClaimed = 1020, Debug, "An idempotency record was claimed.";
     IdempotencyReplayed = 1021, Info, "A stored answer was given to a repeated request.";
     JobAccepted = 1030, Info, "A job was stored and accepted.";
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -8,6 +8,7 @@
 use guava_core::codes::{Code, Run};
 use guava_core::events::Event;
 use guava_core::units::Millis;
+use guava_fleet::binding::StreamBinding;
 use guava_fleet::choice::{self, Candidate};
 use guava_fleet::model::{BackendServer, Route, RouteKind};
 use guava_fleet::routes::draw_service;
@@ -103,6 +104,8 @@
     inbound: Arc<Inbound>,
     resolved: Resolved,
     service: String,
+    /// Servers at which the stream may go on; `None` until it has begun.
+    bound: Option<StreamBinding>,
     /// Servers that may have run the request.
     may_have_run: Vec<String>,
     refusals: u32,
@@ -129,6 +132,7 @@
             state,
             inbound,
             resolved,
+            bound: None,
             may_have_run: Vec::new(),
             refusals: 0,
             is_trial,
@@ -175,6 +179,46 @@
         self.resolved.route.may_retry() && (self.may_have_run.len() as u32) < self.resolved.route.max_attempts
     }
 
+    /// Binds the stream to the software version of the server that has brought its first event. Must be called before
+    /// the event is passed on, so that a caller who has received it finds the stream recorded.
+    pub fn record_begun(&mut self, server: &BackendServer) {
+        let binding = self.bound.get_or_insert_with(|| StreamBinding::to(server));
+        if self.resolved.route.may_retry() {
+            let id = &self.inbound.caller.attempt_id;
+            let version = binding.version.as_deref();
+            self.state.streams.record_begun(now(), id, &binding.service, version);
+        }
+    }
+
+    /// Whether the request may be sent to a server of this service and version.
+    fn may_use(&self, server: &BackendServer) -> bool {
+        self.bound.as_ref().is_none_or(|it| it.allows(server))
+    }
+
+    /// Fails if no server is left at which the stream may go on. A server that has been tried is none: the caller, who
+    /// gets an end of the answer, takes the stream up there at once.
+    fn check_binding(&self) -> Result<(), Failure> {
+        let Some(bound) = &self.bound else {
+            return Ok(());
+        };
+        let is_left = |it: &BackendServer| self.may_use(it) && !self.may_have_run.contains(&it.id);
+        if self.state.has_ready_server(is_left) {
+            return Ok(());
+        }
+        Err(self.version_gone(bound, "no server of the version is left"))
+    }
+
+    fn version_gone(&self, bound: &StreamBinding, why: &str) -> Failure {
+        log_event!(
+            Event::StreamNotContinued,
+            self.id(),
+            "service={} version={} why={why}",
+            bound.service,
+            bound.version.as_deref().unwrap_or("-")
+        );
+        Failure::not_run(Code::StreamVersionGone)
+    }
+
     /// Sends the request to servers until one answers, and returns or relays the answer.
     ///
     /// # Errors
@@ -328,7 +372,8 @@
                 return Err(self.deadline_failure());
             }
             let has_service_changed = selected.server.service != self.service;
-            if has_service_changed || !self.state.accepts_requests(&selected.server) {
+            let is_usable = self.may_use(&selected.server) && self.state.accepts_requests(&selected.server);
+            if has_service_changed || !is_usable {
                 log_event!(
                     Event::RequestRetried,
                     self.id(),
@@ -440,6 +485,9 @@
             self.is_trial = check_prompt(&self.state, &self.inbound)?;
         }
         if !self.resolved.route.targets.iter().any(|(it, _)| *it == self.service) {
+            if let Some(bound) = &self.bound {
+                return Err(self.version_gone(bound, "its route leads to other services"));
+            }
             draw_service(&self.resolved.route, &mut rand::rng()).clone_into(&mut self.service);
         }
         Ok(())
@@ -454,6 +502,7 @@
             if let Some(selected) = self.select_server(None) {
                 return Ok(selected);
             }
+            self.check_binding()?;
             let at = now();
             let latest_start = self.latest_start();
             if at >= latest_start {
@@ -596,9 +645,9 @@
         let available = self.state.candidates(&self.service, wanted, at);
         let health = self.state.health.lock();
         let zone = &self.state.settings.zone;
-        let untried = available
-            .iter()
-            .filter(|(it, _)| !self.may_have_run.contains(&it.id) && excluded != Some(it.id.as_str()));
+        let untried = available.iter().filter(|(it, _)| {
+            self.may_use(it) && !self.may_have_run.contains(&it.id) && excluded != Some(it.id.as_str())
+        });
         let candidates = untried.map(|(it, in_flight)| Candidate {
             id: &it.id,
             same_zone: it.zone == *zone,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -11,6 +11,7 @@
 use guava_core::units::Millis;
 use guava_fleet::crashes::PROOF_AFTER_MS;
 use guava_fleet::events::{Splitter, has_data};
+use guava_fleet::model::BackendServer;
 use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
@@ -45,6 +46,8 @@
     last: Option<Millis>,
     longest_gap_ms: u64,
     parts: u32,
+    /// Whether the stream holds an event from a server; comments are none.
+    has_begun: bool,
 }
 
 impl Progress {
@@ -86,7 +89,7 @@
         progress.parts += 1;
         let server = Arc::clone(&selected.server);
         let begun = incoming.begun;
-        let end = relay_part(&dispatch, incoming, &mut splitter, &mut progress, &tx).await;
+        let end = relay_part(&mut dispatch, &server, incoming, &mut splitter, &mut progress, &tx).await;
         drop(selected);
         match end {
             PartEnd::Complete => {
@@ -144,7 +147,8 @@
 }
 
 async fn relay_part(
-    dispatch: &Dispatch,
+    dispatch: &mut Dispatch,
+    server: &BackendServer,
     incoming: IncomingAnswer,
     splitter: &mut Splitter,
     progress: &mut Progress,
@@ -208,6 +212,10 @@
         if progress.first.is_none() {
             metrics::first_byte(dispatch.route().kind, at.since(dispatch.arrived()));
         }
+        if !progress.has_begun && (has_data(&events) || splitter.last_id().is_some()) {
+            progress.has_begun = true;
+            dispatch.record_begun(server);
+        }
         progress.record_sent(at);
         let sending = tx.send(Ok(Frame::data(Bytes::from(events))));
         match tokio::time::timeout(until(give_up_at), sending).await {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -495,6 +495,13 @@
         self.view.lock().servers().map(Arc::clone).collect()
     }
 
+    /// Whether a known server accepts requests and satisfies `f`; true while no servers are known yet.
+    pub fn has_ready_server(&self, f: impl Fn(&BackendServer) -> bool) -> bool {
+        let view = self.view.lock();
+        let mut ready = view.servers().filter(|it| it.state == ServerState::Ready);
+        !view.has_servers || ready.any(|it| f(it))
+    }
+
     /// Whether new requests may be sent to a server, by its current entry. False if the server was replaced.
     pub fn accepts_requests(&self, server: &BackendServer) -> bool {
         self.view.lock().accepts_requests(server)
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -238,6 +238,16 @@
     read_to_end(&mut stream).await
 }
 
+/// The same for a request with further header lines, each with its line end.
+pub async fn call_with_lines(address: SocketAddr, attempt: &str, path: &str, lines: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(address)
+        .await
+        .expect("the process accepts connections");
+    let lines = format!("{lines}connection: close\r\n");
+    assert!(write(&mut stream, &request_text(attempt, path, KEY, MODEL, "300,60", &lines)).await);
+    read_to_end(&mut stream).await
+}
+
 /// Reads until the connection ends.
 pub async fn read_to_end(stream: &mut TcpStream) -> (String, bool) {
     let mut buf = Vec::new();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! this crate make the decisions; `guava-entry` carries them out. The current time is passed as a
 //! [`guava_core::units::Millis`] argument.
 
+pub mod binding;
 pub mod budget;
 pub mod choice;
 pub mod crashes;
