Refuse streams whose origin is unknown or whose version has left

Cause: a request that takes a stream up was sent to any server of a service that was drawn anew. Change: on a resumable streaming route it is bound to the service and version that began the stream, before tokens are taken and before a server is selected. If the origin is not known it is refused at once (G1210; `Retry-After` only while this process has just started), also if the request does not name the attempt; if no server of the version takes requests, or the route leads elsewhere, it is refused at once without `Retry-After` (G1209). Both are logged as E1015. Other routes ignore the header as before.

--- a/crates/core/src/codes.rs
+++ b/crates/core/src/codes.rs
@@ -71,6 +71,7 @@
     NoCapacity = 1207, 503, "No backend server can take the request.";
     HarmfulPrompt = 1208, 503, "The request, or a part of its prompt, crashes backend servers.";
     StreamVersionGone = 1209, 503, "No server of the software version that began the stream is left.";
+    StreamOriginUnknown = 1210, 503, "It is not known which software version began the stream.";
 
     // 13xx: execution.
     BackendFailed = 1301, 502, "The backend server failed before it gave an answer.";
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -88,6 +88,18 @@
     server.version.as_deref().unwrap_or("-")
 }
 
+/// Failure of a stream that cannot go on at the servers that it is bound to.
+pub fn version_gone(id: &str, bound: &StreamBinding, why: &str) -> Failure {
+    let version = bound.version.as_deref().unwrap_or("-");
+    log_event!(
+        Event::StreamNotContinued,
+        id,
+        "service={} version={version} why={why}",
+        bound.service
+    );
+    Failure::not_run(Code::StreamVersionGone)
+}
+
 /// Server selected for an attempt.
 #[derive(Debug)]
 pub struct SelectedServer {
@@ -116,12 +128,13 @@
 }
 
 impl Dispatch {
-    /// Prepares the dispatch of an admitted request.
+    /// Prepares the dispatch of an admitted request. `bound` is known from the start for a stream that is taken up.
     pub fn new(
         state: Arc<EntryState>,
         inbound: Arc<Inbound>,
         resolved: Resolved,
         service: String,
+        bound: Option<StreamBinding>,
         is_trial: bool,
     ) -> Self {
         let allowed = inbound.caller.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
@@ -132,7 +145,7 @@
             state,
             inbound,
             resolved,
-            bound: None,
+            bound,
             may_have_run: Vec::new(),
             refusals: 0,
             is_trial,
@@ -183,7 +196,7 @@
     /// the event is passed on, so that a caller who has received it finds the stream recorded.
     pub fn record_begun(&mut self, server: &BackendServer) {
         let binding = self.bound.get_or_insert_with(|| StreamBinding::to(server));
-        if self.resolved.route.may_retry() {
+        if self.resolved.route.is_resumable_stream() {
             let id = &self.inbound.caller.attempt_id;
             let version = binding.version.as_deref();
             self.state.streams.record_begun(now(), id, &binding.service, version);
@@ -209,14 +222,7 @@
     }
 
     fn version_gone(&self, bound: &StreamBinding, why: &str) -> Failure {
-        log_event!(
-            Event::StreamNotContinued,
-            self.id(),
-            "service={} version={} why={why}",
-            bound.service,
-            bound.version.as_deref().unwrap_or("-")
-        );
-        Failure::not_run(Code::StreamVersionGone)
+        version_gone(self.id(), bound, why)
     }
 
     /// Sends the request to servers until one answers, and returns or relays the answer.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -7,6 +7,7 @@
 use guava_core::codes::{Code, Run};
 use guava_core::events::Event;
 use guava_core::units::Millis;
+use guava_fleet::binding::StreamBinding;
 use guava_fleet::crashes::{self, Decision};
 use guava_fleet::model::{Organisation, Route};
 use guava_fleet::routes::{ActiveConfig, draw_service};
@@ -18,10 +19,11 @@
 use hyper::body::Incoming;
 
 use crate::admission::admit;
-use crate::dispatch::Dispatch;
+use crate::dispatch::{Dispatch, version_gone};
 use crate::log_event;
 use crate::reply::{Body, Failure};
 use crate::state::{EntryState, now};
+use crate::streams::{Origin, find_origin};
 
 /// Retry time sent to a caller when no better estimate is available.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -33,6 +35,9 @@
 /// shorter.
 const MAX_START_WAIT_MS: u64 = 2_000;
 
+/// Time after the start of this process, in milliseconds, in which it may still learn which version began a stream.
+const ORIGIN_SETTLE_MS: u64 = 5_000;
+
 /// Request received from a caller.
 #[derive(Debug)]
 pub struct Inbound {
@@ -157,10 +162,21 @@
     wait_for_config(state, &inbound).await;
     let resolved = resolve(state, &inbound)?;
     let is_trial = check_prompt(state, &inbound)?;
-    let service = draw_service(&resolved.route, &mut rand::rng()).to_owned();
+    let bound = find_binding(state, &inbound, &resolved.route).await?;
+    let service = match &bound {
+        Some(bound) => bound.service.clone(),
+        None => draw_service(&resolved.route, &mut rand::rng()).to_owned(),
+    };
     let taken = admit(state, &inbound, &resolved).await?;
     state.record_request(&service, now());
-    let dispatch = Dispatch::new(Arc::clone(state), Arc::clone(&inbound), resolved, service, is_trial);
+    let dispatch = Dispatch::new(
+        Arc::clone(state),
+        Arc::clone(&inbound),
+        resolved,
+        service,
+        bound,
+        is_trial,
+    );
     let answer = dispatch.run().await;
     if let Err(failure) = &answer
         && failure.run == Run::NotRun
@@ -170,6 +186,49 @@
     answer
 }
 
+/// Servers at which a stream that the request takes up may go on; `None` for any other request.
+///
+/// # Errors
+///
+/// Fails if it is not known which software version began the stream, or no server of that version takes requests.
+async fn find_binding(
+    state: &Arc<EntryState>,
+    inbound: &Inbound,
+    route: &Route,
+) -> Result<Option<StreamBinding>, Failure> {
+    let Some(taken_up) = inbound.caller.taken_up.as_ref().filter(|_| route.is_resumable_stream()) else {
+        return Ok(None);
+    };
+    let id = &inbound.caller.attempt_id;
+    let services: Vec<&str> = route.targets.iter().map(|(it, _)| it.as_str()).collect();
+    let origin = match &taken_up.attempt {
+        Some(attempt) => find_origin(state, &services, attempt).await,
+        None => Origin::Unknown("the request does not name the attempt"),
+    };
+    let bound = match origin {
+        Origin::Known { service, version } => StreamBinding {
+            service,
+            version: Some(version),
+        },
+        Origin::Unknown(why) => {
+            log_event!(Event::StreamNotContinued, id, "service=- version=- why={why}");
+            let failure = Failure::not_run(Code::StreamOriginUnknown);
+            let may_learn = taken_up.attempt.is_some() && state.uptime_ms(now()) < ORIGIN_SETTLE_MS;
+            return Err(Failure {
+                retry_after: may_learn.then_some(DEFAULT_RETRY_AFTER),
+                ..failure
+            });
+        }
+    };
+    if !services.contains(&bound.service.as_str()) {
+        return Err(version_gone(id, &bound, "its route leads to other services"));
+    }
+    if !state.has_ready_server(|it| bound.allows(it)) {
+        return Err(version_gone(id, &bound, "no server of the version is left"));
+    }
+    Ok(Some(bound))
+}
+
 /// Checks that neither the request nor a part of its prompt is known to crash backend servers. Returns whether the request
 /// is let through to find out whether it still does.
 ///
--- a/crates/entry/tests/stream_versions.rs
+++ b/crates/entry/tests/stream_versions.rs
@@ -7,9 +7,13 @@
 
 use guava_entry::state::{EntryState, now};
 use guava_fleet::model::StoreRevision;
-use guava_platform_standin::settings::STREAM_PATH;
+use guava_platform_standin::raw::taken_up_lines;
+use guava_platform_standin::settings::{LOOKUP_PATH, REPORT_PATH, STREAM_PATH};
 use rstest::rstest;
-use support::{ScriptedServer, answer_head, call, chunk, event, list_servers, start_entry, start_server, write};
+use support::{
+    ScriptedServer, answer_head, call, call_with_lines, chunk, event, list_servers, start_entry, start_server,
+    whole_answer, write,
+};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
@@ -145,3 +149,90 @@
     assert!(is_closed && answer.ends_with("0\r\n\r\n"), "{answer}");
     assert_eq!(event_ids(&answer), ["1", "2", "3", "4", "5", "6"]);
 }
+
+/// Guards against a stream that goes on somewhere although nobody knows which version began it.
+#[rstest]
+#[case::unknown_attempt(taken_up_lines("never-seen", 3))]
+#[case::unnamed_attempt("last-event-id: 3\r\n".to_owned())]
+#[tokio::test]
+async fn stream_of_unknown_origin_is_refused_at_once(#[case] lines: String) {
+    let entry = start_entry(Arc::default()).await;
+    let sound = sound_engine("sound", Some("v1"), EVENTS_BEFORE_BREAK + 1).await;
+    list_servers(&entry.state, &[&sound]);
+
+    let started = Instant::now();
+    let (answer, _) = call_with_lines(entry.address, "r2", STREAM_PATH, &lines).await;
+
+    assert!(
+        answer.starts_with("HTTP/1.1 503") && answer.contains("G1210"),
+        "{answer}"
+    );
+    assert!(answer.contains("not_run"), "{answer}");
+    assert_eq!(requests_at(&[&sound]), 0);
+    assert!(started.elapsed() < AT_ONCE, "{:?}", started.elapsed());
+}
+
+/// Guards against requests that are refused for a header that has a meaning for resumable streams only.
+#[rstest]
+#[tokio::test]
+async fn other_routes_ignore_the_stream_that_a_request_names(#[values(REPORT_PATH, LOOKUP_PATH)] path: &str) {
+    let entry = start_entry(Arc::default()).await;
+    let engine = sound_engine("engine", Some("v1"), 1).await;
+    let plain = start_server("plain", false, |mut stream, attempt| async move {
+        write(&mut stream, &whole_answer(&attempt, "whole")).await;
+    })
+    .await;
+    list_servers(&entry.state, &[&engine, &plain]);
+
+    let (answer, _) = call_with_lines(entry.address, "r2", path, &taken_up_lines("never-seen", 3)).await;
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Guards against a stream that a caller takes up and that goes on at another version than the one that began it.
+#[tokio::test]
+async fn stream_taken_up_goes_on_at_its_version() {
+    let entry = start_entry(Arc::default()).await;
+    let first = breaking_engine("first", Some("v1")).await;
+    let same = sound_engine("same", Some("v1"), EVENTS_BEFORE_BREAK + 1).await;
+    let other = sound_engine("other", Some("v2"), EVENTS_BEFORE_BREAK + 1).await;
+    list_servers(&entry.state, &[&first]);
+    let (begun, _) = call(entry.address, "r1", STREAM_PATH).await;
+    list_later(&entry.state, &[&same, &other]).await;
+
+    for index in 0..16 {
+        let attempt = format!("r2-{index}");
+        let (answer, _) = call_with_lines(entry.address, &attempt, STREAM_PATH, &taken_up_lines("r1", 3)).await;
+
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert_eq!(event_ids(&begun), ["1", "2", "3"]);
+    assert_eq!(requests_at(&[&other]), 0, "no server of another version got it");
+}
+
+/// Guards against a stream that a caller takes up and that waits, or goes on elsewhere, when its version has left.
+#[tokio::test]
+async fn stream_taken_up_whose_version_has_left_is_refused_at_once() {
+    let entry = start_entry(Arc::default()).await;
+    let first = breaking_engine("first", Some("v1")).await;
+    let other = sound_engine("other", Some("v2"), EVENTS_BEFORE_BREAK + 1).await;
+    list_servers(&entry.state, &[&first]);
+    call(entry.address, "r1", STREAM_PATH).await;
+    list_later(&entry.state, &[&other]).await;
+    let revision = StoreRevision { era: 1, number: 3 };
+    entry.state.apply_server("first", None, revision, now());
+
+    let started = Instant::now();
+    let (answer, _) = call_with_lines(entry.address, "r2", STREAM_PATH, &taken_up_lines("r1", 3)).await;
+
+    assert!(
+        answer.starts_with("HTTP/1.1 503") && answer.contains("G1209"),
+        "{answer}"
+    );
+    assert!(
+        answer.contains("not_run") && !answer.to_lowercase().contains("retry-after"),
+        "{answer}"
+    );
+    assert_eq!(requests_at(&[&other]), 0);
+    assert!(started.elapsed() < AT_ONCE, "{:?}", started.elapsed());
+}
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -187,6 +187,11 @@
 }
 
 impl Route {
+    /// Whether callers may take up a stream of the route after its answer was broken off.
+    pub fn is_resumable_stream(&self) -> bool {
+        self.kind == RouteKind::Streaming && self.resumable
+    }
+
     /// Whether a request may be sent to a second backend server after the first may have run it.
     pub fn may_retry(&self) -> bool {
         match self.kind {
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -10,6 +10,7 @@
 
 use guava_fleet::crashes::{CrashFindings, Proof, Verdict};
 use guava_platform_standin::caller::{Call, send, send_and_disconnect};
+use guava_platform_standin::raw::{request_text, taken_up_lines};
 use guava_platform_standin::server::ServerFaults;
 use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH, configuration};
 use guava_platform_standin::store::StoreFaults;
@@ -24,7 +25,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 41] = [
+const EVENTS: [(&str, &str, &[&str]); 42] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -51,6 +52,7 @@
         &["organisation", "tokens", "rate", "local_wait_ms", "central"],
     ),
     ("E1014", "PromptRefused", &["parts", "condemned_ms_ago"]),
+    ("E1015", "StreamNotContinued", &["service", "version", "why"]),
     ("E2009", "ServerLeaving", &["server", "revision"]),
     ("E2010", "ServerEnded", &["server", "revision"]),
     ("E2012", "ServerListed", &["server", "version", "revision"]),
@@ -177,6 +179,19 @@
         ..call("unknown-key", BOOKING_PATH)
     };
     send(address, unknown).await;
+    let mut taking_up = TcpStream::connect(address)
+        .await
+        .expect("the process accepts connections");
+    let text = request_text(
+        "taken-up",
+        STREAM_PATH,
+        &call("", STREAM_PATH).key,
+        "m0",
+        "300,60",
+        &taken_up_lines("never-seen", 3),
+    );
+    let sent = taking_up.write_all(text.as_bytes()).await;
+    sent.expect("the connection is open");
     let cut_answers = ServerFaults {
         cut: 1.0,
         ..ServerFaults::default()
