Load models at engines of the version that requests are bound to

What callers saw: streams that they took up could go on only at servers of one software version, where their model was not loaded, since a server of another version held it; they would have waited until their deadline. Cause: demand was reported by model, as if all engines of a service were alike. Change: demand and published waits name the version that requests are bound to. A model is loaded for them at an engine of that version although others hold it, with the same limits, and not at all if there is no such engine. A request that is bound looks up the wait of its version. Evidence: `a_model_is_loaded_for_the_version_that_requests_are_bound_to` (not loaded within 20 s before) and `nothing_is_loaded_for_a_version_without_engines` (a wait of 0 ms was published) failed before.

--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -458,13 +458,14 @@
         self.waits_at = Some(now);
     }
 
-    /// Least time, in milliseconds, until a model can take requests; `None` without a recent estimate.
-    pub fn wait_ms(&self, service: &str, model: &str, now: Millis) -> Option<u64> {
+    /// Least time, in milliseconds, until a model can take requests that are bound to `version`, or any if that is `None`;
+    /// `None` without a recent estimate.
+    pub fn wait_ms(&self, service: &str, model: &str, version: Option<&str>, now: Millis) -> Option<u64> {
         let reported_at = self.waits_at.filter(|it| now.since(*it) < PLACED_VALID_MS)?;
         let wait = self
             .waits
             .iter()
-            .find(|it| it.service == service && it.model == model)?;
+            .find(|it| it.service == service && it.model == model && it.version.as_deref() == version)?;
         Some(wait.ms.saturating_sub(now.since(reported_at)))
     }
 
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -535,7 +535,8 @@
                 && waiting.is_none()
             {
                 let adapter = self.inbound.caller.adapter.as_deref();
-                waiting = Some(self.state.track_waiting(&self.service, model, adapter));
+                let version = self.bound_version();
+                waiting = Some(self.state.track_waiting(&self.service, model, adapter, version));
                 log_event!(
                     Event::RequestQueued,
                     self.id(),
@@ -632,7 +633,11 @@
     /// Estimated milliseconds until the request's model can take it; `None` without an estimate of the coordinator.
     fn model_wait(&self, at: Millis) -> Option<u64> {
         let model = self.inbound.caller.model.as_deref()?;
-        self.state.wait_ms(&self.service, model, at)
+        self.state.wait_ms(&self.service, model, self.bound_version(), at)
+    }
+
+    fn bound_version(&self) -> Option<&str> {
+        self.bound.as_ref().and_then(|it| it.version.as_deref())
     }
 
     fn deadline_failure(&self) -> Failure {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -147,8 +147,8 @@
     arrived: HashMap<ModelKey, Arrivals>,
 }
 
-/// Service, model and adapter.
-type ModelKey = (String, String, Option<String>);
+/// Service, model, adapter, and the software version that the requests are bound to.
+type ModelKey = (String, String, Option<String>, Option<String>);
 
 /// Requests for a model since the last report.
 #[derive(Debug, Default, Clone, Copy)]
@@ -564,9 +564,10 @@
         }
     }
 
-    /// Least time, in milliseconds, until a model can take requests; `None` without a recent estimate.
-    pub fn wait_ms(&self, service: &str, model: &str, now: Millis) -> Option<u64> {
-        self.view.lock().wait_ms(service, model, now)
+    /// Least time, in milliseconds, until a model can take requests that are bound to `version`, or any if that is `None`;
+    /// `None` without a recent estimate.
+    pub fn wait_ms(&self, service: &str, model: &str, version: Option<&str>, now: Millis) -> Option<u64> {
+        self.view.lock().wait_ms(service, model, version, now)
     }
 
     /// Applies changes of the placement; `None` confirms that it is current as of `version`.
@@ -937,16 +938,24 @@
 
     /// Counts the arrival of a request for a model in the next report.
     pub fn record_arrival(&self, service: &str, model: &str, adapter: Option<&str>, prompt_tokens: u64) {
-        let key = (service.to_owned(), model.to_owned(), adapter.map(str::to_owned));
+        let key = (service.to_owned(), model.to_owned(), adapter.map(str::to_owned), None);
         let mut in_flight = self.in_flight.lock();
         let arrived = in_flight.arrived.entry(key).or_default();
         arrived.count += 1;
         arrived.prompt_tokens = arrived.prompt_tokens.saturating_add(prompt_tokens);
     }
 
-    /// Counts a request as waiting for a model until the guard is dropped.
-    pub fn track_waiting(self: &Arc<Self>, service: &str, model: &str, adapter: Option<&str>) -> WaitingGuard {
-        let key = (service.to_owned(), model.to_owned(), adapter.map(str::to_owned));
+    /// Counts a request as waiting for a model until the guard is dropped. `version` is the software version that it is
+    /// bound to.
+    pub fn track_waiting(
+        self: &Arc<Self>,
+        service: &str,
+        model: &str,
+        adapter: Option<&str>,
+        version: Option<&str>,
+    ) -> WaitingGuard {
+        let (adapter, version) = (adapter.map(str::to_owned), version.map(str::to_owned));
+        let key = (service.to_owned(), model.to_owned(), adapter, version);
         let since = now();
         self.in_flight
             .lock()
@@ -974,11 +983,12 @@
 }
 
 fn demand_for(key: ModelKey, waiting: &[Millis], arrived: Arrivals) -> Demand {
-    let (service, model, adapter) = key;
+    let (service, model, adapter, version) = key;
     Demand {
         service,
         model,
         adapter,
+        version,
         waiting: waiting.len() as u32,
         oldest_ms: waiting.iter().min().map_or(0, |it| now().since(*it)),
         arrived: arrived.count,
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -62,6 +62,8 @@
         pub model: String,
         /// Adapter of the model that they need, if any.
         pub adapter: Option<String>,
+        /// Software version of the servers that may run them; `None` for any.
+        pub version: Option<String>,
         /// Number of requests that wait now.
         pub waiting: u32,
         /// Time in milliseconds for which the oldest of them has waited.
@@ -88,7 +90,9 @@
         pub service: String,
         /// Name of the model.
         pub model: String,
-        /// Time in milliseconds; zero if an engine already holds the model.
+        /// Software version that the requests are bound to; `None` for requests that any engine may run.
+        pub version: Option<String>,
+        /// Time in milliseconds; zero if an engine of the version already holds the model.
         pub ms: u64,
     }
 
--- a/crates/fleet/src/placement/rank.rs
+++ b/crates/fleet/src/placement/rank.rs
@@ -1,6 +1,6 @@
 //! Planning of the next orders.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use guava_core::units::Millis;
 
@@ -36,11 +36,20 @@
 #[derive(Debug, Default, Clone)]
 struct ModelDemand {
     waiting: u32,
+    /// Waiting requests by the software version that they are bound to; `None` for those that any engine may run.
+    by_version: BTreeMap<Option<String>, Waiting>,
     running: u32,
-    oldest_ms: u64,
     rate: f64,
     tokens_per_s: f64,
-    adapters: Vec<String>,
+    /// Adapters that requests wait for, with the version that these are bound to.
+    adapters: Vec<(String, Option<String>)>,
+}
+
+/// Requests that wait for a model.
+#[derive(Debug, Default, Clone, Copy)]
+struct Waiting {
+    count: u32,
+    oldest_ms: u64,
 }
 
 /// Number of running requests, by engine and model.
@@ -64,7 +73,7 @@
         for service in services {
             let mut round = PlanningRound {
                 demand: self.model_demand(&service, now),
-                counts: self.model_counts(&service),
+                counts: self.model_counts(&service, None),
                 store: self.store_load_counts(),
                 running: &running,
                 now,
@@ -95,21 +104,34 @@
         let mut waits = Vec::new();
         for (service, spec) in &self.specs {
             let demand = self.model_demand(service, now);
-            let counts = self.model_counts(service);
-            let mut waiting: Vec<(&String, &ModelDemand)> = demand.iter().filter(|(_, it)| it.waiting > 0).collect();
-            waiting.sort_by_key(|(_, it)| std::cmp::Reverse(it.oldest_ms));
+            let mut waiting: Vec<(&String, Option<&str>, u64)> = demand
+                .iter()
+                .flat_map(|(model, it)| {
+                    let versions = it.by_version.iter();
+                    versions.map(move |(version, it)| (model, version.as_deref(), it.oldest_ms))
+                })
+                .collect();
+            waiting.sort_by_key(|(_, _, oldest_ms)| std::cmp::Reverse(*oldest_ms));
+            let versions: BTreeSet<Option<&str>> = waiting.iter().map(|(_, version, _)| *version).collect();
+            let counts = versions.into_iter().map(|it| (it, self.model_counts(service, it)));
+            let counts: HashMap<Option<&str>, HashMap<String, ModelCount>> = counts.collect();
             let mut queued = 0;
-            for (model, _) in waiting {
+            for (model, version, _) in waiting {
                 let Some(model_spec) = spec.models.get(model) else {
                     continue;
                 };
-                let count = counts.get(model).copied().unwrap_or_default();
-                let engines = || self.engines_of(service);
+                let count = counts[&version].get(model).copied().unwrap_or_default();
+                let engines = || self.engines_of(service).filter(move |it| it.runs(version));
+                if version.is_some() && engines().next().is_none() {
+                    continue;
+                }
                 let time_left = || engines().filter_map(|it| it.load_left_ms(spec, model, now)).min();
                 let ms = match count {
                     _ if count.held > 0 => 0,
                     _ if count.loads > 0 => time_left().unwrap_or(0),
                     _ if engines().any(|it| it.has_local_copy(model)) => model_spec.host_ms,
+                    // A load for another version of the same model may serve these requests as well.
+                    _ if version.is_some() => model_spec.store_ms,
                     _ => {
                         let rounds_before = queued / MAX_STORE_LOADS as u64;
                         queued += 1;
@@ -119,6 +141,7 @@
                 waits.push(Wait {
                     service: service.clone(),
                     model: model.clone(),
+                    version: version.map(str::to_owned),
                     ms,
                 });
             }
@@ -132,9 +155,14 @@
             for it in report.demand.iter().filter(|it| it.service == service) {
                 let entry = demand.entry(it.model.clone()).or_default();
                 entry.waiting += it.waiting;
-                entry.oldest_ms = entry.oldest_ms.max(it.oldest_ms);
                 if it.waiting > 0 {
-                    entry.adapters.extend(it.adapter.clone());
+                    let waiting = entry.by_version.entry(it.version.clone()).or_default();
+                    waiting.count += it.waiting;
+                    waiting.oldest_ms = waiting.oldest_ms.max(it.oldest_ms);
+                    let adapter = it.adapter.iter().cloned();
+                    entry
+                        .adapters
+                        .extend(adapter.map(|adapter| (adapter, it.version.clone())));
                 }
             }
             for it in &report.running {
@@ -163,13 +191,14 @@
         let Some(slots) = self.specs.get(service).map(|it| it.adapter_slots as usize) else {
             return;
         };
-        let requested = round
-            .demand
-            .iter()
-            .flat_map(|(model, it)| it.adapters.iter().map(move |adapter| (model, adapter)));
-        let requested: HashSet<(&String, &String)> = requested.collect();
+        let requested = round.demand.iter().flat_map(|(model, it)| {
+            it.adapters
+                .iter()
+                .map(move |(adapter, version)| (model, adapter, version))
+        });
+        let requested: HashSet<(&String, &String, &Option<String>)> = requested.collect();
         let mut holders: HashMap<&String, Vec<String>> =
-            requested.iter().map(|(model, _)| (*model, Vec::new())).collect();
+            requested.iter().map(|(model, ..)| (*model, Vec::new())).collect();
         for engine in self.engines_of(service).filter(|_| !requested.is_empty()) {
             for model in engine.held.keys().filter(|it| engine.serves(it)) {
                 if let Some(holders) = holders.get_mut(model) {
@@ -177,8 +206,9 @@
                 }
             }
         }
-        for (model, adapter) in requested {
+        for (model, adapter, version) in requested {
             let holders = holders[model].iter().filter_map(|id| self.engines.get(id));
+            let holders = holders.filter(|it| it.runs(version.as_deref()));
             let holders: Vec<&Engine> = holders.filter(|it| it.takes_orders(&self.order_times, now)).collect();
             if holders.iter().any(|it| it.held[model].adapters.contains_key(adapter)) {
                 continue;
@@ -222,17 +252,36 @@
 
     /// Plans loads of models that requests wait for, if no engine that accepts new requests holds or loads them.
     fn plan_missing_models(&mut self, service: &str, round: &mut PlanningRound<'_>) {
-        let missing = round.demand.iter();
-        let missing = missing.filter(|(model, it)| it.waiting > 0 && !round.count(model).is_placed());
-        let mut missing: Vec<(u32, f64, String)> = missing
-            .map(|(model, it)| (it.waiting, it.rate, model.clone()))
+        let waiting = round.demand.iter().flat_map(|(model, it)| {
+            let versions = it.by_version.iter();
+            versions.map(move |(version, waiting)| (waiting.count, it.rate, model, version))
+        });
+        let missing =
+            waiting.filter(|(_, _, model, version)| !self.is_placed(service, round, model, version.as_deref()));
+        let mut missing: Vec<(u32, f64, String, Option<String>)> = missing
+            .map(|(count, rate, model, version)| (count, rate, model.clone(), version.clone()))
             .collect();
         missing.sort_by(|a, b| (b.0, b.1).partial_cmp(&(a.0, a.1)).expect("finite"));
-        for (_, _, model) in missing {
-            self.plan_load(service, &model, round, MAX_STORE_LOADS_FOR_WAITING, true);
+        for (_, _, model, version) in missing {
+            let version = version.as_deref();
+            // A load for requests of another version may have been planned before.
+            if !self.is_placed(service, round, &model, version) {
+                self.plan_load(service, &model, version, round, MAX_STORE_LOADS_FOR_WAITING, true);
+            }
         }
     }
 
+    /// Whether an engine that runs `version` and accepts requests holds the model or will hold it.
+    fn is_placed(&self, service: &str, round: &PlanningRound<'_>, model: &str, version: Option<&str>) -> bool {
+        if version.is_none() {
+            return round.count(model).is_placed();
+        }
+        let mut engines = self
+            .engines_of(service)
+            .filter(|it| it.runs(version) && it.server.state == ServerState::Ready);
+        engines.any(|it| it.serves(model) || it.loading_models().any(|loading| loading == model))
+    }
+
     /// Plans additional replicas of models that get more requests than their replicas can answer in time.
     fn plan_extra_replicas(&mut self, service: &str, round: &mut PlanningRound<'_>) {
         let Some(slots) = self.specs.get(service).map(|it| f64::from(it.slots)) else {
@@ -257,7 +306,7 @@
         overloaded.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, count, model) in overloaded {
             for _ in 0..count {
-                self.plan_load(service, &model, round, MAX_STORE_LOADS, false);
+                self.plan_load(service, &model, None, round, MAX_STORE_LOADS, false);
             }
         }
     }
@@ -284,7 +333,10 @@
             }
             let mb = spec.models.get(&model).map_or(f64::INFINITY, |it| it.mb);
             let is_absent = || !self.engines_of(service).any(|it| it.has_local_copy(&model));
-            if mb < smallest_unfit_mb && is_absent() && !self.plan_load(service, &model, round, MAX_PRELOADS, false) {
+            if mb < smallest_unfit_mb
+                && is_absent()
+                && !self.plan_load(service, &model, None, round, MAX_PRELOADS, false)
+            {
                 smallest_unfit_mb = mb;
             }
         }
@@ -311,7 +363,8 @@
         models
     }
 
-    /// Plans a load at the engine with the lowest cost. Returns false if no engine can take it now.
+    /// Plans a load at the engine with the lowest cost, among those that run `version`. Returns false if no engine can
+    /// take it now.
     ///
     /// `is_urgent` states that requests wait for the model and no engine that accepts requests holds or loads it. Models
     /// that became ready less than [`MIN_RESIDENCY_MS`] ago are then not evicted for it.
@@ -319,6 +372,7 @@
         &mut self,
         service: &str,
         model: &str,
+        version: Option<&str>,
         round: &mut PlanningRound<'_>,
         max_store_loads: usize,
         is_urgent: bool,
@@ -334,7 +388,8 @@
             weights_budget_mb: spec.memory_mb - reserved_adapter_mb(spec),
         };
         let candidates = self.engines_of(service).filter(|it| {
-            it.pending.is_none()
+            it.runs(version)
+                && it.pending.is_none()
                 && it.plan.is_none()
                 && !it.held.contains_key(model)
                 && (may_use_store || it.has_local_copy(model))
@@ -415,10 +470,10 @@
         self.engines.values().filter(move |it| it.server.service == service)
     }
 
-    /// Number of engines that hold or load each model of a service.
-    fn model_counts(&self, service: &str) -> HashMap<String, ModelCount> {
+    /// Number of engines that run `version` and hold or load each model of a service.
+    fn model_counts(&self, service: &str, version: Option<&str>) -> HashMap<String, ModelCount> {
         let mut counts: HashMap<String, ModelCount> = HashMap::new();
-        for engine in self.engines_of(service) {
+        for engine in self.engines_of(service).filter(|it| it.runs(version)) {
             let takes_requests = usize::from(engine.server.state == ServerState::Ready);
             for (model, _) in engine.held.iter().filter(|(_, held)| held.is_ready) {
                 let count = count_entry(&mut counts, model);
@@ -585,6 +640,11 @@
         }
     }
 
+    /// Whether the engine runs a software version; `None` stands for any.
+    fn runs(&self, version: Option<&str>) -> bool {
+        version.is_none() || self.server.version.as_deref() == version
+    }
+
     fn weights_mb(&self, spec: &EngineSpec) -> f64 {
         let models = self.held.keys().filter_map(|it| spec.models.get(it));
         models.map(|it| it.mb).sum()
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -345,6 +345,7 @@
         service: SERVICE.to_owned(),
         model: model.to_owned(),
         adapter,
+        version: None,
         waiting: count,
         oldest_ms: 100,
         arrived: 1,
@@ -398,6 +399,60 @@
     assert!(took_ms < 9_000, "loaded after {took_ms} ms");
 }
 
+/// Four engines, the last two of which run another software version than the first, and demand for a model of the first
+/// engine by requests that are bound to `version`.
+fn fleet_of_two_versions(version: &str) -> (Fleet, Demand) {
+    let mut fleet = Fleet::new(4, &spec(24), NO_FAULTS, 1);
+    for server in &mut fleet.servers[2..] {
+        server.version = Some("v2".to_owned());
+    }
+    let demand = Demand {
+        version: Some(version.to_owned()),
+        arrived: 0,
+        ..demand_for("m0", None, 1)
+    };
+    (fleet, demand)
+}
+
+/// Guards against a stream that waits until its deadline, or is told that it need not wait, because engines of another
+/// software version hold its model.
+#[test]
+fn a_model_is_loaded_for_the_version_that_requests_are_bound_to() {
+    let (mut fleet, demand) = fleet_of_two_versions("v2");
+    let holds = |fleet: &Fleet, id: &str| fleet.engines[id].held.contains_key("m0");
+
+    let mut waits = Vec::new();
+    let mut steps = 0;
+    while !holds(&fleet, "i-2") && !holds(&fleet, "i-3") && steps < 1_000 {
+        fleet.step(vec![demand.clone()], Vec::new());
+        waits.extend(fleet.placement.waits(Millis(fleet.now)));
+        steps += 1;
+    }
+
+    let took_ms = steps * STEP_MS;
+    assert!(took_ms < 9_000, "loaded after {took_ms} ms");
+    assert_eq!(fleet.holders("m0"), 2, "loaded once");
+    assert!(waits.iter().all(|it| it.version.as_deref() == Some("v2")));
+    assert!(
+        waits.first().is_some_and(|it| it.ms > 0 && it.ms <= took_ms),
+        "{:?}",
+        waits.first()
+    );
+}
+
+/// Guards against loads for requests that no engine may run.
+#[test]
+fn nothing_is_loaded_for_a_version_without_engines() {
+    let (mut fleet, demand) = fleet_of_two_versions("v3");
+
+    for _ in 0..500 {
+        fleet.step(vec![demand.clone()], Vec::new());
+    }
+
+    assert_eq!(fleet.holders("m0"), 1);
+    assert_eq!(fleet.placement.waits(Millis(fleet.now)), []);
+}
+
 /// Guards against more loads from the weight store than its rate limit allows in any 5 s.
 #[rstest]
 fn store_loads_stay_within_the_rate_limit(#[values(1, 2, 3)] seed: u64) {
