Name the version in the demand of the placement's cost runs

What callers saw: nothing; the crate did not compile since the demand names the version that requests are bound to (ORDER). Change: the runs ask for any version, as before. Measured result: compiles.

--- a/crates/bench/src/slopes/placement.rs
+++ b/crates/bench/src/slopes/placement.rs
@@ -110,6 +110,7 @@
                 service: SERVICE.to_owned(),
                 model: format!("model-{it}"),
                 adapter: None,
+                version: None,
                 waiting: 1,
                 oldest_ms: 50,
                 arrived: 1,
