--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -47,6 +47,8 @@
     last: Option<Millis>,
     longest_gap_ms: u64,
     parts: u32,
+    /// Whether the stream holds an event from a server; comments are none.
+    has_begun: bool,
 }
 
 impl Progress {
@@ -230,6 +232,10 @@
         if progress.first.is_none() {
             metrics::first_byte(dispatch.route().kind, at.since(dispatch.arrived()));
         }
+        if !progress.has_begun && (has_data(&events) || splitter.last_id().is_some()) {
+            progress.has_begun = true;
+            dispatch.record_begun(server);
+        }
         progress.record_sent(at);
         let sending = tx.send(Ok(Frame::data(Bytes::from(events))));
         match tokio::time::timeout(until(give_up_at), sending).await {
