Let streams that are taken up wait longer for tokens than new ones

What callers saw: after a restart of all VMs, most of the streams that they took up were refused with 429 while new ones began. Cause: while the rate limits recovered, every request reserved tokens that came up to 2 s later. Callers abandon a stream whose first event does not come within 2 s (with an objective of 500 ms), so those tokens were spent on nobody, and a stream that was taken up got no place before later new ones. Change: a new stream waits for tokens for at most a quarter of its caller's patience; one that is taken up for all of it but the sixth in which its first event arrives, counted from its arrival at the VM, also for the local share after the coordinator has not answered. Rates, bursts and what a request is charged stay as they are. Other routes wait as before.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -6,9 +6,11 @@
 use guava_core::codes::Code;
 use guava_core::events::Event;
 use guava_core::units::Millis;
+use guava_fleet::model::RouteKind;
 use guava_fleet::quota::{LOCAL_PART, START_LEVEL, TokenWait, fits_limit};
 use guava_platform::CallError;
 
+use crate::dispatch::first_event_timeout_ms;
 use crate::log_event;
 use crate::peers;
 use crate::reply::Failure;
@@ -97,7 +99,12 @@
     let at = now();
     let route = &resolved.route;
     let deadline_ms = inbound.caller.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-    let token_wait = TokenWait::new(route.objective_ms, deadline_ms, state.rates_unsettled_ms(at));
+    let is_taken_up = route.is_resumable_stream() && inbound.caller.taken_up.is_some();
+    let mut token_wait = TokenWait::new(route.objective_ms, deadline_ms, state.rates_unsettled_ms(at));
+    if route.kind == RouteKind::Streaming {
+        let patience_ms = first_event_timeout_ms(route).min(deadline_ms);
+        token_wait = token_wait.for_stream(patience_ms.saturating_sub(at.since(inbound.arrived)), is_taken_up);
+    }
     let local = reserve_local(state, &taken, at, 0);
     if local.is_ok() {
         log_admitted(inbound, resolved, &taken, "local", 0);
@@ -112,7 +119,9 @@
         Ok(Err(wait)) => (wait, format!("short for {wait} ms")),
         Err(e) => (u64::MAX, e.to_string()),
     };
-    let wait_local = match reserve_local(state, &taken, now(), token_wait.max_ms) {
+    let elapsed_ms = if is_taken_up { now().since(at) } else { 0 };
+    let left_ms = token_wait.max_ms.saturating_sub(elapsed_ms);
+    let wait_local = match reserve_local(state, &taken, now(), left_ms) {
         Ok(wait) => {
             tokio::time::sleep(Duration::from_millis(wait)).await;
             log_admitted(inbound, resolved, &taken, "local", wait);
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -83,6 +83,13 @@
     Ok(buf.freeze())
 }
 
+/// Time, in milliseconds, after which callers abandon a stream without a first event.
+pub fn first_event_timeout_ms(route: &Route) -> u64 {
+    FIRST_EVENT_TIMEOUT_MIN_MS
+        .max(route.objective_ms * 4)
+        .max(route.gap_ms * 8)
+}
+
 /// Version of a server's software, for log lines; `-` if it states none.
 fn version_name(server: &BackendServer) -> &str {
     server.version.as_deref().unwrap_or("-")
@@ -624,10 +631,7 @@
         if route.kind != RouteKind::Streaming {
             return deadline;
         }
-        let timeout = FIRST_EVENT_TIMEOUT_MIN_MS
-            .max(route.objective_ms * 4)
-            .max(route.gap_ms * 8);
-        deadline.min(self.inbound.arrived + (timeout - FIRST_EVENT_MS))
+        deadline.min(self.inbound.arrived + (first_event_timeout_ms(route) - FIRST_EVENT_MS))
     }
 
     /// Estimated milliseconds until the request's model can take it; `None` without an estimate of the coordinator.
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -29,6 +29,11 @@
 const RECOVERY_DEADLINE_DIVISOR: u64 = 3;
 /// Time after the start of a process or a change of the coordinator, in milliseconds, in which the rate limits recover.
 const RECOVERY_MS: u64 = 3_000;
+/// A stream that is taken up waits for tokens at most until this part of its caller's patience is left, in which its first
+/// event arrives.
+const FIRST_EVENT_DIVISOR: u64 = 6;
+/// A new stream waits for tokens at most for its caller's patience divided by this.
+const NEW_STREAM_DIVISOR: u64 = 4;
 /// Longest wait for the coordinator's answer, in milliseconds; a request that waits longer misses its objective.
 const ANSWER_TIMEOUT_MS: u64 = 150;
 /// The same while the rate limits recover, when the coordinator has the requests of all VMs to answer.
@@ -69,6 +74,20 @@
             answer_ms: RECOVERY_ANSWER_TIMEOUT_MS,
         }
     }
+
+    /// Adjusts the wait to a stream whose caller leaves if no event has arrived within `patience_ms`.
+    ///
+    /// Tokens that come later than that would be spent on nobody. A stream that is taken up waits for longer than a new
+    /// one: it has waited before and has less left to do. The tokens of the time in between are its own.
+    #[must_use]
+    pub fn for_stream(self, patience_ms: u64, is_taken_up: bool) -> Self {
+        let max_ms = if is_taken_up {
+            patience_ms - patience_ms / FIRST_EVENT_DIVISOR
+        } else {
+            self.max_ms.min(patience_ms / NEW_STREAM_DIVISOR)
+        };
+        Self { max_ms, ..self }
+    }
 }
 
 /// Token bucket that refills at a constant rate.
