Do not send to a server that came back with another version

Cause: a server that was selected counted as the same one when it had restarted under its id and address without stating its start, whatever its version. Change: the version must be the same too. Evidence: `server_that_came_back_with_another_version_is_not_the_one_that_was_selected` failed before.

--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -367,7 +367,10 @@
     pub fn accepts_requests(&self, server: &BackendServer) -> bool {
         let known = self.servers.get(&server.id).map(|it| &it.server);
         known.is_some_and(|it| {
-            it.state == ServerState::Ready && it.address == server.address && it.born_ms == server.born_ms
+            it.state == ServerState::Ready
+                && it.address == server.address
+                && it.born_ms == server.born_ms
+                && it.version == server.version
         })
     }
 
--- a/crates/entry/tests/cluster_view.rs
+++ b/crates/entry/tests/cluster_view.rs
@@ -241,3 +241,24 @@
     view.remove_expired(Millis(1_500 + EXPIRY_GRACE_MS));
     assert_eq!(ids(&view), ["a"]);
 }
+
+/// Guards against a request for one software version that reaches another one, which started under the same id without
+/// stating when.
+#[test]
+fn server_that_came_back_with_another_version_is_not_the_one_that_was_selected() {
+    let mut view = ClusterView::default();
+    let before = BackendServer {
+        born_ms: 0,
+        ..server("a", ServerState::Ready)
+    };
+    let after = BackendServer {
+        version: Some("v2".to_owned()),
+        ..before.clone()
+    };
+    view.put_server_list(vec![before.clone()], at(1), Millis(1_000));
+
+    view.put_server(after.clone(), at(2), Millis(1_100));
+
+    assert!(!view.accepts_requests(&before));
+    assert!(view.accepts_requests(&after));
+}
