--- a/crates/entry/src/streams.rs
+++ b/crates/entry/src/streams.rs
@@ -19,7 +19,7 @@
 use guava_fleet::model::{RouteKind, StoreRevision};
 use guava_fleet::streams::{
     MAX_SENT, RecordGroup, RecordedOrigin, Records, Serving, TAKE_UP_MS, TableChange, VersionTable, Versions, keepers,
-    stream_key,
+    shard, stream_key,
 };
 use guava_platform::CallError;
 use guava_platform::store::Written;
@@ -439,8 +439,8 @@
     })
 }
 
-/// Processes that keep the record of a stream.
-fn keepers_of(state: &EntryState, key: u64) -> Vec<SocketAddr> {
+/// Processes that keep the records of a shard.
+fn keepers_of(state: &EntryState, shard: u64) -> Vec<SocketAddr> {
     let at = now();
     let members = state.members();
     let live: HashMap<&str, SocketAddr> = members
@@ -452,14 +452,14 @@
         return live.into_values().collect();
     }
     let vms = live.keys().copied().chain([state.settings.vm.as_str()]);
-    let kept = keepers(key, vms);
+    let kept = keepers(shard, vms);
     kept.into_iter().filter_map(|it| live.get(it).copied()).collect()
 }
 
 /// Asks the processes that keep the record of a stream.
 async fn ask_others(state: &Arc<EntryState>, key: u64) {
     let query = OriginQuery { key };
-    let calls = keepers_of(state, key).into_iter().map(|address| {
+    let calls = keepers_of(state, shard(key)).into_iter().map(|address| {
         let query = &query;
         async move {
             match peers::call::<_, OriginAnswer>(state, address, "origin", query, PEER_TIMEOUT).await {
@@ -598,10 +598,14 @@
         state.streams.has_news.notified().await;
         sleep(BATCH_DELAY + BATCH_DELAY_PER_VM * state.vms() as u32).await;
         let (keys, at) = (std::mem::take(&mut state.streams.known.lock().outbox), now());
-        let mut by_address: HashMap<SocketAddr, Vec<u64>> = HashMap::new();
+        let mut by_shard: HashMap<u64, Vec<u64>> = HashMap::new();
         for key in keys {
-            for address in keepers_of(&state, key) {
-                by_address.entry(address).or_default().push(key);
+            by_shard.entry(shard(key)).or_default().push(key);
+        }
+        let mut by_address: HashMap<SocketAddr, Vec<u64>> = HashMap::new();
+        for (shard, keys) in by_shard {
+            for address in keepers_of(&state, shard) {
+                by_address.entry(address).or_default().extend(&keys);
             }
         }
         for (address, keys) in by_address {
--- a/crates/fleet/src/streams.rs
+++ b/crates/fleet/src/streams.rs
@@ -30,6 +30,8 @@
 const MAX_PAUSE_MS: u64 = 5_000;
 /// Limit on versions of one service.
 const MAX_VERSIONS: usize = 32;
+/// Limit on versions of one service that a process remembers to have seen.
+const MAX_SEEN: usize = 64;
 /// Limit on all entries of the table.
 const MAX_ENTRIES: usize = 512;
 /// Longest name of a service or version, in bytes.
@@ -93,9 +95,14 @@
     xxh3_64(attempt.as_bytes())
 }
 
-/// VMs that keep the record of a stream in a large fleet.
-pub fn keepers<'a>(key: u64, vms: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
-    let shard = format!("streams/{}", key % SHARDS);
+/// Shard of the record of a stream.
+pub fn shard(key: u64) -> u64 {
+    key % SHARDS
+}
+
+/// VMs that keep the records of a shard in a large fleet.
+pub fn keepers<'a>(shard: u64, vms: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let shard = format!("streams/{shard}");
     let mut ranked = rendezvous::rank(&shard, vms, |it| *it);
     ranked.truncate(KEEPERS);
     ranked
@@ -166,7 +173,8 @@
     table: Option<VersionTable>,
     /// Era of the store, as it was last observed.
     era: u64,
-    seen: HashMap<VersionKey, Seen>,
+    /// By service; few versions of each.
+    seen: HashMap<String, Vec<(Option<String>, Seen)>>,
     /// When the view was last observed, and its age then.
     observed: Option<(Millis, u64)>,
     /// Since when a fresh view was observed without interruption in this era.
@@ -195,14 +203,27 @@
         self.observed = Some((now, view_age_ms));
         let is_outdated = view_age_ms >= MAX_VIEW_AGE_MS;
         let is_recent = |it: &Seen| !is_outdated && now.since(it.at) < CONFIRMED_MS;
-        for it in self.seen.values_mut() {
+        for (_, it) in self.seen.values_mut().flatten() {
             it.is_confirmed &= is_recent(it);
         }
         for it in serving {
-            let key = (it.service.to_owned(), it.version.map(str::to_owned));
-            self.seen.entry(key).or_default().at = now;
+            if let Some(seen) = self.seen_mut(it.service, it.version) {
+                seen.at = now;
+                continue;
+            }
+            let seen = Seen {
+                at: now,
+                is_confirmed: false,
+            };
+            let versions = self.seen.entry(it.service.to_owned()).or_default();
+            if versions.len() < MAX_SEEN {
+                versions.push((it.version.map(str::to_owned), seen));
+            }
         }
-        self.seen.retain(|_, it| now.since(it.at) < UNSEEN_MS + LEAVING_MS);
+        self.seen.retain(|_, versions| {
+            versions.retain(|(_, it)| now.since(it.at) < UNSEEN_MS + LEAVING_MS);
+            !versions.is_empty()
+        });
     }
 
     /// Observes the era of the store.
@@ -215,9 +236,8 @@
 
     /// Whether streams may begin at servers of a version.
     pub fn may_begin(&self, now: Millis, service: &str, version: Option<&str>) -> bool {
-        let key = (service.to_owned(), version.map(str::to_owned));
         let is_recent = self.view_age(now) < MAX_VIEW_AGE_MS;
-        let seen = self.seen.get(&key);
+        let seen = self.seen(service, version);
         is_recent && seen.is_some_and(|it| it.is_confirmed && now.since(it.at) < CONFIRMED_MS)
     }
 
@@ -243,7 +263,7 @@
     pub fn needs_read(&self, now: Millis) -> bool {
         let is_outdated = self.table.as_ref().is_none_or(|it| it.era != self.era);
         let is_unconfirmed = |it: &Seen| it.at == self.observed_at() && !it.is_confirmed;
-        let has_unconfirmed = self.seen.values().any(is_unconfirmed);
+        let has_unconfirmed = self.seen.values().flatten().any(|(_, it)| is_unconfirmed(it));
         let has_view = self.observed.is_some_and(|(at, _)| now.since(at) < MAX_PAUSE_MS);
         has_view && (has_unconfirmed || is_outdated && !self.seen.is_empty())
     }
@@ -274,7 +294,8 @@
             }
             self.marks.remove(&key);
             let observed_at = self.observed_at();
-            if let Some(it) = self.seen.get_mut(&key).filter(|it| it.at == observed_at) {
+            let seen = self.seen_mut(&entry.service, entry.version.as_deref());
+            if let Some(it) = seen.filter(|it| it.at == observed_at) {
                 it.is_confirmed = true;
             }
         }
@@ -304,12 +325,10 @@
             next.era = self.era;
             next.is_complete = false;
         }
-        let mut wanted: Vec<&VersionKey> = self
-            .seen
-            .iter()
-            .filter(|(_, it)| self.is_wanted(it))
-            .map(|(key, _)| key)
-            .collect();
+        let seen = self.seen.iter();
+        let seen = seen.flat_map(|(service, versions)| versions.iter().map(move |it| (service, it)));
+        let wanted = seen.filter(|(_, (_, it))| self.is_wanted(it));
+        let mut wanted: Vec<(&String, &Option<String>)> = wanted.map(|(service, it)| (service, &it.0)).collect();
         wanted.sort();
         for (service, version) in wanted {
             let known = next
@@ -341,7 +360,7 @@
         next.is_complete |= watched_ms >= UNSEEN_MS + LEAVING_MS;
         next.entries.retain_mut(|it| {
             let key = (it.service.clone(), it.version.clone());
-            let seen_at = self.seen.get(&key).map(|it| it.at);
+            let seen_at = self.seen(&it.service, it.version.as_deref()).map(|it| it.at);
             let unseen_ms = now.since(seen_at.map_or(since, |at| at.max(since)));
             if unseen_ms < UNSEEN_MS {
                 return true;
@@ -360,6 +379,18 @@
         age_ms == 0 || seen.is_confirmed && age_ms < CONFIRMED_MS
     }
 
+    fn seen(&self, service: &str, version: Option<&str>) -> Option<&Seen> {
+        let versions = self.seen.get(service)?;
+        let found = versions.iter().find(|(it, _)| it.as_deref() == version);
+        found.map(|(_, it)| it)
+    }
+
+    fn seen_mut(&mut self, service: &str, version: Option<&str>) -> Option<&mut Seen> {
+        let versions = self.seen.get_mut(service)?;
+        let found = versions.iter_mut().find(|(it, _)| it.as_deref() == version);
+        found.map(|(_, it)| it)
+    }
+
     fn observed_at(&self) -> Millis {
         self.observed.map_or(Millis::default(), |(at, _)| at)
     }
--- a/crates/fleet/tests/stream_load/mod.rs
+++ b/crates/fleet/tests/stream_load/mod.rs
@@ -6,7 +6,7 @@
 
 use guava_core::units::Millis;
 use guava_fleet::streams::{
-    RecordGroup, RecordedOrigin, Records, Serving, VersionTable, Versions, keepers, stream_key,
+    RecordGroup, RecordedOrigin, Records, Serving, VersionTable, Versions, keepers, shard, stream_key,
 };
 use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::{Rng, SeedableRng};
@@ -281,7 +281,7 @@
         let kept: Vec<usize> = if self.vms.len() <= SMALL_FLEET + 1 {
             names.values().copied().collect()
         } else {
-            keepers(key, names.keys().map(String::as_str))
+            keepers(shard(key), names.keys().map(String::as_str))
                 .iter()
                 .map(|it| names[*it])
                 .collect()
