Let a process that starts while the store is silent begin streams

Cause: only a read of the table lets a version begin streams. Change: such a process asks two others which versions may begin streams there. A table is complete from the start only with a store that was not restored. Evidence: crates/fleet/tests/streams.rs, one test more.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,7 +4,7 @@
 //! receives them as well. `feed` passes on changes as they occur (see [`crate::feed`]). `report` sends waiting and
 //! running requests to the coordinator. `quota` takes tokens from the coordinator's share of an organisation's rate
 //! limit, `pace` reserves time on an engine for a prompt, `findings` pushes news of prompts that crash backend servers
-//! (see [`crate::findings`]), `begun` pushes records of streams and `origin` asks for one (see [`crate::streams`]), and
+//! (see [`crate::findings`]), `begun` pushes records of streams, `origin` asks for one and `versions` for those that may begin streams (see [`crate::streams`]), and
 //! `resign` announces the end of a coordinator's term. All
 //! messages may be repeated safely: they replace earlier values, and a lost answer to `quota` or `pace` only wastes
 //! tokens.
@@ -213,6 +213,7 @@
             encode(&true)
         }
         "begun" => encode(&state.streams.merge(&decode::<Vec<RecordGroup>>(body)?)),
+        "versions" => encode(&state.streams.confirmed()),
         "origin" => encode(&state.streams.answer_origin(&decode(body)?)),
         "pace" => encode(&state.reserve_pace(&decode(body)?)),
         "quota" => encode(&coordinator.handle_quota_request(&decode(body)?)),
--- a/crates/entry/src/streams.rs
+++ b/crates/entry/src/streams.rs
@@ -18,8 +18,8 @@
 use guava_core::units::Millis;
 use guava_fleet::model::{RouteKind, StoreRevision};
 use guava_fleet::streams::{
-    MAX_SENT, RecordGroup, RecordedOrigin, Records, Serving, TAKE_UP_MS, TableChange, VersionTable, Versions, keepers,
-    shard, stream_key,
+    MAX_SENT, RecordGroup, RecordedOrigin, Records, Serving, TAKE_UP_MS, TableChange, VersionKey, VersionTable,
+    Versions, keepers, shard, stream_key,
 };
 use guava_platform::CallError;
 use guava_platform::store::Written;
@@ -39,6 +39,10 @@
 const TABLE_NAME: &str = "services";
 /// Kind of the copies of records, each named by its VM.
 pub(crate) const COPY_KIND: &str = "guava-streams";
+/// Largest era of a store that was not restored yet.
+const FIRST_ERA: u64 = 1;
+/// Processes that are asked for the versions that they have found in the table, while the store does not answer.
+const ASKED_PEERS: usize = 2;
 /// Longest time for which a look-up runs.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(290);
 /// Time that a look-up waits for the table; a healthy store answers in 4 ms.
@@ -275,6 +279,11 @@
         OriginAnswer { groups, is_ambiguous }
     }
 
+    /// Versions that may begin streams here, for a process that cannot read the table.
+    pub fn confirmed(&self) -> Vec<VersionKey> {
+        self.known.lock().versions.confirmed(now())
+    }
+
     /// Merges records that another process pushes.
     pub fn merge(&self, groups: &[RecordGroup]) -> bool {
         self.known.lock().told.merge(now(), groups) > 0
@@ -540,6 +549,7 @@
             let updated = update_table(&state, &coordinator).await;
             if let Err(e) = &updated {
                 log::debug!("update of the table of versions failed: {e}");
+                ask_confirmed(&state).await;
             }
             last_read = now();
             let is_done = updated.is_ok() && !state.streams.known.lock().versions.needs_read(now());
@@ -554,6 +564,18 @@
     }
 }
 
+/// Asks other processes which versions may begin streams, because the store does not answer.
+async fn ask_confirmed(state: &Arc<EntryState>) {
+    let began = now();
+    for address in state.random_peers(ASKED_PEERS, ASKED_PEERS, began) {
+        match peers::call::<_, Vec<VersionKey>>(state, address, "versions", &(), PUSH_TIMEOUT).await {
+            Ok(confirmed) => state.streams.known.lock().versions.confirm(now(), began, &confirmed),
+            Err(e) => log::debug!("question for versions to {address} failed: {e}"),
+        }
+    }
+    state.signal_change();
+}
+
 /// Reads the table, and writes it if it lacks something and no other process does so first.
 async fn update_table(state: &EntryState, coordinator: &Coordinator) -> Result<(), CallError> {
     let spread_ms = WRITE_SPREAD_PER_VM_MS * state.vms() as u64;
@@ -564,7 +586,7 @@
         let at = now();
         let next = {
             let known = state.streams.known.lock();
-            let is_first_start = state.is_first_start() && read.revision.is_none();
+            let is_first_start = state.is_first_start() && read.revision.is_none() && read.era <= FIRST_ERA;
             known
                 .versions
                 .next_table(at, read.table.as_ref(), coordinates, is_first_start)
--- a/crates/fleet/src/streams.rs
+++ b/crates/fleet/src/streams.rs
@@ -46,7 +46,7 @@
 const KEEPERS: usize = 2;
 
 /// Service and software version; `None` for servers that state no version.
-type VersionKey = (String, Option<String>);
+pub type VersionKey = (String, Option<String>);
 
 derive_value! {
     /// Software versions in play.
@@ -250,7 +250,7 @@
     /// Whether records are copied to the store: the table does not tell the origin of streams.
     pub fn needs_copies(&self, service: &str) -> bool {
         let only = self.table.as_ref().map(|it| it.only_version(service, self.era));
-        only.is_some_and(|it| it.is_err())
+        only.is_none_or(|it| it.is_err())
     }
 
     /// Whether all services are settled.
@@ -307,6 +307,30 @@
         table_changes(before.as_ref(), table)
     }
 
+    /// Versions that may begin streams here, for a process that cannot read the table.
+    pub fn confirmed(&self, now: Millis) -> Vec<VersionKey> {
+        let seen = self.seen.iter();
+        let seen = seen.flat_map(|(service, versions)| versions.iter().map(move |(it, _)| (service, it)));
+        let confirmed = seen.filter(|(service, version)| self.may_begin(now, service, version.as_deref()));
+        let confirmed = confirmed.map(|(service, version)| (service.clone(), version.clone()));
+        confirmed.take(MAX_ENTRIES).collect()
+    }
+
+    /// Takes over what another process has confirmed; `began` is when it was asked. Only versions in this view count, so
+    /// the coordinator has seen them as recently as if this process had read the table.
+    pub fn confirm(&mut self, now: Millis, began: Millis, confirmed: &[VersionKey]) {
+        if now.since(began) > MAX_PAUSE_MS {
+            return;
+        }
+        let observed_at = self.observed_at();
+        for (service, version) in confirmed {
+            let seen = self.seen_mut(service, version.as_deref());
+            if let Some(it) = seen.filter(|it| it.at == observed_at) {
+                it.is_confirmed = true;
+            }
+        }
+    }
+
     /// The table that is to replace the one that was found; `None` if that can stay. A coordinator also removes
     /// versions and completes the table.
     pub fn next_table(
--- a/crates/fleet/tests/streams.rs
+++ b/crates/fleet/tests/streams.rs
@@ -2,11 +2,14 @@
 
 mod stream_load;
 
+use guava_core::units::Millis;
+use guava_fleet::streams::{Serving, Versions};
 use rstest::rstest;
 use stream_load::{Day, Outcome, Servers, play};
 
 const V1: &str = "v1";
 const V2: &str = "v2";
+const START: Millis = Millis(10_000_000);
 
 fn servers(version: &'static str, from: u64, until: u64) -> Servers {
     Servers {
@@ -98,3 +101,23 @@
         assert_sound(&day, &outcome);
     }
 }
+
+/// Guards against processes that begin no streams because they have started while the store is silent.
+#[test]
+fn process_takes_over_what_another_has_found_in_the_table() {
+    let serving = [V1, V2].map(|version| Serving {
+        service: "advice",
+        version: Some(version),
+    });
+    let mut other = Versions::default();
+    other.observe(START, serving, 0, 1);
+    let table = other.next_table(START, None, false, true).expect("versions to add");
+    other.record_table(START, START, &table);
+    let mut started = Versions::default();
+    started.observe(START, [serving[1]], 5_000, 1);
+
+    started.confirm(START, START, &other.confirmed(START));
+
+    assert!(started.may_begin(START, "advice", Some(V2)));
+    assert!(!started.may_begin(START, "advice", Some(V1)));
+}
