Answer requests whose handling panics

Cause: a panic in the handling of a request unwound through hyper and ended the task of the caller's connection, which also stayed counted as open in a shutdown.

Change: the panic is caught at the request and answered with G9001, status 500, which promises nothing about the run. The connection goes on.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,9 +1,11 @@
 //! Handling of a request: body, route and key, admission, and dispatch to backend servers.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use guava_core::codes::{Code, Run};
 use guava_core::events::Event;
 use guava_core::units::Millis;
@@ -77,7 +79,12 @@
     let answer = match read_body(&state, body).await {
         Ok(body) => {
             let inbound = build_inbound(head, caller, body, arrived);
-            handle(&state, Arc::new(inbound)).await
+            let handling = AssertUnwindSafe(handle(&state, Arc::new(inbound))).catch_unwind();
+            // The panic's message and place are reported by the panic hook.
+            handling.await.unwrap_or_else(|_| {
+                log::error!("the handling of request {id} panicked");
+                Err(Failure::unknown(Code::Internal))
+            })
         }
         Err(failure) => Err(failure),
     };
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -96,6 +96,11 @@
 
 /// Starts an entry process that knows nothing yet.
 pub async fn start_entry_without_config(peers: Arc<FakePeers>) -> Entry {
+    start_entry_with(peers).await
+}
+
+/// The same with other stand-ins for other entry processes.
+pub async fn start_entry_with(peers: Arc<dyn Http>) -> Entry {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("bound");
     let state = new_state(peers);
