Abort a stream whose relay panics

Cause: a panic dropped the sender of the relay's channel, and a channel that ends without an error ends the body as if it were whole.

Change: the panic is caught in the relay's task, and the body ends with an error, so that the caller's connection is cut within the answer.

Evidence: `stream_whose_relay_panics_does_not_look_complete` failed before (one event and the end of the chunked body) and passes now.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -4,6 +4,7 @@
 //! same answer, where its route allows that. Otherwise the answer is aborted, so that it does not look complete. A
 //! silent server is given up only once another one is ready to take the stream.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -73,7 +74,15 @@
     let frames = futures::stream::poll_fn(move |cx| rx.poll_recv(cx));
     let body = BodyExt::boxed(StreamBody::new(frames));
     let answer = forwarded_response(incoming.status, &incoming.headers, body);
-    tokio::spawn(relay_parts(dispatch, selected, incoming, tx));
+    tokio::spawn(async move {
+        let id = dispatch.id().to_owned();
+        let relaying = relay_parts(dispatch, selected, incoming, tx.clone());
+        if AssertUnwindSafe(relaying).catch_unwind().await.is_err() {
+            // Without an error the body would end as if it were complete.
+            log::error!("the relay of request {id} panicked");
+            abort(&tx).await;
+        }
+    });
     answer
 }
 
--- a/crates/entry/tests/panics.rs
+++ b/crates/entry/tests/panics.rs
@@ -11,9 +11,12 @@
 use bytes::Bytes;
 use guava_entry::peers::PaceAnswer;
 use guava_platform::{CallError, Http};
-use guava_platform_standin::settings::STREAM_PATH;
+use guava_platform_standin::settings::{ENGINE_SERVICE, STREAM_PATH};
 use http::{Request, Response};
-use support::{KEY, add_peers, call, list_servers, put_config, start_entry_with, start_server};
+use support::{
+    KEY, add_peers, answer_head, call, chunk, event, list_servers, put_config, start_entry_with, start_server, write,
+};
+use tokio::time::sleep;
 
 /// Other entry processes that let some prompts be sent; further requests to send one panic.
 #[derive(Debug)]
@@ -62,3 +65,28 @@
     );
     assert_eq!(engine.received.lock().len(), 0);
 }
+
+/// Guards against a stream that looks complete although its relay panicked.
+#[tokio::test]
+async fn stream_whose_relay_panics_does_not_look_complete() {
+    let entry = entry_that_panics_after(1).await;
+    // Requests that leave a retry to this process.
+    for _ in 0..100 {
+        entry.state.record_request(ENGINE_SERVICE, guava_entry::state::now());
+    }
+    let mut engines = Vec::new();
+    for id in ["a", "b"] {
+        let engine = start_server(id, true, |mut stream, attempt| async move {
+            write(&mut stream, &answer_head(&attempt, "transfer-encoding: chunked\r\n")).await;
+            write(&mut stream, &chunk(&event(1))).await;
+            sleep(Duration::from_secs(4)).await;
+        });
+        engines.push(engine.await);
+    }
+    list_servers(&entry.state, &[&engines[0], &engines[1]]);
+
+    let (answer, _) = call(entry.address, "r1", STREAM_PATH).await;
+
+    assert!(answer.contains("id: 1\n"), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "the stream looks complete: {answer}");
+}
