Apply a changed idle timeout to open connections

Cause: the timeout was read once, when the connection was accepted, also for hyper's timer of the head.

Change: the check of idle connections reads the timeout that is in force, and bounds incomplete heads as well, so hyper's own timer is off.

--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -41,7 +41,7 @@
 const CLOSING_IDLE_MS: u64 = 100;
 /// Pause after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Idle timeout of a connection accepted before any configuration is known.
+/// Idle timeout before any configuration is known.
 const DEFAULT_IDLE_MS: u64 = 15_000;
 
 /// Counts callers' connections, so that a graceful shutdown can wait for them.
@@ -127,9 +127,7 @@
     let socket = CallerStream::new(stream);
     let usage = Arc::new(ConnectionUse::default());
     usage.idle_since.store(now().0, Ordering::Relaxed);
-    let limits = state.config().map(|it| it.config.limits.clone());
-    let idle_ms = limits.as_ref().map_or(DEFAULT_IDLE_MS, |it| it.idle_timeout_ms);
-    let head_bytes = limits.as_ref().map_or(16_384, |it| it.head_bytes);
+    let head_bytes = state.config().map_or(16_384, |it| it.config.limits.head_bytes);
     let service = service_fn({
         let state = Arc::clone(&state);
         let usage = Arc::clone(&usage);
@@ -137,9 +135,8 @@
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
-        // Closes a connection whose next request head is not complete within the idle timeout, however slowly it is
-        // sent.
-        .header_read_timeout(Duration::from_millis(idle_ms))
+        // Connections without a complete head are closed below, by the timeout that is then in force.
+        .header_read_timeout(None)
         .max_buf_size(head_bytes.max(8_192) * 2)
         .serve_connection(TokioIo::new(socket.clone()), service);
     let mut serving = pin!(serving);
@@ -156,7 +153,7 @@
             () = sleep(interval) => {
                 // A caller that reads slowly still receives its answer.
                 let is_sent = !socket.has_unsent_bytes();
-                let max_idle_ms = if is_closing && is_sent { CLOSING_IDLE_MS } else { idle_ms };
+                let max_idle_ms = if is_closing && is_sent { CLOSING_IDLE_MS } else { idle_timeout_ms(&state) };
                 let unused_ms = usage.idle_ms().min(now().since(socket.last_write()));
                 if unused_ms > max_idle_ms && !socket.has_unread_bytes() {
                     break None;
@@ -174,6 +171,12 @@
     connections.open.fetch_sub(1, Ordering::Relaxed);
 }
 
+fn idle_timeout_ms(state: &EntryState) -> u64 {
+    state
+        .config()
+        .map_or(DEFAULT_IDLE_MS, |it| it.config.limits.idle_timeout_ms)
+}
+
 async fn serve_request(
     state: Arc<EntryState>,
     usage: Arc<ConnectionUse>,
