Bound the waits that other entry processes name

Cause: the wait for the turn of a prompt and the wait for central tokens were taken as another process named them.

Change: both are bounded by the longest wait that was asked for.

Evidence: `wait_that_another_process_names_is_bounded` (a wait of 2^64 - 1 ms) failed before after 15 s without an answer and passes now. The bound on central tokens has no test of its own.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -100,6 +100,7 @@
     }
     let (wait, central) = match take_central(state, &organisation.name, tokens, token_wait).await {
         Ok(Ok(wait)) => {
+            let wait = wait.min(token_wait.max_ms);
             tokio::time::sleep(Duration::from_millis(wait)).await;
             log_admitted(inbound, resolved, &taken, "central", wait);
             return Ok(taken);
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -690,7 +690,8 @@
         if !answer.granted {
             return Some(answer.wait_ms);
         }
-        tokio::time::sleep(Duration::from_millis(answer.wait_ms)).await;
+        let wait = answer.wait_ms.min(MAX_PACE_WAIT_MS);
+        tokio::time::sleep(Duration::from_millis(wait)).await;
         None
     }
 
--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -95,6 +95,23 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// Guards against a request that is never answered because another entry process names a wait without end.
+#[tokio::test]
+async fn wait_that_another_process_names_is_bounded() {
+    let peers = Arc::new(FakePeers {
+        wait_ms: u64::MAX,
+        ..FakePeers::default()
+    });
+    let entry = start_entry(peers).await;
+    add_peers(&entry.state);
+    let engine = sound_engine("a").await;
+    list_servers(&entry.state, &[&engine]);
+
+    let (answer, _) = call(entry.address, "r1", STREAM_PATH).await;
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 /// Guards against a request that runs although its key was withdrawn while it waited for its turn at the engine.
 #[tokio::test]
 async fn request_whose_key_is_withdrawn_while_it_waits_does_not_run() {
