--- a/crates/entry/tests/config_changes.rs
+++ b/crates/entry/tests/config_changes.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use guava_entry::state::EntryState;
+use guava_fleet::model::Configuration;
 use guava_platform::config;
 use guava_platform_standin::raw::request_text;
-use guava_platform_standin::settings::{self, BOOKING_PATH, LOOKUP_PATH, STREAM_PATH};
+use guava_platform_standin::settings::{self, BOOKING_PATH, ENGINE_SERVICE, LOOKUP_PATH, PLAIN_SERVICE, STREAM_PATH};
 use rstest::rstest;
-use serde_json::json;
 use support::{KEY, MODEL, answer_head, chunk, event, list_servers, start_entry, start_server, whole_answer, write};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -23,29 +23,51 @@
 /// Longest wait for an answer: the longest time limit of a route, and half a second.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(12_500);
 
-/// Changes time limits, limits on connections, the service of a route, and the keys and routes of others.
-fn put_varied_config(state: &EntryState, version: u64) {
+/// Whether the configurations withdraw the key and the routes of the requests now and then, and move a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Withdrawals {
+    None,
+    Some,
+}
+
+/// Changes time limits, limits on connections, the order of the routes, and the keys and routes of others.
+fn put_varied_config(state: &EntryState, version: u64, withdrawals: Withdrawals) {
     let mut keys = vec![KEY.to_owned()];
     keys.extend((0..version % 3).map(|index| format!("other-{version}-{index}")));
-    let mut value = settings::configuration(version, 4, &[("bangor".to_owned(), keys)], 1e7);
-    value["limits"]["idleTimeoutMs"] = json!([1_000, 15_000, 4_000][version as usize % 3]);
-    value["limits"]["headerTimeoutMs"] = json!([500, 3_000][version as usize % 2]);
-    let is_even = version.is_multiple_of(2);
-    let routes = value["routes"].as_array_mut().expect("routes");
-    for route in routes.iter_mut() {
-        if is_even {
-            route["timeoutMs"] = json!(route["timeoutMs"].as_u64().expect("a number") / 2);
+    let mut changed = configuration(version, keys);
+    changed.limits.idle_timeout_ms = [1_000, 15_000, 4_000][version as usize % 3];
+    changed.limits.head_timeout_ms = [500, 3_000][version as usize % 2];
+    if version.is_multiple_of(2) {
+        for route in &mut changed.routes {
+            route.timeout_ms /= 2;
         }
-    }
-    if is_even {
-        let mut added = routes[2].clone();
-        added["name"] = json!(format!("added-{version}"));
-        added["pathPrefix"] = json!(format!("/added-{version}/"));
-        routes.push(added);
+        let mut added = changed.routes[2].clone();
+        added.name = format!("added-{version}");
+        added.path_prefix = format!("/added-{version}/");
+        changed.routes.push(added);
     } else {
-        routes.rotate_left(1);
+        changed.routes.rotate_left(1);
+    }
+    if withdrawals == Withdrawals::Some {
+        match version % 5 {
+            0 => changed.organisations[0].keys.retain(|it| it != KEY),
+            1 => changed.routes.retain(|it| it.path_prefix != LOOKUP_PATH),
+            2 => changed.routes.retain(|it| it.path_prefix != STREAM_PATH),
+            3 => {
+                // The plain servers of the test send no streams.
+                for route in changed.routes.iter_mut().filter(|it| it.path_prefix != STREAM_PATH) {
+                    route.targets = vec![(PLAIN_SERVICE.to_owned(), 1), (ENGINE_SERVICE.to_owned(), 1)];
+                }
+            }
+            _ => {}
+        }
     }
-    state.apply_config(config::decode(&value).expect("a valid configuration"), "test");
+    state.apply_config(changed, "test");
+}
+
+fn configuration(version: u64, keys: Vec<String>) -> Configuration {
+    let value = settings::configuration(version, 4, &[("bangor".to_owned(), keys)], 1e7);
+    config::decode(&value).expect("a valid configuration")
 }
 
 /// Reads one whole answer. Returns its status, or `None` if the connection ends before it is complete.
@@ -71,8 +93,11 @@
 
 /// Guards against a request that ends with its connection, without an answer or a refusal, because the configuration
 /// changes while it waits or runs.
+#[rstest]
+#[case::of_others(Withdrawals::None)]
+#[case::of_the_requests(Withdrawals::Some)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn changed_configuration_leaves_no_request_unanswered() {
+async fn changed_configuration_leaves_no_request_unanswered(#[case] withdrawals: Withdrawals) {
     let entry = start_entry(Arc::default()).await;
     let mut servers = Vec::new();
     for index in 0..4 {
@@ -101,7 +126,7 @@
             if Instant::now() >= end {
                 break;
             }
-            put_varied_config(&state, version);
+            put_varied_config(&state, version, withdrawals);
             sleep(Duration::from_millis(7)).await;
         }
     });
@@ -124,6 +149,7 @@
                     sent += 1;
                     match timeout(ANSWER_TIMEOUT, read_answer(&mut stream)).await {
                         Ok(Some(200)) => {}
+                        Ok(Some(_)) if withdrawals == Withdrawals::Some => {}
                         outcome => unanswered.push((attempt, path, outcome)),
                     }
                     if !unanswered.is_empty() {
@@ -189,8 +215,7 @@
 }
 
 fn put_idle_timeout(state: &EntryState, version: u64, idle_timeout_ms: u64) {
-    let organisations = [("bangor".to_owned(), vec![KEY.to_owned()])];
-    let mut value = settings::configuration(version, 4, &organisations, 1e7);
-    value["limits"]["idleTimeoutMs"] = json!(idle_timeout_ms);
-    state.apply_config(config::decode(&value).expect("a valid configuration"), "test");
+    let mut changed = configuration(version, vec![KEY.to_owned()]);
+    changed.limits.idle_timeout_ms = idle_timeout_ms;
+    state.apply_config(changed, "test");
 }
