Kill all processes during releases in the soak

What callers saw: streams joined from two software versions after a kill of all VMs (ORDER). Cause: not fixed here. Change: planned work kills all processes during each release, and streams in these runs last 1.2 to 3.5 s.

--- a/crates/soak/src/cmd.rs
+++ b/crates/soak/src/cmd.rs
@@ -24,6 +24,8 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 /// Time after recovery during which the served requests are counted.
 const OBSERVATION_TIME: Duration = Duration::from_secs(4);
+/// Interval between the events of streams in runs with planned work, so that streams last as long as a release.
+const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(120);
 /// Longest time that a graceful stop adds to the duration of its fault.
 const MAX_STOP_MS: u64 = 8_500;
 
@@ -131,7 +133,10 @@
     let mut planned = faults::plan(&mut rng, args.faults, span_ms, VM_COUNT, backends);
     planned.extend(faults::plan_work(&mut rng, args.work, span_ms, backends));
     planned.sort_by_key(|it| it.at_ms);
-    let fleet = Fleet::start(&args.program, &dir, &organisations).await?;
+    let mut fleet = Fleet::start(&args.program, &dir, &organisations).await?;
+    if args.work > 0 {
+        fleet.set_event_interval(LONG_EVENT_INTERVAL);
+    }
     let vms = fleet.addresses();
     let traffic = Traffic {
         addresses: vms.clone(),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -117,16 +117,25 @@
 }
 
 /// Draws `count` disturbances by planned work, as [`plan`] does for faults: releases of new software versions of the
-/// engines, changes of the configuration, and servers that fall silent meanwhile.
+/// engines, silent servers, changes of the configuration, and a kill of all processes during each release.
 pub fn plan_work(rng: &mut ChaCha8Rng, count: usize, span_ms: u64, backends: usize) -> Vec<Planned> {
-    let work = (0..count).map(|number| Planned {
-        at_ms: rng.random_range(0..span_ms),
-        for_ms: rng.random_range(700..1_500),
-        fault: match number % 4 {
-            0 => Fault::Release(format!("v{}", number / 4 + 2)),
+    let mut released_ms = 0;
+    let work = (0..count).map(|number| {
+        let mut at_ms = rng.random_range(0..span_ms);
+        let for_ms = rng.random_range(700..1_500);
+        let fault = match number % 4 {
+            0 => {
+                released_ms = at_ms;
+                Fault::Release(format!("v{}", number / 4 + 2))
+            }
+            1 => Fault::Silence(rng.random_range(0..backends)),
             2 => Fault::Reconfigure,
-            _ => Fault::Silence(rng.random_range(0..backends)),
-        },
+            _ => {
+                at_ms = released_ms + 2 * for_ms;
+                Fault::KillAll
+            }
+        };
+        Planned { at_ms, for_ms, fault }
     });
     work.collect()
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use guava_platform_standin::caller::is_ready;
 use guava_platform_standin::record::Record;
-use guava_platform_standin::server::{ANY_VERSION, Server, ServerSpec};
+use guava_platform_standin::server::{ANY_VERSION, EVENT_INTERVAL, Server, ServerSpec};
 use guava_platform_standin::settings::{self, ENGINE_SERVICE, PLAIN_SERVICE, Vm};
 use guava_platform_standin::store::Store;
 use guava_platform_standin::taking_up::EntryAddress;
@@ -219,6 +219,16 @@
         vms.collect()
     }
 
+    /// Changes the interval between the events of streams, also for servers that are started later.
+    pub fn set_event_interval(&mut self, interval: Duration) {
+        for backend in &mut self.backends {
+            backend.spec.event_interval = interval;
+            if let Some(server) = &backend.server {
+                server.set_event_interval(interval);
+            }
+        }
+    }
+
     /// Writes the next version of the configuration, with other timeouts and, every other time, one more route.
     pub fn change_configuration(&mut self) {
         self.configuration_version += 1;
@@ -265,6 +275,7 @@
             service: service.to_owned(),
             zone: ZONES[at % ZONES.len()].to_owned(),
             version: ANY_VERSION.to_owned(),
+            event_interval: EVENT_INTERVAL,
             models,
         };
         let backend = self.start_backend(spec).await?;
--- a/crates/soak/tests/crashing_part.rs
+++ b/crates/soak/tests/crashing_part.rs
@@ -6,7 +6,7 @@
 
 use guava_platform_standin::caller::{Call, Finished, Outcome, is_ready, send};
 use guava_platform_standin::crashing::{CrashingEngine, CrashingPart};
-use guava_platform_standin::server::{ANY_VERSION, ServerSpec};
+use guava_platform_standin::server::{ANY_VERSION, EVENT_INTERVAL, ServerSpec};
 use guava_platform_standin::settings::{ENGINE_SERVICE, STREAM_PATH};
 use guava_soak::fleet::{ENGINE_COUNT, Fleet, VM_COUNT};
 use guava_soak::proxy::Link;
@@ -68,6 +68,7 @@
             service: ENGINE_SERVICE.to_owned(),
             zone: "caerdydd".to_owned(),
             version: ANY_VERSION.to_owned(),
+            event_interval: EVENT_INTERVAL,
             models: Some(vec!["m1".to_owned()]),
         };
         let (store, record) = (fleet.store.clone(), fleet.record.clone());
