--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -30,8 +30,6 @@
 pub const MODEL_COUNT: usize = 14;
 /// Rate limit of each organisation in tokens per second, and its burst in tokens.
 pub const RATE: f64 = 30_000.0;
-/// Difference between the timeouts of successive configurations.
-const TIMEOUT_STEP_MS: u64 = 500;
 /// Availability zones, among which processes and servers are spread.
 const ZONES: [&str; 2] = ["caerdydd", "abertawe"];
 /// Lowest port that an entry process may use.
@@ -232,20 +230,8 @@
     /// Writes the next version of the configuration, with other timeouts and, every other time, one more route.
     pub fn change_configuration(&mut self) {
         self.configuration_version += 1;
-        let version = self.configuration_version;
-        let mut configuration = settings::configuration(version, MODEL_COUNT, &self.organisations, RATE);
-        if let Some(routes) = configuration["routes"].as_array_mut() {
-            for route in &mut *routes {
-                let timeout_ms = route["timeoutMs"].as_u64().unwrap_or_default();
-                route["timeoutMs"] = (timeout_ms + version % 3 * TIMEOUT_STEP_MS).into();
-            }
-            if version.is_multiple_of(2) {
-                let mut extra = routes[0].clone();
-                extra["name"] = "extra".into();
-                extra["pathPrefix"] = "/extra/".into();
-                routes.push(extra);
-            }
-        }
+        let configuration =
+            settings::changed_configuration(self.configuration_version, MODEL_COUNT, &self.organisations, RATE);
         self.store.put("config", "main", configuration);
     }
 
