Decode each entry of the store by itself

Cause: an answer of the store was decoded as one JSON value. An entry nested more than 128 levels deep, a number such as 1e999 or bytes that are not UTF-8 made the whole list, watch, object or conflict answer malformed.

E5006 names such entries. A process registers again if its own registration cannot be read.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -115,6 +115,7 @@
     WriteRecovered = 5003, Info, "A write whose answer was lost was confirmed by reading it back.";
     ConfigUnreadable = 5004, Warn, "A stored configuration could not be parsed; the current one is kept.";
     StoreRestored = 5005, Warn, "The platform's object service was restored from an older copy.";
+    EntriesUnreadable = 5006, Warn, "Entries of the platform's object service could not be read and are ignored.";
 }
 
 impl fmt::Display for Event {
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -5,7 +5,7 @@
 
 use guava_core::events::Event;
 use guava_fleet::model::StoreRevision;
-use guava_platform::store::{Changes, Listing, Object, Written};
+use guava_platform::store::{Changes, Listing, Object, Unreadable, Written};
 use guava_platform::{CallError, config, servers};
 use serde_json::json;
 use tokio::sync::watch;
@@ -82,6 +82,18 @@
     Delta(Vec<(String, Option<Object>)>, StoreRevision),
 }
 
+fn log_unreadable(kind: &str, unreadable: &Unreadable) {
+    if unreadable.count > 0 {
+        log_event!(
+            Event::EntriesUnreadable,
+            "-",
+            "kind={kind} count={} names={}",
+            unreadable.count,
+            unreadable.names.join(",")
+        );
+    }
+}
+
 /// Whether a watch may start at the revision up to which the feed was complete, without a list.
 enum ResumePolicy {
     Never,
@@ -129,6 +141,7 @@
                     backoff.reset();
                     let revision = listing.revision;
                     state.record_store_contact(revision.era, now());
+                    log_unreadable(kind, &listing.unreadable);
                     apply(state, StoreUpdate::Full(listing));
                     revision
                 }
@@ -149,8 +162,13 @@
                 _ = eras.wait_for(|it| *it > revision.era) => Ok(Changes::HistoryGone),
             };
             match changes {
-                Ok(Changes::Since { events, revision: next }) => {
+                Ok(Changes::Since {
+                    events,
+                    unreadable,
+                    revision: next,
+                }) => {
                     backoff.reset();
+                    log_unreadable(kind, &unreadable);
                     wait = WATCH_WAIT;
                     state.record_store_contact(next.era, now());
                     revision = next;
@@ -279,11 +297,12 @@
     let mut registered_in = loop {
         match state.store.list(MEMBER_KIND).await {
             Ok(listing) => {
-                if !listing.objects.iter().any(|it| it.name == state.settings.vm) {
+                log_unreadable(MEMBER_KIND, &listing.unreadable);
+                let members = listing.objects.into_iter();
+                let members: Vec<Member> = members.filter_map(|it| serde_json::from_value(it.spec).ok()).collect();
+                if !members.iter().any(|it| it.vm == state.settings.vm) {
                     write_registration(&state).await;
                 }
-                let members = listing.objects.into_iter();
-                let members = members.filter_map(|it| serde_json::from_value::<Member>(it.spec).ok());
                 for member in members {
                     state.record_member(member, None);
                 }
