Log how many requests a stopping process leaves unanswered

The last line of a process told only how many connections were open, among which idle ones and requests that were cut could not be told apart. E4004 now names the number of requests without a whole answer as well. No change of behaviour.

--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -44,6 +44,7 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     open: AtomicUsize,
+    unanswered: AtomicUsize,
 }
 
 impl Connections {
@@ -51,6 +52,11 @@
     pub fn open(&self) -> usize {
         self.open.load(Ordering::Relaxed)
     }
+
+    /// Number of requests whose answers have not been sent or dropped yet.
+    pub fn unanswered(&self) -> usize {
+        self.unanswered.load(Ordering::Relaxed)
+    }
 }
 
 /// Opens a TCP listener; IPv4 only.
@@ -127,7 +133,11 @@
     let service = service_fn({
         let state = Arc::clone(&state);
         let usage = Arc::clone(&usage);
-        move |req: Request<Incoming>| serve_request(Arc::clone(&state), Arc::clone(&usage), req)
+        let connections = Arc::clone(&connections);
+        move |req: Request<Incoming>| {
+            let guard = ConnectionUseGuard::new(Arc::clone(&usage), Arc::clone(&connections));
+            serve_request(Arc::clone(&state), guard, req)
+        }
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -161,10 +171,9 @@
 
 async fn serve_request(
     state: Arc<EntryState>,
-    usage: Arc<ConnectionUse>,
+    guard: ConnectionUseGuard,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let guard = ConnectionUseGuard::new(usage);
     let mut answer = request::serve(Arc::clone(&state), req).await;
     if state.is_stopping() {
         answer
@@ -181,19 +190,24 @@
     }))
 }
 
-struct ConnectionUseGuard(Arc<ConnectionUse>);
+struct ConnectionUseGuard {
+    usage: Arc<ConnectionUse>,
+    connections: Arc<Connections>,
+}
 
 impl ConnectionUseGuard {
-    fn new(usage: Arc<ConnectionUse>) -> Self {
+    fn new(usage: Arc<ConnectionUse>, connections: Arc<Connections>) -> Self {
         usage.busy.fetch_add(1, Ordering::Relaxed);
-        Self(usage)
+        connections.unanswered.fetch_add(1, Ordering::Relaxed);
+        Self { usage, connections }
     }
 }
 
 impl Drop for ConnectionUseGuard {
     fn drop(&mut self) {
-        self.0.idle_since.store(now().0, Ordering::Relaxed);
-        self.0.busy.fetch_sub(1, Ordering::Relaxed);
+        self.usage.idle_since.store(now().0, Ordering::Relaxed);
+        self.usage.busy.fetch_sub(1, Ordering::Relaxed);
+        self.connections.unanswered.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -199,8 +199,9 @@
     log_event!(
         Event::ProcessStopped,
         "-",
-        "drained={is_drained} connections={}",
-        connections.open()
+        "drained={is_drained} connections={} unanswered={}",
+        connections.open(),
+        connections.unanswered()
     );
     // Gives the logging thread time to write the last lines.
     sleep(CHECK_INTERVAL).await;
