Bound requests by the end of a graceful shutdown

Cause: the end of the process was known to the shutdown loop and to no request. A request that had arrived in the first 2.6 s could be sent for the first time much later, after waiting for tokens, an engine's turn or a model; servers were told the caller's whole deadline; and whatever ran 7.5 s after SIGTERM was cut with its connection.

Change: a shutdown sets the time at which requests end, 0.7 s before the end of a grace period of 8 s. The deadlines of requests and what servers are told are bounded by it. When draining begins, a request that no server may have run is refused as not run wherever it waits, and none is sent for the first time. The balancer's notice is at most a third of the grace period.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -23,7 +24,7 @@
 use crate::peers::{self, PaceRequest};
 use crate::relay;
 use crate::reply::{Body, Failure, forwarded_response, full_body};
-use crate::request::{DEFAULT_RETRY_AFTER, Inbound, Resolved, check_prompt, resolve};
+use crate::request::{DEFAULT_RETRY_AFTER, Inbound, Resolved, check_prompt, resolve, stopping};
 use crate::state::{EntryState, RunningGuard, now, until};
 
 /// Largest number of refusals by servers after which the request is still sent again; one more, and it is refused here.
@@ -140,9 +141,9 @@
         &self.resolved.route
     }
 
-    /// Earlier of the caller's deadline and the route's timeout.
+    /// Earliest of the caller's deadline, the route's timeout and the end of requests in a graceful shutdown.
     pub fn deadline(&self) -> Millis {
-        self.deadline
+        self.deadline.min(self.state.requests_end())
     }
 
     /// Requested model, with its adapter if any; `-` for none. Used in log lines.
@@ -215,7 +216,7 @@
             ..
         } = incoming;
         let reading = read_buffered(&self.state, body);
-        let body = match tokio::time::timeout(until(self.deadline), reading).await {
+        let body = match tokio::time::timeout(until(self.deadline()), reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(why)) => {
                 drop(connection);
@@ -272,7 +273,7 @@
         breakage::examine(&self.state, &self.inbound, broken);
         let server = server.id.as_str();
         self.record_failure(server, why);
-        let has_time_left = at + RETURN_MARGIN_MS < self.deadline;
+        let has_time_left = at + RETURN_MARGIN_MS < self.deadline();
         if has_time_left && self.may_retry() && self.state.try_take_retry(&self.service, at) {
             log_event!(Event::RequestRetried, self.id(), "server={server} why={why}");
             return Ok(());
@@ -313,9 +314,13 @@
             };
             // Pacing and connecting take time, in which the server may leave, or the route or the key may change.
             self.resolve_again()?;
-            if now() >= self.deadline {
+            if now() >= self.deadline() {
                 return Err(self.deadline_failure());
             }
+            // A first attempt that begins now might not be answered before this process ends.
+            if self.may_have_run.is_empty() && self.state.is_draining() {
+                return Err(stopping());
+            }
             let has_service_changed = selected.server.service != self.service;
             if has_service_changed || !self.state.accepts_requests(&selected.server) {
                 log_event!(
@@ -332,10 +337,11 @@
                 self.id(),
                 "server={server} route={} left_ms={} waited_ms={}",
                 self.resolved.route.name,
-                self.deadline.since(at),
+                self.deadline().since(at),
                 at.since(self.inbound.arrived)
             );
             self.may_have_run.push(server.clone());
+            self.inbound.may_have_run.store(true, Ordering::Relaxed);
             let sending = connection.send(outgoing, &self.inbound.caller.attempt_id);
             let outcome = tokio::select! {
                 outcome = tokio::time::timeout(self.head_timeout(), sending) => outcome,
@@ -345,7 +351,7 @@
             let error = match outcome {
                 Ok(Ok(incoming)) => return Ok((selected, incoming)),
                 Ok(Err(e)) => e,
-                Err(_) if now() >= self.deadline => {
+                Err(_) if now() >= self.deadline() => {
                     log_event!(
                         Event::RequestFailed,
                         self.id(),
@@ -395,6 +401,8 @@
             AttemptError::NotSent(_) => self.record_failure(server, &why),
             AttemptError::NotRun | AttemptError::Misdirected => {
                 self.may_have_run.pop();
+                let may_have_run = !self.may_have_run.is_empty();
+                self.inbound.may_have_run.store(may_have_run, Ordering::Relaxed);
                 self.refusals += 1;
                 if let Some(model) = &self.inbound.caller.model {
                     self.state.record_missing_model(server, model, at);
@@ -412,7 +420,7 @@
 
     /// Timeout for the head of an answer; shorter for a request that may be sent to another server.
     fn head_timeout(&self) -> Duration {
-        let left = until(self.deadline);
+        let left = until(self.deadline());
         if !self.may_retry() {
             return left;
         }
@@ -454,7 +462,7 @@
             }
             // This process ends soon, so the caller should retry at another VM.
             if self.state.is_draining() {
-                return Err(Failure::not_run(Code::Stopping).retry_after(Duration::ZERO));
+                return Err(stopping());
             }
             if let Some(model) = &self.inbound.caller.model
                 && waiting.is_none()
@@ -466,7 +474,7 @@
                     self.id(),
                     "model={model} adapter={} left_ms={}",
                     adapter.unwrap_or("-"),
-                    self.deadline.since(at)
+                    self.deadline().since(at)
                 );
             }
             let left = until(latest_start);
@@ -514,7 +522,7 @@
             if self.request_pace(&selected, tokens, max_wait).await.is_none() {
                 return Ok(selected);
             }
-            if now().since(started) > timeout || now() + RETURN_MARGIN_MS >= self.deadline {
+            if now().since(started) > timeout || now() + RETURN_MARGIN_MS >= self.deadline() {
                 return Err(Failure::not_run(Code::NoCapacity).retry_after(DEFAULT_RETRY_AFTER));
             }
             drop(selected);
@@ -543,7 +551,7 @@
 
     /// Latest time at which the request can be sent so that its answer starts before the caller abandons it.
     fn latest_start(&self) -> Millis {
-        let deadline = self.deadline - RETURN_MARGIN_MS;
+        let deadline = self.deadline() - RETURN_MARGIN_MS;
         let route = &self.resolved.route;
         if route.kind != RouteKind::Streaming {
             return deadline;
@@ -616,7 +624,7 @@
             .is_some_and(|it| it.engine.is_some());
         let server_headers = ServerHeaders {
             server: &server.id,
-            left: until(self.deadline),
+            left: until(self.deadline()),
             organisation: organisation.map(|it| it.name.as_str()),
             urgency: is_engine.then_some(priority.unwrap_or(self.resolved.route.priority)),
             last_event_id,
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -18,15 +18,18 @@
 use crate::log_event;
 use crate::metrics;
 use crate::peers;
-use crate::state::{EntryState, now};
+use crate::state::{EntryState, now, until};
 use crate::store_watch;
 use crate::supervision::supervise;
 
-/// Time from the shutdown signal until connections are closed: the balancer checks readiness once a second and removes
-/// a VM after two failed checks.
-const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
-/// Part of the grace period, in milliseconds, reserved for the exit of the process.
+/// Time, in milliseconds, from the shutdown signal until connections are closed: the balancer checks readiness once a
+/// second and removes a VM after two failed checks. At most a third of the grace period.
+const BALANCER_NOTICE_MS: u64 = 2_600;
+/// Part of the grace period, in milliseconds, reserved for the exit of the process; at most a sixteenth of it.
 const EXIT_RESERVE_MS: u64 = 500;
+/// Time before that, in milliseconds, for answers to requests that could not be finished; at most a fortieth of the grace
+/// period.
+const LAST_ANSWERS_MS: u64 = 200;
 /// Interval at which the shutdown checks whether connections are still open.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -185,12 +188,13 @@
 async fn shut_down(state: &EntryState, connections: &Connections, closing: &watch::Sender<bool>, grace_ms: u64) {
     let started = now();
     log_event!(Event::ShutdownStarted, "-", "connections={}", connections.open());
+    let exit_at = started + (grace_ms - EXIT_RESERVE_MS.min(grace_ms / 16));
+    state.end_requests_at(exit_at - LAST_ANSWERS_MS.min(grace_ms / 40));
     state.begin_shutdown();
-    sleep(BALANCER_NOTICE).await;
+    sleep(Duration::from_millis(BALANCER_NOTICE_MS.min(grace_ms / 3))).await;
     state.begin_draining();
     closing.send_replace(true);
-    let left = grace_ms.saturating_sub(now().since(started) + EXIT_RESERVE_MS);
-    let drained = timeout(Duration::from_millis(left), async {
+    let drained = timeout(until(exit_at), async {
         while connections.open() > 0 {
             sleep(CHECK_INTERVAL).await;
         }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -82,6 +82,7 @@
 ) {
     let mut splitter = Splitter::default();
     let mut progress = Progress::default();
+    let state = Arc::clone(dispatch.state());
     loop {
         progress.parts += 1;
         let server = Arc::clone(&selected.server);
@@ -116,12 +117,12 @@
                 return;
             }
             PartEnd::DeadlinePassed => {
-                log_event!(
-                    Event::RequestFailed,
-                    dispatch.id(),
-                    "server={} why=deadline passed in the stream",
-                    server.id
-                );
+                let why = if now() >= state.requests_end() {
+                    "the process stops"
+                } else {
+                    "deadline passed in the stream"
+                };
+                log_event!(Event::RequestFailed, dispatch.id(), "server={} why={why}", server.id);
                 return abort(&tx).await;
             }
             PartEnd::Interrupted(why) => {
@@ -135,6 +136,14 @@
         let outcome = tokio::select! {
             outcome = dispatch.send_until_answered(last_event_id.as_deref()) => outcome,
             () = tx.closed() => return,
+            () = state.requests_ended() => {
+                log_event!(
+                    Event::RequestFailed,
+                    dispatch.id(),
+                    "server=- why=the process stops"
+                );
+                return abort(&tx).await;
+            }
         };
         match outcome {
             Ok((next, answer)) if answer.status.is_success() => (selected, incoming) = (next, answer),
@@ -164,6 +173,7 @@
         let next = tokio::select! {
             next = tokio::time::timeout(until(stalled_at.min(dispatch.deadline())), body.frame()) => next.ok(),
             () = tx.closed() => return PartEnd::CallerLeft,
+            () = dispatch.state().requests_ended() => return PartEnd::DeadlinePassed,
         };
         let at = now();
         let frame = match next {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,6 +1,7 @@
 //! Handling of a request: body, route and key, admission, and dispatch to backend servers.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -50,6 +51,8 @@
     pub clues: Vec<String>,
     /// When the head of the request had arrived.
     pub arrived: Millis,
+    /// Whether a server may have run the request.
+    pub may_have_run: AtomicBool,
 }
 
 /// Route and organisation of a request.
@@ -74,10 +77,21 @@
         arrived,
         is_answered: false,
     };
-    let answer = match read_body(&state, body).await {
+    let reading = async {
+        tokio::select! {
+            body = read_body(&state, body) => body,
+            () = state.requests_ended() => Err(stopping()),
+        }
+    };
+    let answer = match reading.await {
         Ok(body) => {
             let inbound = build_inbound(head, caller, body, arrived);
-            handle(&state, Arc::new(inbound)).await
+            let inbound = Arc::new(inbound);
+            tokio::select! {
+                biased;
+                answer = handle(&state, Arc::clone(&inbound)) => answer,
+                failure = shutdown_failure(&state, &inbound) => Err(failure),
+            }
         }
         Err(failure) => Err(failure),
     };
@@ -132,6 +146,7 @@
         caller,
         body,
         arrived,
+        may_have_run: AtomicBool::new(false),
     }
 }
 
@@ -149,10 +164,34 @@
     }
 }
 
+/// Refusal by a process that ends soon; another VM can serve the request.
+pub fn stopping() -> Failure {
+    Failure::not_run(Code::Stopping).retry_after(Duration::ZERO)
+}
+
+/// Returns when a graceful shutdown ends the request: one that no server may have run when draining begins, any other
+/// shortly before the process exits.
+async fn shutdown_failure(state: &EntryState, inbound: &Inbound) -> Failure {
+    state.draining_begun().await;
+    if !inbound.may_have_run.load(Ordering::Relaxed) {
+        return stopping();
+    }
+    state.requests_ended().await;
+    if !inbound.may_have_run.load(Ordering::Relaxed) {
+        return stopping();
+    }
+    log_event!(
+        Event::RequestFailed,
+        &inbound.caller.attempt_id,
+        "server=- why=the process stops"
+    );
+    Failure::unknown(Code::TimedOut)
+}
+
 async fn handle(state: &Arc<EntryState>, inbound: Arc<Inbound>) -> Result<Response<Body>, Failure> {
     // Late in a graceful shutdown there may be too little time to answer the request.
     if state.is_draining() {
-        return Err(Failure::not_run(Code::Stopping).retry_after(Duration::ZERO));
+        return Err(stopping());
     }
     wait_for_config(state, &inbound).await;
     let resolved = resolve(state, &inbound)?;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -192,7 +192,9 @@
     /// Era of the store, for tasks that write again what a restored store has lost.
     eras: watch::Sender<u64>,
     stopping: AtomicBool,
-    draining: AtomicBool,
+    draining: watch::Sender<bool>,
+    /// Time at which requests must have ended.
+    requests_end: watch::Sender<Option<Millis>>,
 }
 
 impl EntryState {
@@ -218,7 +220,8 @@
             changes: watch::Sender::new(0),
             eras: watch::Sender::new(0),
             stopping: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
+            draining: watch::Sender::new(false),
+            requests_end: watch::Sender::new(None),
             settings,
         }
     }
@@ -246,15 +249,38 @@
 
     /// Whether the balancer has had time to remove this VM, so that waiting requests should be refused.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        *self.draining.borrow()
     }
 
     /// Starts refusing waiting requests, so that their callers retry at other VMs.
     pub fn begin_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+        self.draining.send_replace(true);
         self.signal_change();
     }
 
+    /// Waits until draining begins.
+    pub async fn draining_begun(&self) {
+        // Fails only when the process ends.
+        let _ = self.draining.subscribe().wait_for(|it| *it).await;
+    }
+
+    /// Sets the time at which requests must have ended, because the process exits soon after.
+    pub fn end_requests_at(&self, at: Millis) {
+        self.requests_end.send_replace(Some(at));
+    }
+
+    /// Time at which requests must have ended; never unless a graceful shutdown has begun.
+    pub fn requests_end(&self) -> Millis {
+        self.requests_end.borrow().unwrap_or(Millis(u64::MAX))
+    }
+
+    /// Waits until the time at which requests must have ended.
+    pub async fn requests_ended(&self) {
+        // Fails only when the process ends.
+        let _ = self.requests_end.subscribe().wait_for(Option::is_some).await;
+        tokio::time::sleep(until(self.requests_end())).await;
+    }
+
     /// Whether the process can serve requests: configuration and servers are known and no shutdown has begun.
     pub fn is_ready(&self) -> bool {
         let view = self.view.lock();
--- a/crates/soak/tests/regressions.rs
+++ b/crates/soak/tests/regressions.rs
@@ -6,16 +6,25 @@
 use std::time::Duration;
 
 use guava_platform_standin::caller::{Outcome, is_ready, send};
-use guava_platform_standin::settings::{BOOKING_PATH, STREAM_PATH};
+use guava_platform_standin::server::ServerFaults;
+use guava_platform_standin::settings::{self, BOOKING_PATH, LOOKUP_PATH, STREAM_PATH};
 use guava_soak::cmd::{Args, run_seed};
-use guava_soak::fleet::Fleet;
+use guava_soak::fleet::{Fleet, MODEL_COUNT, RATE};
 use rstest::rstest;
 use rustix::process::Signal;
+use serde_json::json;
 use support::{call, dir, keys, program};
 use tokio::io::AsyncReadExt;
 
 /// Number of streams that are running when a process is told to stop.
 const STREAM_COUNT: usize = 3;
+/// Timeout of all routes in the test of slow requests, longer than the grace period.
+const ROUTE_TIMEOUT_MS: u64 = 12_000;
+/// Interval between two requests around a stop, and their number, which spans the grace period.
+const STOP_STEP: Duration = Duration::from_millis(250);
+const STOP_STEPS: usize = 30;
+/// Last step at which the process certainly takes requests.
+const LAST_TAKEN_STEP: usize = 11;
 
 /// Guards against a return of the faults in REGRESSIONS.txt, and with seed 77 against new ones.
 #[rstest]
@@ -116,3 +125,57 @@
     assert!(!ready, "a process that is stopping must not get new connections");
     assert_eq!(outcomes, vec![Outcome::Served; STREAM_COUNT]);
 }
+
+/// Guards against requests that a stopping process takes, passes on and cuts off without an answer.
+#[rstest]
+#[case::quick(Duration::ZERO)]
+#[case::slow(Duration::from_secs(4))]
+#[case::longer_than_the_grace_period(Duration::from_secs(6))]
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_cuts_no_request(#[case] delay: Duration) {
+    let dir = dir(&format!("answers-{}", delay.as_secs()));
+    let mut fleet = Fleet::start(&program(), &dir, &keys()).await.expect("the fleet starts");
+    let mut config = settings::configuration(2, MODEL_COUNT, &keys(), RATE);
+    for route in config["routes"].as_array_mut().expect("a list") {
+        route["timeoutMs"] = json!(ROUTE_TIMEOUT_MS);
+    }
+    fleet.store.put("config", "main", config);
+    for server in fleet.backends.iter().filter_map(|it| it.server.as_ref()) {
+        server.set_faults(ServerFaults {
+            delay,
+            ..ServerFaults::default()
+        });
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let address = fleet.processes[1].vm.callers;
+
+    let mut requests = Vec::new();
+    for step in 0..STOP_STEPS {
+        match step {
+            2 | 8 => fleet.processes[1].signal(Signal::TERM),
+            5 => fleet.processes[1].signal(Signal::HUP),
+            _ => {}
+        }
+        for (name, path) in [("book", BOOKING_PATH), ("look", LOOKUP_PATH)] {
+            let sending = tokio::spawn(send(address, call(&format!("{name}-{step}"), path)));
+            requests.push((step, sending));
+        }
+        tokio::time::sleep(STOP_STEP).await;
+        // Without requests left the process ends early.
+        if fleet.processes[1].has_ended() {
+            break;
+        }
+    }
+    let mut cut = Vec::new();
+    for (step, sending) in requests {
+        let finished = sending.await.expect("the caller's task ends");
+        // A connection that nobody accepts any more carries no request.
+        let is_refused_connection = finished.ended - finished.at < Duration::from_millis(20) && step > LAST_TAKEN_STEP;
+        if finished.outcome == Outcome::Cut && !is_refused_connection {
+            cut.push(finished.call.attempt);
+        }
+    }
+    fleet.processes[1].wait().await;
+
+    assert_eq!(cut, Vec::<String>::new(), "requests without an answer");
+}
