--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::fmt::Display;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -25,7 +26,7 @@
 use crate::peers::{self, PaceRequest};
 use crate::relay;
 use crate::reply::{Body, Failure, forwarded_response, full_body};
-use crate::request::{DEFAULT_RETRY_AFTER, Inbound, Resolved, check_prompt, resolve};
+use crate::request::{DEFAULT_RETRY_AFTER, Inbound, Resolved, check_prompt, resolve, stopping};
 use crate::state::{EntryState, RunningGuard, now, until};
 
 /// Largest number of refusals by servers after which the request is still sent again; one more, and it is refused here.
@@ -188,9 +189,9 @@
         &self.resolved.route
     }
 
-    /// Earlier of the caller's deadline and the route's timeout.
+    /// Earliest of the caller's deadline, the route's timeout and the end of requests in a graceful shutdown.
     pub fn deadline(&self) -> Millis {
-        self.deadline
+        self.deadline.min(self.state.requests_end())
     }
 
     /// Requested model, with its adapter if any; `-` for none. Used in log lines.
@@ -310,7 +311,7 @@
             ..
         } = incoming;
         let reading = read_buffered(&self.state, body);
-        let body = match tokio::time::timeout(until(self.deadline), reading).await {
+        let body = match tokio::time::timeout(until(self.deadline()), reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(why)) => {
                 drop(connection);
@@ -360,7 +361,7 @@
         self.examine_broken(server, begun, why);
         let server = server.id.as_str();
         self.record_failure(server, why);
-        let has_time_left = at + RETURN_MARGIN_MS < self.deadline;
+        let has_time_left = at + RETURN_MARGIN_MS < self.deadline();
         if has_time_left && self.may_retry() && self.state.try_take_retry(&self.service, at) {
             log_event!(Event::RequestRetried, self.id(), "server={server} why={why}");
             return Ok(());
@@ -393,7 +394,7 @@
             self.silent_server = Some(silent.id.clone());
             self.record_failure(&silent.id, format_args!("silent for {silent_ms} ms"));
         }
-        let left = until(self.deadline - RETURN_MARGIN_MS);
+        let left = until(self.deadline() - RETURN_MARGIN_MS);
         let connecting = tokio::time::timeout(left, self.connect_replacement(silent)).await;
         match connecting.unwrap_or(Err("no time left")) {
             Ok(next) => Some(next),
@@ -457,7 +458,7 @@
             self.id(),
             "server={server} silent_ms={silent_ms} begun={has_begun} attempts={} left_ms={} next={next}",
             self.may_have_run.len(),
-            self.deadline.since(now())
+            self.deadline().since(now())
         );
     }
 
@@ -503,10 +504,11 @@
                 selected.server.id,
                 version_name(&selected.server),
                 self.resolved.route.name,
-                self.deadline.since(at),
+                self.deadline().since(at),
                 at.since(self.inbound.arrived)
             );
             self.may_have_run.push(selected.server.id.clone());
+            self.inbound.may_have_run.store(true, Ordering::Relaxed);
             let head = {
                 let sending = pin!(connection.send(outgoing, &inbound.caller.attempt_id));
                 self.wait_for_head(&selected.server, sending).await?
@@ -533,9 +535,13 @@
         };
         // Pacing and connecting take time, in which the server may leave, or the route or the key may change.
         self.resolve_again()?;
-        if now() >= self.deadline {
+        if now() >= self.deadline() {
             return Err(self.deadline_failure());
         }
+        // A first attempt that begins now might not be answered before this process ends.
+        if self.may_have_run.is_empty() && self.state.is_draining() {
+            return Err(stopping());
+        }
         let has_service_changed = selected.server.service != self.service;
         let is_usable = self.may_use(&selected.server) && self.state.accepts_requests(&selected.server);
         if has_service_changed || !is_usable {
@@ -567,7 +573,7 @@
             if let Ok(outcome) = outcome {
                 return Ok(Head::Received(outcome));
             }
-            if now() >= self.deadline {
+            if now() >= self.deadline() {
                 log_event!(
                     Event::RequestFailed,
                     self.id(),
@@ -586,7 +592,7 @@
             {
                 return Ok(Head::Replaced(next));
             }
-            pause = until(self.deadline).min(Duration::from_millis(REPLACEMENT_INTERVAL_MS));
+            pause = until(self.deadline()).min(Duration::from_millis(REPLACEMENT_INTERVAL_MS));
         }
     }
 
@@ -626,6 +632,8 @@
             AttemptError::NotSent(_) => self.record_failure(server, &why),
             AttemptError::NotRun | AttemptError::Misdirected => {
                 self.may_have_run.pop();
+                let may_have_run = !self.may_have_run.is_empty();
+                self.inbound.may_have_run.store(may_have_run, Ordering::Relaxed);
                 self.refusals += 1;
                 if let Some(model) = &self.inbound.caller.model {
                     self.state.record_missing_model(server, model, at);
@@ -643,7 +651,7 @@
 
     /// Time without the head of an answer after which the server is replaced, if the request may be sent to another one.
     fn head_timeout(&self) -> Duration {
-        let left = until(self.deadline);
+        let left = until(self.deadline());
         if !self.may_retry() {
             return left;
         }
@@ -689,7 +697,7 @@
             }
             // This process ends soon, so the caller should retry at another VM.
             if self.state.is_draining() {
-                return Err(Failure::not_run(Code::Stopping).retry_after(Duration::ZERO));
+                return Err(stopping());
             }
             if let Some(model) = &self.inbound.caller.model
                 && waiting.is_none()
@@ -702,7 +710,7 @@
                     self.id(),
                     "model={model} adapter={} left_ms={}",
                     adapter.unwrap_or("-"),
-                    self.deadline.since(at)
+                    self.deadline().since(at)
                 );
             }
             let left = until(latest_start);
@@ -750,7 +758,7 @@
             if self.request_pace(&selected, tokens, max_wait).await.is_none() {
                 return Ok(selected);
             }
-            if now().since(started) > timeout || now() + RETURN_MARGIN_MS >= self.deadline {
+            if now().since(started) > timeout || now() + RETURN_MARGIN_MS >= self.deadline() {
                 return Err(Failure::not_run(Code::NoCapacity).retry_after(DEFAULT_RETRY_AFTER));
             }
             drop(selected);
@@ -780,7 +788,7 @@
 
     /// Latest time at which the request can be sent so that its answer starts before the caller abandons it.
     fn latest_start(&self) -> Millis {
-        let deadline = self.deadline - RETURN_MARGIN_MS;
+        let deadline = self.deadline() - RETURN_MARGIN_MS;
         let route = &self.resolved.route;
         if route.kind != RouteKind::Streaming {
             return deadline;
@@ -854,7 +862,7 @@
             .is_some_and(|it| it.engine.is_some());
         let server_headers = ServerHeaders {
             server: &server.id,
-            left: until(self.deadline),
+            left: until(self.deadline()),
             organisation: organisation.map(|it| it.name.as_str()),
             urgency: is_engine.then_some(priority.unwrap_or(self.resolved.route.priority)),
             last_event_id,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -96,6 +96,7 @@
 ) {
     let mut splitter = Splitter::default();
     let mut progress = Progress::default();
+    let state = Arc::clone(dispatch.state());
     loop {
         progress.parts += 1;
         let server = Arc::clone(&selected.server);
@@ -130,12 +131,12 @@
                 return;
             }
             PartEnd::DeadlinePassed => {
-                log_event!(
-                    Event::RequestFailed,
-                    dispatch.id(),
-                    "server={} why=deadline passed in the stream",
-                    server.id
-                );
+                let why = if now() >= state.requests_end() {
+                    "the process stops"
+                } else {
+                    "deadline passed in the stream"
+                };
+                log_event!(Event::RequestFailed, dispatch.id(), "server={} why={why}", server.id);
                 return abort(&tx).await;
             }
             PartEnd::Interrupted(why) => {
@@ -151,6 +152,14 @@
         let outcome = tokio::select! {
             outcome = dispatch.send_until_answered(last_event_id.as_deref(), replacement) => outcome,
             () = tx.closed() => return,
+            () = state.requests_ended() => {
+                log_event!(
+                    Event::RequestFailed,
+                    dispatch.id(),
+                    "server=- why=the process stops"
+                );
+                return abort(&tx).await;
+            }
         };
         match outcome {
             Ok((next, answer)) if answer.status.is_success() => (selected, incoming) = (next, answer),
@@ -187,6 +196,7 @@
             tokio::select! {
                 next = tokio::time::timeout(until(check_at.min(dispatch.deadline())), body.frame()) => next.ok(),
                 () = tx.closed() => return PartEnd::CallerLeft,
+                () = dispatch.state().requests_ended() => return PartEnd::DeadlinePassed,
             }
         };
         let at = now();
