--- a/crates/entry/tests/silence.rs
+++ b/crates/entry/tests/silence.rs
@@ -6,11 +6,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH};
+use guava_platform_standin::settings::{BOOKING_PATH, ENGINE_SERVICE, LOOKUP_PATH, STREAM_PATH};
 use rstest::rstest;
 use support::{
-    Entry, ScriptedServer, answer_head, call, chunk, event, list_servers, start_entry, start_server, whole_answer,
-    write,
+    Entry, FakePeers, ScriptedServer, add_peers, answer_head, call, chunk, event, list_servers, start_entry,
+    start_server, whole_answer, write,
 };
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -27,21 +27,21 @@
     NoOtherServer,
     NoRetryBudget,
     OtherServerRefusesConnections,
-    RouteDropped,
+    KeyWithdrawn,
 }
 
 /// Server that pauses after the first events of a stream, or before a whole answer.
-async fn pausing_server(id: &str, is_engine: bool) -> ScriptedServer {
+async fn pausing_server(id: &str, is_engine: bool, silence: Duration) -> ScriptedServer {
     start_server(id, is_engine, move |mut stream, attempt| async move {
         if !is_engine {
-            sleep(SILENCE).await;
+            sleep(silence).await;
             write(&mut stream, &whole_answer(&attempt, "served")).await;
             return;
         }
         write(&mut stream, &answer_head(&attempt, "transfer-encoding: chunked\r\n")).await;
         for id in 1..=EVENTS {
             if id == 4 {
-                sleep(SILENCE).await;
+                sleep(silence).await;
             }
             write(&mut stream, &chunk(&event(id))).await;
         }
@@ -71,7 +71,7 @@
             };
             list_servers(&entry.state, &[first, &closed]);
         }
-        Obstacle::RouteDropped => list_servers(&entry.state, &[first, &spare]),
+        Obstacle::KeyWithdrawn => list_servers(&entry.state, &[first, &spare]),
     }
 }
 
@@ -84,18 +84,18 @@
         Obstacle::NoOtherServer,
         Obstacle::NoRetryBudget,
         Obstacle::OtherServerRefusesConnections,
-        Obstacle::RouteDropped
+        Obstacle::KeyWithdrawn
     )]
     obstacle: Obstacle,
 ) {
     let entry = start_entry(Arc::default()).await;
-    let server = pausing_server("a", is_engine).await;
+    let server = pausing_server("a", is_engine, SILENCE).await;
     // The first request must go to the server that pauses.
     list_servers(&entry.state, &[&server]);
     let obstructed = async {
         sleep(Duration::from_millis(150)).await;
         put_obstacle(&entry, obstacle, &server).await;
-        if matches!(obstacle, Obstacle::RouteDropped) {
+        if matches!(obstacle, Obstacle::KeyWithdrawn) {
             support::put_config(&entry.state, 2, &["other"]);
         }
     };
@@ -113,7 +113,10 @@
 #[tokio::test]
 async fn silent_server_keeps_a_request_that_must_not_be_repeated() {
     let entry = start_entry(Arc::default()).await;
-    let servers = [pausing_server("a", false).await, pausing_server("b", false).await];
+    let servers = [
+        pausing_server("a", false, SILENCE).await,
+        pausing_server("b", false, SILENCE).await,
+    ];
     list_servers(&entry.state, &[&servers[0], &servers[1]]);
 
     let (answer, _) = call(entry.address, "r1", BOOKING_PATH).await;
@@ -168,3 +171,31 @@
     assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
     assert_eq!(requests.load(Ordering::Relaxed), 2);
 }
+
+/// Guards against a stream that is moved although its server went on while its replacement was being prepared.
+#[tokio::test]
+async fn server_that_goes_on_before_its_replacement_is_ready_is_kept() {
+    let peers = FakePeers {
+        wait_ms: 500,
+        ..FakePeers::default()
+    };
+    let entry = start_entry(Arc::new(peers)).await;
+    add_peers(&entry.state);
+    // Requests that leave a retry to this process.
+    for _ in 0..100 {
+        entry.state.record_request(ENGINE_SERVICE, guava_entry::state::now());
+    }
+    let silence = Duration::from_millis(1_650);
+    let servers = [
+        pausing_server("a", true, silence).await,
+        pausing_server("b", true, silence).await,
+    ];
+    list_servers(&entry.state, &[&servers[0], &servers[1]]);
+
+    let (answer, _) = call(entry.address, "r1", STREAM_PATH).await;
+
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(answer.matches("\nid: ").count(), EVENTS as usize, "{answer}");
+    let received: usize = servers.iter().map(|it| it.received.lock().len()).sum();
+    assert_eq!(received, 1);
+}
