Keep the search for a silent server's replacement from harming the request

Cause: the replacement was only looked at after the limit of the new configuration, in a loop without an await; the time for which a stream that continues waits was counted from the request's arrival; a search changed the request's route and service although it stayed where it was, let a prompt on trial reach a second server, and looked at neither route nor key after connecting. Change: a prepared replacement is used or dropped at once; a stream that continues waits from its break, also in a planned stop, and tries the next server after a failure; a search changes nothing until the replacement is ready and checks again then; events that arrive during the search are passed on without delay. Evidence: crates/entry/tests/silence.rs, process_goes_on_when_the_gap_grows_during_a_silence and old_stream_waits_for_a_server_that_continues_it.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -145,6 +145,8 @@
     /// Servers that may have run the request.
     may_have_run: Vec<String>,
     refusals: u32,
+    /// Since when the caller waits for an event: the arrival of the request, or the break of its stream.
+    waits_since: Millis,
     /// Last server whose silence was recorded.
     silent_server: Option<String>,
     /// Whether the request finds out if its prompt still crashes servers. It is sent once.
@@ -168,6 +170,7 @@
         Self {
             service,
             deadline: inbound.arrived + allowed,
+            waits_since: inbound.arrived,
             state,
             inbound,
             resolved,
@@ -408,16 +411,7 @@
     }
 
     async fn connect_replacement(&mut self, silent: &BackendServer) -> Result<NextServer, &'static str> {
-        if !self.may_retry() {
-            return Err("must not be sent again");
-        }
-        self.resolve_again().map_err(|e| e.code.text())?;
-        if self.service != silent.service {
-            return Err("another service");
-        }
-        if !self.may_retry() || !self.state.has_retry(&self.service, now()) {
-            return Err("no retry left");
-        }
+        self.check_replacement(silent)?;
         let selected = self.select_server(None).ok_or("no other server")?;
         if let Some((tokens, _)) = self.inbound.caller.tokens
             && self.resolved.route.kind == RouteKind::Streaming
@@ -435,9 +429,31 @@
         if !self.may_use(&selected.server) || !self.state.accepts_requests(&selected.server) {
             return Err("the other server leaves");
         }
+        // Pacing and connecting take time, in which the route or the key may change.
+        self.resolved = self.check_replacement(silent)?;
         Ok(NextServer { selected, connection })
     }
 
+    /// Checks by what is in force now that the request may be sent to another server than the silent one. Changes
+    /// nothing, because the request may stay where it is.
+    fn check_replacement(&self, silent: &BackendServer) -> Result<Resolved, &'static str> {
+        if self.is_trial {
+            return Err("its prompt may crash servers");
+        }
+        let resolved = resolve(&self.state, &self.inbound).map_err(|e| e.code.text())?;
+        if !matches!(check_prompt(&self.state, &self.inbound), Ok(false)) {
+            return Err("its prompt may crash servers");
+        }
+        let route = &resolved.route;
+        if route.kind != self.resolved.route.kind || !route.targets.iter().any(|(it, _)| *it == silent.service) {
+            return Err("another service");
+        }
+        if !self.may_retry() || !route.may_retry() || !self.state.has_retry(&self.service, now()) {
+            return Err("no retry left");
+        }
+        Ok(resolved)
+    }
+
     /// Takes a retry to send the request to a replacement of a silent server. Returns false if none is left. `begun` is
     /// the time at which the head of the silent server's answer arrived.
     pub fn give_up_silent(&mut self, silent: &Arc<BackendServer>, begun: Option<Millis>, silent_ms: u64) -> bool {
@@ -481,6 +497,28 @@
         })
     }
 
+    /// Sends a stream that has begun to servers until one continues it, at first to `replacement`. The caller waits for
+    /// its next event as long as for the first one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no server can continue the stream in time.
+    pub async fn continue_stream(
+        &mut self,
+        last_event_id: Option<&str>,
+        mut replacement: Option<NextServer>,
+    ) -> Result<(SelectedServer, IncomingAnswer), Failure> {
+        self.waits_since = now();
+        loop {
+            let (selected, incoming) = self.send_until_answered(last_event_id, replacement.take()).await?;
+            if incoming.status.is_success() {
+                return Ok((selected, incoming));
+            }
+            let why = format!("status {}", incoming.status.as_u16());
+            self.handle_lost_answer(&selected.server, Some(incoming.begun), &why)?;
+        }
+    }
+
     async fn try_servers(
         &mut self,
         last_event_id: Option<&str>,
@@ -696,7 +734,7 @@
                 return Err(self.deadline_failure().retry_after(retry_after));
             }
             // This process ends soon, so the caller should retry at another VM.
-            if self.state.is_draining() {
+            if self.may_have_run.is_empty() && self.state.is_draining() {
                 return Err(stopping());
             }
             if let Some(model) = &self.inbound.caller.model
@@ -793,7 +831,7 @@
         if route.kind != RouteKind::Streaming {
             return deadline;
         }
-        deadline.min(self.inbound.arrived + (first_event_timeout_ms(route) - FIRST_EVENT_MS))
+        deadline.min(self.waits_since + (first_event_timeout_ms(route) - FIRST_EVENT_MS))
     }
 
     /// Estimated milliseconds until the request's model can take it; `None` without an estimate of the coordinator.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -150,7 +150,7 @@
         splitter.discard_rest();
         let last_event_id = splitter.last_id().map(str::to_owned);
         let outcome = tokio::select! {
-            outcome = dispatch.send_until_answered(last_event_id.as_deref(), replacement) => outcome,
+            outcome = dispatch.continue_stream(last_event_id.as_deref(), replacement) => outcome,
             () = tx.closed() => return,
             () = state.requests_ended() => {
                 log_event!(
@@ -162,8 +162,8 @@
             }
         };
         match outcome {
-            Ok((next, answer)) if answer.status.is_success() => (selected, incoming) = (next, answer),
-            _ => return abort(&tx).await,
+            Ok(next) => (selected, incoming) = next,
+            Err(_) => return abort(&tx).await,
         }
     }
 }
@@ -200,16 +200,30 @@
             }
         };
         let at = now();
-        let frame = match next {
+        let silent_ms = at.since(last_data_at);
+        let next = match next {
             None if at >= dispatch.deadline() => return PartEnd::DeadlinePassed,
-            None => {
-                if at >= check_at
-                    && let Some(end) = silence.check(dispatch, server, begun, at.since(last_data_at), tx).await
-                {
+            // The limit may have changed with the configuration since the replacement was prepared.
+            None if silence.replacement.is_some() => {
+                if let Some(end) = silence.check(dispatch, server, begun, silent_ms, tx).await {
                     return end;
                 }
-                continue;
+                None
             }
+            // Events that arrive during the search are passed on without delay.
+            None if at >= check_at => tokio::select! {
+                biased;
+                frame = body.frame() => Some(frame),
+                end = silence.check(dispatch, server, begun, silent_ms, tx) => match end {
+                    Some(end) => return end,
+                    None => None,
+                },
+            },
+            next => next,
+        };
+        let at = now();
+        let frame = match next {
+            None => continue,
             Some(Some(Err(e))) => return PartEnd::Interrupted(e.to_string()),
             Some(None) if splitter.rest().is_empty() => {
                 drop(connection);
--- a/crates/entry/tests/silence.rs
+++ b/crates/entry/tests/silence.rs
@@ -199,3 +199,76 @@
     let received: usize = servers.iter().map(|it| it.received.lock().len()).sum();
     assert_eq!(received, 1);
 }
+
+/// Guards against a process that stands still because the allowed gap grows while a replacement is prepared.
+#[tokio::test]
+async fn process_goes_on_when_the_gap_grows_during_a_silence() {
+    let peers = FakePeers {
+        wait_ms: 500,
+        ..FakePeers::default()
+    };
+    let entry = start_entry(Arc::new(peers)).await;
+    add_peers(&entry.state);
+    for _ in 0..100 {
+        entry.state.record_request(ENGINE_SERVICE, guava_entry::state::now());
+    }
+    let servers = [
+        pausing_server("a", true, Duration::from_secs(4)).await,
+        pausing_server("b", true, Duration::from_secs(4)).await,
+    ];
+    list_servers(&entry.state, &[&servers[0], &servers[1]]);
+    let longest_pause = async {
+        let mut longest = Duration::ZERO;
+        for step in 0..150 {
+            let started = std::time::Instant::now();
+            sleep(Duration::from_millis(20)).await;
+            longest = longest.max(started.elapsed());
+            // The search began after 1.4 s and takes half a second.
+            if step == 80 {
+                support::put_gap(&entry.state, 2, 1_500);
+            }
+        }
+        longest
+    };
+
+    let ((answer, _), longest) = tokio::join!(call(entry.address, "r1", STREAM_PATH), longest_pause);
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(longest < Duration::from_secs(1), "{longest:?}");
+}
+
+/// Guards against a stream that is cut because it is older than the time for which callers wait for a first event.
+#[tokio::test]
+async fn old_stream_waits_for_a_server_that_continues_it() {
+    let entry = start_entry(Arc::default()).await;
+    let first = start_server("a", true, |mut stream, attempt| async move {
+        write(&mut stream, &answer_head(&attempt, "transfer-encoding: chunked\r\n")).await;
+        for id in 1..=3 {
+            write(&mut stream, &chunk(&event(id))).await;
+            sleep(Duration::from_millis(800)).await;
+        }
+    })
+    .await;
+    let next = start_server("b", true, |mut stream, attempt| async move {
+        write(&mut stream, &answer_head(&attempt, "transfer-encoding: chunked\r\n")).await;
+        for id in 4..=EVENTS {
+            write(&mut stream, &chunk(&event(id))).await;
+        }
+        write(&mut stream, "0\r\n\r\n").await;
+    })
+    .await;
+    list_servers(&entry.state, &[&first]);
+    let appearing = async {
+        sleep(Duration::from_millis(1_500)).await;
+        let mut without_model = next.entry.clone();
+        without_model.held.clear();
+        support::put_server(&entry.state, without_model, 2);
+        sleep(Duration::from_millis(1_300)).await;
+        support::put_server(&entry.state, next.entry.clone(), 3);
+    };
+
+    let ((answer, _), ()) = tokio::join!(call(entry.address, "r1", STREAM_PATH), appearing);
+
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(answer.matches("\nid: ").count(), EVENTS as usize, "{answer}");
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -126,6 +126,23 @@
     state.apply_config(config::decode(&value).expect("a valid configuration"), "test");
 }
 
+/// Puts a configuration in force whose routes allow this gap between events.
+pub fn put_gap(state: &EntryState, version: u64, gap_ms: u64) {
+    let organisations = [("bangor".to_owned(), vec![KEY.to_owned()])];
+    let value = settings::configuration(version, 4, &organisations, 1e7);
+    let mut config = config::decode(&value).expect("a valid configuration");
+    for route in &mut config.routes {
+        route.gap_ms = gap_ms;
+    }
+    state.apply_config(config, "test");
+}
+
+/// Makes a change of one server known.
+pub fn put_server(state: &EntryState, server: BackendServer, number: u64) {
+    let id = server.id.clone();
+    state.apply_server(&id, Some(server), StoreRevision { era: 1, number }, now());
+}
+
 /// Makes other entry processes known, one of which paces each engine.
 pub fn add_peers(state: &EntryState) {
     for index in 0..64 {
