--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -8,6 +8,7 @@
 use guava_core::codes::{Code, Run};
 use guava_core::events::Event;
 use guava_core::units::Millis;
+use guava_fleet::binding::StreamBinding;
 use guava_fleet::choice::{self, Candidate};
 use guava_fleet::model::{BackendServer, Route, RouteKind};
 use guava_fleet::routes::draw_service;
@@ -82,11 +83,30 @@
     Ok(buf.freeze())
 }
 
+/// Time, in milliseconds, after which callers abandon a stream without a first event.
+pub fn first_event_timeout_ms(route: &Route) -> u64 {
+    FIRST_EVENT_TIMEOUT_MIN_MS
+        .max(route.objective_ms * 4)
+        .max(route.gap_ms * 8)
+}
+
 /// Version of a server's software, for log lines; `-` if it states none.
 fn version_name(server: &BackendServer) -> &str {
     server.version.as_deref().unwrap_or("-")
 }
 
+/// Failure of a stream that cannot go on at the servers that it is bound to.
+pub fn version_gone(id: &str, bound: &StreamBinding, why: &str) -> Failure {
+    let version = bound.version.as_deref().unwrap_or("-");
+    log_event!(
+        Event::StreamNotContinued,
+        id,
+        "service={} version={version} why={why}",
+        bound.service
+    );
+    Failure::not_run(Code::StreamVersionGone)
+}
+
 /// Server selected for an attempt.
 #[derive(Debug)]
 pub struct SelectedServer {
@@ -103,6 +123,8 @@
     inbound: Arc<Inbound>,
     resolved: Resolved,
     service: String,
+    /// Servers at which the stream may go on; `None` until it has begun.
+    bound: Option<StreamBinding>,
     /// Servers that may have run the request.
     may_have_run: Vec<String>,
     refusals: u32,
@@ -113,12 +135,13 @@
 }
 
 impl Dispatch {
-    /// Prepares the dispatch of an admitted request.
+    /// Prepares the dispatch of an admitted request. `bound` is known from the start for a stream that is taken up.
     pub fn new(
         state: Arc<EntryState>,
         inbound: Arc<Inbound>,
         resolved: Resolved,
         service: String,
+        bound: Option<StreamBinding>,
         is_trial: bool,
     ) -> Self {
         let allowed = inbound.caller.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
@@ -129,6 +152,7 @@
             state,
             inbound,
             resolved,
+            bound,
             may_have_run: Vec::new(),
             refusals: 0,
             is_trial,
@@ -175,6 +199,47 @@
         self.resolved.route.may_retry() && (self.may_have_run.len() as u32) < self.resolved.route.max_attempts
     }
 
+    /// Binds the stream to the software version of the server that has brought its first event. Must be called before
+    /// the event is passed on, so that a caller who has received it finds the stream recorded.
+    pub fn record_begun(&mut self, server: &BackendServer) {
+        let binding = self.bound.get_or_insert_with(|| StreamBinding::to(server));
+        if self.resolved.route.is_resumable_stream() {
+            let id = &self.inbound.caller.attempt_id;
+            let version = binding.version.as_deref();
+            self.state.streams.record_begun(now(), id, &binding.service, version);
+        }
+    }
+
+    /// Whether the request may be sent to a server of this service and version. A stream that callers may take up begins
+    /// only at a version that will be known to have begun it.
+    fn may_use(&self, server: &BackendServer) -> bool {
+        match &self.bound {
+            Some(bound) => bound.allows(server),
+            None if self.resolved.route.is_resumable_stream() => {
+                let streams = &self.state.streams;
+                streams.may_begin(&server.service, server.version.as_deref())
+            }
+            None => true,
+        }
+    }
+
+    /// Fails if no server is left at which the stream may go on. A server that has been tried is none: the caller, who
+    /// gets an end of the answer, takes the stream up there at once.
+    fn check_binding(&self) -> Result<(), Failure> {
+        let Some(bound) = &self.bound else {
+            return Ok(());
+        };
+        let is_left = |it: &BackendServer| self.may_use(it) && !self.may_have_run.contains(&it.id);
+        if self.state.has_ready_server(is_left) {
+            return Ok(());
+        }
+        Err(self.version_gone(bound, "no server of the version is left"))
+    }
+
+    fn version_gone(&self, bound: &StreamBinding, why: &str) -> Failure {
+        version_gone(self.id(), bound, why)
+    }
+
     /// Sends the request to servers until one answers, and returns or relays the answer.
     ///
     /// # Errors
@@ -328,7 +393,8 @@
                 return Err(self.deadline_failure());
             }
             let has_service_changed = selected.server.service != self.service;
-            if has_service_changed || !self.state.accepts_requests(&selected.server) {
+            let is_usable = self.may_use(&selected.server) && self.state.accepts_requests(&selected.server);
+            if has_service_changed || !is_usable {
                 log_event!(
                     Event::RequestRetried,
                     self.id(),
@@ -440,6 +506,9 @@
             self.is_trial = check_prompt(&self.state, &self.inbound)?;
         }
         if !self.resolved.route.targets.iter().any(|(it, _)| *it == self.service) {
+            if let Some(bound) = &self.bound {
+                return Err(self.version_gone(bound, "its route leads to other services"));
+            }
             draw_service(&self.resolved.route, &mut rand::rng()).clone_into(&mut self.service);
         }
         Ok(())
@@ -454,6 +523,7 @@
             if let Some(selected) = self.select_server(None) {
                 return Ok(selected);
             }
+            self.check_binding()?;
             let at = now();
             let latest_start = self.latest_start();
             if at >= latest_start {
@@ -472,7 +542,8 @@
                 && waiting.is_none()
             {
                 let adapter = self.inbound.caller.adapter.as_deref();
-                waiting = Some(self.state.track_waiting(&self.service, model, adapter));
+                let version = self.bound_version();
+                waiting = Some(self.state.track_waiting(&self.service, model, adapter, version));
                 log_event!(
                     Event::RequestQueued,
                     self.id(),
@@ -560,16 +631,17 @@
         if route.kind != RouteKind::Streaming {
             return deadline;
         }
-        let timeout = FIRST_EVENT_TIMEOUT_MIN_MS
-            .max(route.objective_ms * 4)
-            .max(route.gap_ms * 8);
-        deadline.min(self.inbound.arrived + (timeout - FIRST_EVENT_MS))
+        deadline.min(self.inbound.arrived + (first_event_timeout_ms(route) - FIRST_EVENT_MS))
     }
 
     /// Estimated milliseconds until the request's model can take it; `None` without an estimate of the coordinator.
     fn model_wait(&self, at: Millis) -> Option<u64> {
         let model = self.inbound.caller.model.as_deref()?;
-        self.state.wait_ms(&self.service, model, at)
+        self.state.wait_ms(&self.service, model, self.bound_version(), at)
+    }
+
+    fn bound_version(&self) -> Option<&str> {
+        self.bound.as_ref().and_then(|it| it.version.as_deref())
     }
 
     fn deadline_failure(&self) -> Failure {
@@ -596,9 +668,9 @@
         let available = self.state.candidates(&self.service, wanted, at);
         let health = self.state.health.lock();
         let zone = &self.state.settings.zone;
-        let untried = available
-            .iter()
-            .filter(|(it, _)| !self.may_have_run.contains(&it.id) && excluded != Some(it.id.as_str()));
+        let untried = available.iter().filter(|(it, _)| {
+            self.may_use(it) && !self.may_have_run.contains(&it.id) && excluded != Some(it.id.as_str())
+        });
         let candidates = untried.map(|(it, in_flight)| Candidate {
             id: &it.id,
             same_zone: it.zone == *zone,
--- a/crates/entry/src/streams.rs
+++ b/crates/entry/src/streams.rs
@@ -552,6 +552,8 @@
                 ask_confirmed(&state).await;
             }
             last_read = now();
+            // Requests may wait for a version whose server has come back.
+            state.signal_change();
             let is_done = updated.is_ok() && !state.streams.known.lock().versions.needs_read(now());
             pause_ms = if is_done {
                 TABLE_POLL_MS
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use guava_entry::peers::{PaceAnswer, PaceRequest};
 use guava_entry::state::{EntryState, Member, now};
 use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
+use guava_fleet::streams::{TableEntry, VersionTable};
 use guava_platform::settings::Settings;
 use guava_platform::{CallError, Http, config};
 pub use guava_platform_standin::raw::answer_head;
@@ -121,6 +122,29 @@
     state.apply_config(config::decode(&value).expect("a valid configuration"), "test");
 }
 
+/// Makes the versions of all known servers ones that may begin streams.
+pub fn list_versions(state: &EntryState) {
+    let at = now();
+    state.record_store_contact(1, at);
+    state.streams.observe(state, at);
+    let mut table = VersionTable {
+        era: 1,
+        is_complete: true,
+        entries: Vec::new(),
+    };
+    for server in state.servers() {
+        let entry = TableEntry {
+            service: server.service.clone(),
+            version: server.version.clone(),
+            is_leaving: false,
+        };
+        if !table.entries.contains(&entry) {
+            table.entries.push(entry);
+        }
+    }
+    state.streams.record_table(at, &table);
+}
+
 /// Makes other entry processes known, one of which paces each engine.
 pub fn add_peers(state: &EntryState) {
     for index in 0..64 {
@@ -195,6 +219,7 @@
 pub fn list_servers(state: &EntryState, servers: &[&ScriptedServer]) {
     let entries = servers.iter().map(|it| it.entry.clone()).collect();
     state.apply_server_list(entries, StoreRevision { era: 1, number: 1 }, now());
+    list_versions(state);
 }
 
 /// Whole answer to the attempt.
@@ -238,6 +263,16 @@
     read_to_end(&mut stream).await
 }
 
+/// The same for a request with further header lines, each with its line end.
+pub async fn call_with_lines(address: SocketAddr, attempt: &str, path: &str, lines: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(address)
+        .await
+        .expect("the process accepts connections");
+    let lines = format!("{lines}connection: close\r\n");
+    assert!(write(&mut stream, &request_text(attempt, path, KEY, MODEL, "300,60", &lines)).await);
+    read_to_end(&mut stream).await
+}
+
 /// Reads until the connection ends.
 pub async fn read_to_end(stream: &mut TcpStream) -> (String, bool) {
     let mut buf = Vec::new();
