Trigger a stream of unknown origin while the store is down

What callers saw: nothing. Cause: the test of the log lines took up a stream that never began; with the table of versions its origin is the only version. Change: it takes the stream up while the store does not answer, when the origin is unknown.

--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -180,7 +180,7 @@
 }
 
 /// Sends requests that are served, refused, retried, that fail, and whose caller disconnects.
-async fn trigger_request_events(fleet: &Fleet) {
+async fn trigger_request_events(fleet: &Fleet, dir: &Path) {
     let address = fleet.processes[0].vm.callers;
     send(address, call("served", BOOKING_PATH)).await;
     send(address, call("streamed", STREAM_PATH)).await;
@@ -189,6 +189,11 @@
         ..call("unknown-key", BOOKING_PATH)
     };
     send(address, unknown).await;
+    // While the store answers, its only version is the origin of any stream.
+    fleet.store.set_faults(StoreFaults {
+        is_down: true,
+        ..StoreFaults::default()
+    });
     let mut taking_up = TcpStream::connect(address)
         .await
         .expect("the process accepts connections");
@@ -202,6 +207,8 @@
     );
     let sent = taking_up.write_all(text.as_bytes()).await;
     sent.expect("the connection is open");
+    wait_for_event(dir, "E1015").await;
+    fleet.store.set_faults(StoreFaults::default());
     let cut_answers = ServerFaults {
         cut: 1.0,
         ..ServerFaults::default()
@@ -399,7 +406,7 @@
     let dir = dir("lines");
     let mut fleet = Fleet::start(&program(), &dir, &keys()).await.expect("the fleet starts");
 
-    trigger_request_events(&fleet).await;
+    trigger_request_events(&fleet, &dir).await;
     trigger_server_events(&mut fleet, &dir).await;
     trigger_input_events(&fleet, &dir).await;
     trigger_process_events(&fleet, &dir).await;
