--- a/crates/entry/tests/stream_versions.rs
+++ b/crates/entry/tests/stream_versions.rs
@@ -77,6 +77,7 @@
         let revision = StoreRevision { era: 1, number };
         state.apply_server(&server.entry.id, Some(server.entry.clone()), revision, now());
     }
+    support::list_versions(state);
 }
 
 fn event_ids(answer: &str) -> Vec<&str> {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use guava_entry::peers::{PaceAnswer, PaceRequest};
 use guava_entry::state::{EntryState, Member, now};
 use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
+use guava_fleet::streams::{TableEntry, VersionTable};
 use guava_platform::settings::Settings;
 use guava_platform::{CallError, Http, config};
 pub use guava_platform_standin::raw::answer_head;
@@ -143,6 +144,29 @@
     state.apply_server(&id, Some(server), StoreRevision { era: 1, number }, now());
 }
 
+/// Makes the versions of all known servers ones that may begin streams.
+pub fn list_versions(state: &EntryState) {
+    let at = now();
+    state.record_store_contact(1, at);
+    state.streams.observe(state, at);
+    let mut table = VersionTable {
+        era: 1,
+        is_complete: true,
+        entries: Vec::new(),
+    };
+    for server in state.servers() {
+        let entry = TableEntry {
+            service: server.service.clone(),
+            version: server.version.clone(),
+            is_leaving: false,
+        };
+        if !table.entries.contains(&entry) {
+            table.entries.push(entry);
+        }
+    }
+    state.streams.record_table(at, &table);
+}
+
 /// Makes other entry processes known, one of which paces each engine.
 pub fn add_peers(state: &EntryState) {
     for index in 0..64 {
@@ -217,6 +241,7 @@
 pub fn list_servers(state: &EntryState, servers: &[&ScriptedServer]) {
     let entries = servers.iter().map(|it| it.entry.clone()).collect();
     state.apply_server_list(entries, StoreRevision { era: 1, number: 1 }, now());
+    list_versions(state);
 }
 
 /// Whole answer to the attempt.
