Draw services by the sum of weights of any size

Cause: the weights of a split, which come from the store, were added as 32-bit numbers.

Change: the sum has 64 bits.

Evidence: `split_with_huge_weights_reaches_both_services` failed before (attempt to add with overflow) and passes now.

--- a/crates/fleet/src/routes.rs
+++ b/crates/fleet/src/routes.rs
@@ -77,13 +77,13 @@
 
 /// Picks a service of a route at random, by weight.
 pub fn draw_service<'a>(route: &'a Route, rng: &mut dyn RngCore) -> &'a str {
-    let total: u32 = route.targets.iter().map(|(_, weight)| *weight).sum();
+    let total: u64 = route.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
     let mut remaining = if total == 0 { 0 } else { rng.random_range(0..total) };
     for (service, weight) in &route.targets {
-        if remaining < *weight {
+        if remaining < u64::from(*weight) {
             return service;
         }
-        remaining -= weight;
+        remaining -= u64::from(*weight);
     }
     route.targets.first().map_or("", |(service, _)| service)
 }
--- a/crates/fleet/tests/requests.rs
+++ b/crates/fleet/tests/requests.rs
@@ -1,12 +1,14 @@
 //! Look-up of routes and keys, and splitting of event streams.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use guava_fleet::events::Splitter;
 use guava_fleet::model::{CallerLimits, Configuration, Organisation, Route, RouteKind};
-use guava_fleet::routes::{ActiveConfig, host_name};
+use guava_fleet::routes::{ActiveConfig, draw_service, host_name};
 use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -112,3 +114,15 @@
         prop_assert!(!splitter.rest().is_empty());
     }
 }
+
+/// Guards against a split whose weights are so large that their sum is small again, or makes each request panic.
+#[test]
+fn split_with_huge_weights_reaches_both_services() {
+    let mut split = route("split", "a.example", "/");
+    split.targets = vec![("s".to_owned(), u32::MAX), ("t".to_owned(), u32::MAX)];
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+
+    let drawn: BTreeSet<&str> = (0..100).map(|_| draw_service(&split, &mut rng)).collect();
+
+    assert_eq!(drawn, BTreeSet::from(["s", "t"]));
+}
