--- a/crates/entry/tests/odd_entries.rs
+++ b/crates/entry/tests/odd_entries.rs
@@ -9,12 +9,12 @@
 use guava_entry::coordinator::Coordinator;
 use guava_entry::state::EntryState;
 use guava_entry::store_watch;
-use guava_platform::settings::Settings;
-use guava_platform_standin::settings::{self, Vm};
+use guava_platform::{config as platform_config, settings::Settings};
+use guava_platform_standin::settings::{self, BOOKING_PATH, LOOKUP_PATH, STREAM_PATH, Vm};
 use guava_platform_standin::store::Store;
 use rstest::rstest;
 use serde_json::{Value, json};
-use support::NOWHERE;
+use support::{KEY, NOWHERE, call, list_servers, start_entry, start_server, whole_answer, write};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
@@ -129,3 +129,37 @@
     );
     assert!(holds_in_time(|| version(&process.state) == Some(2)).await);
 }
+
+/// Guards against requests that end without an answer because numbers of the configuration overflow.
+#[rstest]
+#[case::booking(BOOKING_PATH, 1e300)]
+#[case::lookup(LOOKUP_PATH, 1e300)]
+#[case::stream(STREAM_PATH, 1e300)]
+#[case::lookup_with_weights(LOOKUP_PATH, 4e9)]
+#[tokio::test]
+async fn huge_numbers_of_a_configuration_end_no_request(#[case] path: &str, #[case] number: f64) {
+    let entry = start_entry(Arc::default()).await;
+    let server = start_server("a", path == STREAM_PATH, |mut stream, attempt| async move {
+        write(&mut stream, &whole_answer(&attempt, "data: 1\n\n")).await;
+    })
+    .await;
+    list_servers(&entry.state, &[&server]);
+    let organisations = [("bangor".to_owned(), vec![KEY.to_owned()])];
+    let mut value = settings::configuration(2, 4, &organisations, 1e7);
+    for route in value["routes"].as_array_mut().expect("a list") {
+        for field in ["timeoutMs", "goalMs", "gapTargetMs"] {
+            route[field] = json!(number);
+        }
+        let target = json!({"service": route["service"], "weight": number});
+        route["split"] = json!([target, target]);
+    }
+    for field in ["maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"] {
+        value["limits"][field] = json!(u64::MAX);
+    }
+    let decoded = platform_config::decode(&value).expect("a configuration");
+    entry.state.apply_config(decoded, "test");
+
+    let (answer, _) = call(entry.address, "r1", path).await;
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/crates/fleet/src/routes.rs
+++ b/crates/fleet/src/routes.rs
@@ -77,10 +77,11 @@
 
 /// Picks a service of a route at random, by weight.
 pub fn draw_service<'a>(route: &'a Route, rng: &mut dyn RngCore) -> &'a str {
-    let total: u32 = route.targets.iter().map(|(_, weight)| *weight).sum();
+    let total: u64 = route.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
     let mut remaining = if total == 0 { 0 } else { rng.random_range(0..total) };
     for (service, weight) in &route.targets {
-        if remaining < *weight {
+        let weight = u64::from(*weight);
+        if remaining < weight {
             return service;
         }
         remaining -= weight;
