Trigger the event of unreadable entries in the test of log lines

each_event_is_listed failed since: E5006 had no trigger. An entry with a number out of range now triggers it, and E4004 is checked for its field unanswered.

--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -24,7 +24,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 41] = [
+const EVENTS: [(&str, &str, &[&str]); 42] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -82,7 +82,7 @@
     ("E4001", "ProcessStarted", &["incarnation", "zone"]),
     ("E4002", "ProcessReady", &["config_version", "servers", "source_age_ms"]),
     ("E4003", "ShutdownStarted", &["connections"]),
-    ("E4004", "ProcessStopped", &["drained", "connections"]),
+    ("E4004", "ProcessStopped", &["drained", "connections", "unanswered"]),
     ("E4005", "MemberUp", &["member", "incarnation", "heard_ms_ago"]),
     ("E4007", "MemberDown", &["member"]),
     ("E4008", "LeaseAcquired", &["term", "predecessor"]),
@@ -107,6 +107,7 @@
         "StoreRestored",
         &["era", "before", "source", "servers_revision"],
     ),
+    ("E5006", "EntriesUnreadable", &["kind", "count", "names"]),
 ];
 
 /// Returns the log lines of all processes.
@@ -256,6 +257,9 @@
         .store
         .put("config", "main", serde_json::json!({ "version": "none" }));
     wait_for_event(dir, "E5004").await;
+    fleet.store.put_raw("servers", "odd", b"1e999".to_vec());
+    wait_for_event(dir, "E5006").await;
+    fleet.store.remove("servers", "odd");
     // Withdraws key-1, and leaves the other organisation a rate close to zero.
     let other_organisations = vec![("conwy".to_owned(), vec!["key-2".to_owned()])];
     fleet.store.put(
