--- a/crates/fleet/src/routes.rs
+++ b/crates/fleet/src/routes.rs
@@ -80,10 +80,11 @@
     let total: u64 = route.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
     let mut remaining = if total == 0 { 0 } else { rng.random_range(0..total) };
     for (service, weight) in &route.targets {
-        if remaining < u64::from(*weight) {
+        let weight = u64::from(*weight);
+        if remaining < weight {
             return service;
         }
-        remaining -= u64::from(*weight);
+        remaining -= weight;
     }
     route.targets.first().map_or("", |(service, _)| service)
 }
--- a/crates/fleet/src/streams.rs
+++ b/crates/fleet/src/streams.rs
@@ -35,7 +35,7 @@
 /// Limit on all entries of the table.
 const MAX_ENTRIES: usize = 512;
 /// Longest name of a service or version, in bytes.
-const MAX_NAME: usize = 128;
+const MAX_NAME: usize = 256;
 /// Limit on the records in one memory; the oldest are dropped.
 const MAX_RECORDS: usize = 65_536;
 /// Limit on the records in one message or copy.
