Refuse requests at once again that lost their server in a planned stop

What callers saw: nothing; found by refusal_after_an_attempt_that_may_have_run_promises_nothing on the merged code. Cause: the change before let every request that may have run wait for another server while the process drains. Change: only a stream that continues within its answer waits.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -497,6 +497,11 @@
         })
     }
 
+    /// Whether the request continues a stream within its answer.
+    fn is_continuing(&self) -> bool {
+        self.waits_since > self.inbound.arrived
+    }
+
     /// Sends a stream that has begun to servers until one continues it, at first to `replacement`. The caller waits for
     /// its next event as long as for the first one.
     ///
@@ -734,7 +739,7 @@
                 return Err(self.deadline_failure().retry_after(retry_after));
             }
             // This process ends soon, so the caller should retry at another VM.
-            if self.may_have_run.is_empty() && self.state.is_draining() {
+            if self.state.is_draining() && !self.is_continuing() {
                 return Err(stopping());
             }
             if let Some(model) = &self.inbound.caller.model
