Wait for the first list of servers before a stream counts as cut off from its version

A stream taken up right after a restart of all VMs could be refused for good (G1209) by a process that knew the version but had not listed any server yet (ORDER, the take-ups that must go on). Cause: no server of the version was taken for known servers without one of the version. Change: such a request waits for the list as it does for the first configuration.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -205,7 +205,7 @@
     if state.is_draining() {
         return Err(stopping());
     }
-    wait_for_config(state, &inbound).await;
+    wait_for(state, &inbound, |it| it.config().is_some()).await;
     let resolved = resolve(state, &inbound)?;
     let is_trial = check_prompt(state, &inbound)?;
     let bound = find_binding(state, &inbound, &resolved.route).await?;
@@ -269,6 +269,7 @@
     if !services.contains(&bound.service.as_str()) {
         return Err(version_gone(id, &bound, "its route leads to other services"));
     }
+    wait_for(state, inbound, EntryState::knows_servers).await;
     if !state.has_ready_server(|it| bound.allows(it)) {
         return Err(version_gone(id, &bound, "no server of the version is left"));
     }
@@ -297,17 +298,17 @@
     }
 }
 
-/// Waits for the first configuration after the start of the process. When all processes have been restarted, a caller
-/// that is refused would be refused by the other VMs too.
-async fn wait_for_config(state: &EntryState, inbound: &Inbound) {
+/// Waits for what a process learns after its start, such as the first configuration. When all processes have been
+/// restarted, a caller that is refused would be refused by the other VMs too.
+async fn wait_for(state: &EntryState, inbound: &Inbound, is_known: impl Fn(&EntryState) -> bool) {
     let mut changes = state.subscribe();
     let deadline_ms = inbound.caller.deadline_ms.unwrap_or(MAX_START_WAIT_MS);
     let wait_ms = MAX_START_WAIT_MS.min(deadline_ms / 2);
     let known = async {
         // Fails only when the process ends.
-        while state.config().is_none() && changes.changed().await.is_ok() {}
+        while !is_known(state) && changes.changed().await.is_ok() {}
     };
-    // Without a configuration the request is refused as not run.
+    // Otherwise the request is refused as not run.
     let _ = tokio::time::timeout(Duration::from_millis(wait_ms), known).await;
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -291,6 +291,11 @@
         view.config.is_some() && view.has_servers && !self.is_stopping()
     }
 
+    /// Whether a list of all servers has been received.
+    pub fn knows_servers(&self) -> bool {
+        self.view.lock().has_servers
+    }
+
     /// Returns a receiver that is notified of each change that may let a waiting request proceed, such as
     /// configuration, servers or placement.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
