Drop a replacement that an event of the silent server has ruled out

What callers saw: nothing; found by reading of the merged code. A stream could be joined from two versions (ORDER) if an event without data bound it while a replacement of another version was ready. Cause: a replacement is selected before the stream is bound, and only data made it void. Change: a replacement is checked against the binding right before it gets the request. Evidence: tests dispatch, silence and stream_versions of guava-entry pass; no test of its own.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -531,7 +531,8 @@
     ) -> Result<(SelectedServer, IncomingAnswer), Failure> {
         let inbound = Arc::clone(&self.inbound);
         loop {
-            let next = match replacement.take() {
+            // An event of the silent server may have bound the stream since the replacement was selected.
+            let next = match replacement.take().filter(|it| self.may_use(&it.selected.server)) {
                 Some(next) => Some(next),
                 None => self.connect_next().await?,
             };
