Drop a claim without a run from the limit on a server's silence

What callers saw: nothing. Cause: the comment said how soon the next server's first event comes; no run shows that. Change: the comment states the two facts that the limit rests on, and its unit. Comment only. Measured result: none.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -31,8 +31,8 @@
 /// Time without events after which a stream continues from another server if one is ready, as a multiple of its route's
 /// longest allowed gap.
 const SILENCE_TIMEOUT_GAPS: u64 = 4;
-/// Lower bound of the time given by [`SILENCE_TIMEOUT_GAPS`]. A sound server may be silent for about a second, callers
-/// abandon a stream after two, and the next server's first event takes half a second at most.
+/// Lower bound of the time given by [`SILENCE_TIMEOUT_GAPS`], in milliseconds. A sound server may be silent for about a
+/// second; callers abandon a stream after two.
 const SILENCE_TIMEOUT_MIN_MS: u64 = 1_400;
 
 /// Time after the deadline, in milliseconds, for which events that are ready are still passed on. A route's time limit
