Record and log what servers state of themselves in answers

What callers saw: nothing new; without this, log lines could not tell whether a request reached a server before or after the server's own notice (DRAIN), or in a rest that it had asked for (BUDGET).

Change: the adapter reads both headers from the head of every answer, to requests, orders and polls, checked as outside input. E2023 and E2024 tell when a server says so, E2025 what could not be read, E1004 and guava_sends_total what had been stated when a request was sent. The state is kept, bounded, and no decision looks at it yet. Stand-in servers say both and record each request with what they answered.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -86,6 +86,9 @@
     PromptReleased = 2020, Info, "A request, or a part of prompts, is no longer refused.";
     VersionsChanged = 2021, Info, "The software versions that may begin streams have changed.";
     OriginUnknown = 2022, Info, "The version that began a stream that a caller takes up is unknown.";
+    LeavingStated = 2023, Info, "A backend server states in an answer that it leaves.";
+    RestStated = 2024, Info, "A backend server has asked this VM for a rest.";
+    StatementUnreadable = 2025, Warn, "A header in which a backend server states something could not be read and is ignored.";
 
     // 3xxx: administration.
     ObjectWritten = 3001, Info, "An operator's change was accepted.";
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use guava_core::units::Millis;
-use guava_platform::headers::{self, AnswerKind};
+use guava_platform::headers::{self, AnswerKind, StatementSink};
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -118,12 +118,18 @@
         Ok(Self { sender, connection })
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer, whose statements are passed to `sink`, also those of an
+    /// answer that is an error here.
     ///
     /// # Errors
     ///
     /// The variant of the error says whether the request may have run.
-    pub async fn send(mut self, outgoing: OutgoingRequest, attempt_id: &str) -> Result<IncomingAnswer, AttemptError> {
+    pub async fn send(
+        mut self,
+        outgoing: OutgoingRequest,
+        attempt_id: &str,
+        sink: StatementSink<'_>,
+    ) -> Result<IncomingAnswer, AttemptError> {
         let mut req = Request::new(Full::new(outgoing.body));
         *req.method_mut() = outgoing.method;
         *req.uri_mut() = outgoing.uri;
@@ -134,6 +140,7 @@
             .await
             .map_err(|e| AttemptError::Unknown(e.to_string()))?;
         let (head, body) = answer.into_parts();
+        headers::pass_statements(head.status, &head.headers, sink);
         match headers::classify_answer(head.status, &head.headers, attempt_id) {
             AnswerKind::Ran => Ok(IncomingAnswer {
                 status: head.status,
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -9,6 +9,7 @@
 use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
 use guava_fleet::placement::{EngineModels, Wait};
 use guava_fleet::routes::ActiveConfig;
+use guava_fleet::statements::{Rest, Rests};
 
 use crate::changes::{Changes, VersionedMap};
 use crate::state::{CoordinatorHint, HEARTBEAT_AGE_UNIT_MS, Heartbeat, KnownMember, MEMBER_TIMEOUT_MS};
@@ -73,6 +74,8 @@
     complete_to: StoreRevision,
     servers: VersionedMap<KnownServer>,
     departures: Departures,
+    /// Rests that servers have asked this VM for.
+    rests: Rests,
     /// Number of entries received, including those whose change is not published to followers.
     server_updates: u64,
     /// When the store last answered again after an outage.
@@ -331,6 +334,32 @@
         is_change
     }
 
+    /// Records that a server states in an answer that it leaves. Returns whether that was unknown.
+    pub fn record_leaving(&mut self, server: &BackendServer, now: Millis) -> bool {
+        self.departures.record_stated(server, self.servers_revision, now)
+    }
+
+    /// Whether a server has stated in an answer that it leaves.
+    pub fn has_stated_leaving(&self, server: &BackendServer, now: Millis) -> bool {
+        self.departures.is_stated(server, now)
+    }
+
+    /// Records that a server wants nothing from this VM for `rest_ms` milliseconds. Returns whether the rest ends later
+    /// than was known.
+    pub fn record_rest(&mut self, server: &BackendServer, rest_ms: u64, now: Millis) -> bool {
+        self.rests.record(server, rest_ms, now)
+    }
+
+    /// Milliseconds until a server takes requests of this VM again; `None` if it has not asked for a rest.
+    pub fn rest_ms(&self, server: &BackendServer, now: Millis) -> Option<u64> {
+        self.rests.left_ms(server, now)
+    }
+
+    /// Rests that have not ended.
+    pub fn rests(&self, now: Millis) -> Vec<Rest> {
+        self.rests.current(now)
+    }
+
     /// Servers that leave or have left, for another process.
     pub fn departures(&self, now: Millis) -> Vec<Departure> {
         self.departures.recent(now)
@@ -338,6 +367,7 @@
 
     /// Removes servers whose entries were not renewed in time after an outage of the store. Returns their number.
     pub fn remove_expired(&mut self, now: Millis) -> usize {
+        self.rests.remove_ended(now);
         let is_overdue = |it: &KnownServer| {
             it.missing_since
                 .is_some_and(|since| now.since(since) >= EXPIRY_GRACE_MS)
@@ -363,6 +393,11 @@
         self.servers.iter().map(|(_, it)| &it.server)
     }
 
+    /// Current entry of a server.
+    pub fn server(&self, id: &str) -> Option<&Arc<BackendServer>> {
+        self.servers.get(id).map(|it| &it.server)
+    }
+
     /// Whether the current entry of a server describes the same process and accepts new requests.
     pub fn accepts_requests(&self, server: &BackendServer) -> bool {
         let known = self.servers.get(&server.id).map(|it| &it.server);
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -21,7 +21,9 @@
 use guava_fleet::model::StoreRevision;
 use guava_fleet::placement::{Order, OrderAges, OrderKind, OrderOutcome, Placement, QuietPeriods, Tier, Wait};
 use guava_fleet::quota::{Buckets, LOCAL_PART};
+use guava_fleet::statements::Statements;
 use guava_fleet::succession::WIDENING_MS;
+use guava_platform::headers::Unreadable;
 use guava_platform::store::{Object, Written};
 use guava_platform::{CallError, engine};
 use parking_lot::Mutex;
@@ -845,7 +847,13 @@
         };
         let at = now();
         let holder = &self.state.settings.vm;
-        let outcome = engine::send_order(&*self.state.clients.orders, &order, holder, term).await;
+        let server = self.state.server(&order.server);
+        let sink = |stated: &Statements, unreadable: &[Unreadable]| {
+            if let Some(server) = server.as_ref().filter(|it| it.address == order.address) {
+                self.state.record_statements("order", server, stated, unreadable);
+            }
+        };
+        let outcome = engine::send_order(&*self.state.clients.orders, &order, holder, term, &sink).await;
         let (event, label) = match outcome {
             OrderOutcome::Accepted => (Event::OrderSent, "accepted"),
             OrderOutcome::Done => (Event::OrderSent, "done"),
@@ -874,7 +882,10 @@
 
     async fn poll_engine(self: Arc<Self>, server: guava_fleet::model::BackendServer) {
         let _permit = self.poll_permits.acquire().await;
-        match engine::fetch_report(&*self.state.clients.reports, &server).await {
+        let sink = |stated: &Statements, unreadable: &[Unreadable]| {
+            self.state.record_statements("report", &server, stated, unreadable);
+        };
+        match engine::fetch_report(&*self.state.clients.reports, &server, &sink).await {
             Ok(report) => {
                 let changed = self.placement.lock().record_state(&server.id, &report, now());
                 if changed {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -14,7 +14,8 @@
 use guava_fleet::choice::{self, Candidate};
 use guava_fleet::model::{BackendServer, Route, RouteKind};
 use guava_fleet::routes::draw_service;
-use guava_platform::headers::{self, ServerHeaders};
+use guava_fleet::statements::Statements;
+use guava_platform::headers::{self, ServerHeaders, Unreadable};
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -541,10 +542,12 @@
             };
             let outgoing = self.outgoing(&selected.server, last_event_id);
             let at = now();
+            let stated = self.state.stated(&selected.server, at);
+            metrics::sent(stated);
             log_event!(
                 Event::RequestSent,
                 self.id(),
-                "server={} version={} route={} left_ms={} waited_ms={}",
+                "server={} version={} route={} left_ms={} waited_ms={} stated={stated}",
                 selected.server.id,
                 version_name(&selected.server),
                 self.resolved.route.name,
@@ -554,7 +557,12 @@
             self.may_have_run.push(selected.server.id.clone());
             self.inbound.may_have_run.store(true, Ordering::Relaxed);
             let head = {
-                let sending = pin!(connection.send(outgoing, &inbound.caller.attempt_id));
+                let (state, server) = (Arc::clone(&self.state), Arc::clone(&selected.server));
+                let attempt = inbound.caller.attempt_id.as_str();
+                let sink = move |stated: &Statements, unreadable: &[Unreadable]| {
+                    state.record_statements(attempt, &server, stated, unreadable);
+                };
+                let sending = pin!(connection.send(outgoing, attempt, &sink));
                 self.wait_for_head(&selected.server, sending).await?
             };
             match head {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -30,6 +30,7 @@
     loads: Counter<u64>,
     peer_bytes: Counter<u64>,
     origin_lookups: Counter<u64>,
+    sends: Counter<u64>,
 }
 
 /// Counts an event, whether or not its line is written to the log.
@@ -83,6 +84,13 @@
     }
 }
 
+/// Counts a request that is sent to a backend server, by what the server has stated that speaks against it.
+pub fn sent(stated: &'static str) {
+    if let Some(instruments) = INSTRUMENTS.get() {
+        instruments.sends.add(1, &[KeyValue::new("stated", stated)]);
+    }
+}
+
 /// Counts the bytes of a message between entry processes and of its answer.
 pub fn peer_bytes(message: &str, sent: usize, received: usize) {
     let Some(instruments) = INSTRUMENTS.get() else {
@@ -161,6 +169,11 @@
         "Records of streams that callers may take up",
         |it| it.streams.record_count(),
     );
+    gauge(
+        "guava_servers_resting",
+        "Backend servers that have asked this VM for a rest",
+        EntryState::resting_servers,
+    );
     gauge(
         "guava_log_lines_dropped",
         "Log lines dropped because their reader was slow",
@@ -184,6 +197,10 @@
             "guava_origin_lookups",
             "Look-ups of the origin of streams that callers take up",
         ),
+        sends: counter(
+            "guava_sends",
+            "Requests sent to backend servers, by what the server has stated against it",
+        ),
     });
     metrics
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -19,7 +19,9 @@
 use guava_fleet::placement::{Demand, EngineModels, Running, Wait};
 use guava_fleet::quota::Buckets;
 use guava_fleet::routes::ActiveConfig;
+use guava_fleet::statements::Statements;
 use guava_fleet::succession::{LiveVm, Succession};
+use guava_platform::headers::Unreadable;
 use guava_platform::settings::Settings;
 use guava_platform::store::{MAX_ERA, Store};
 use parking_lot::Mutex;
@@ -526,6 +528,11 @@
         self.view.lock().servers().map(Arc::clone).collect()
     }
 
+    /// Current entry of a server.
+    pub fn server(&self, id: &str) -> Option<Arc<BackendServer>> {
+        self.view.lock().server(id).map(Arc::clone)
+    }
+
     /// Whether a known server accepts requests and satisfies `f`; true while no servers are known yet.
     pub fn has_ready_server(&self, f: impl Fn(&BackendServer) -> bool) -> bool {
         let view = self.view.lock();
@@ -565,6 +572,58 @@
         }
     }
 
+    /// Records what a server states in an answer. `call` is the request's id, or the kind of call.
+    pub fn record_statements(
+        &self,
+        call: &str,
+        server: &BackendServer,
+        stated: &Statements,
+        unreadable: &[Unreadable],
+    ) {
+        let at = now();
+        for it in unreadable {
+            log_event!(
+                Event::StatementUnreadable,
+                call,
+                "server={} header={} value={}",
+                server.id,
+                it.header,
+                it.value
+            );
+        }
+        if stated.is_leaving && self.view.lock().record_leaving(server, at) {
+            log_event!(
+                Event::LeavingStated,
+                call,
+                "server={} born_ms={}",
+                server.id,
+                server.born_ms
+            );
+        }
+        if let Some(rest_ms) = stated.rest_ms
+            && self.view.lock().record_rest(server, rest_ms, at)
+        {
+            log_event!(Event::RestStated, call, "server={} rest_ms={rest_ms}", server.id);
+        }
+    }
+
+    /// What a server has stated that speaks against sending it a request now: `leaving`, `rest` or `-`.
+    pub fn stated(&self, server: &BackendServer, now: Millis) -> &'static str {
+        let view = self.view.lock();
+        if view.has_stated_leaving(server, now) {
+            "leaving"
+        } else if view.rest_ms(server, now).is_some() {
+            "rest"
+        } else {
+            "-"
+        }
+    }
+
+    /// Number of servers that have asked this VM for a rest that has not ended.
+    pub fn resting_servers(&self) -> u64 {
+        self.view.lock().rests(now()).len() as u64
+    }
+
     /// Applies the coordinator's counts of running requests of all VMs by server.
     pub fn apply_loads(&self, loads: Vec<(String, u32)>) {
         let own = self.running_by_server();
--- a/crates/fleet/src/departures.rs
+++ b/crates/fleet/src/departures.rs
@@ -36,6 +36,8 @@
         pub revision: StoreRevision,
         /// Milliseconds since it became known.
         pub age_ms: u64,
+        /// Whether the server has stated it in an answer.
+        pub is_stated: bool,
     }
 }
 
@@ -45,6 +47,24 @@
     writes: u64,
     revision: StoreRevision,
     at: Millis,
+    is_stated: bool,
+}
+
+impl Known {
+    fn new(server: &BackendServer, revision: StoreRevision, at: Millis, is_stated: bool) -> Self {
+        Self {
+            born_ms: server.born_ms,
+            writes: server.writes,
+            revision,
+            at,
+            is_stated,
+        }
+    }
+
+    /// Whether the server stated in the life that an entry describes that it leaves.
+    fn is_stated_for(&self, server: &BackendServer, now: Millis) -> bool {
+        self.is_stated && self.born_ms == server.born_ms && now.since(self.at) < KEPT_MS
+    }
 }
 
 /// Departures that one VM knows.
@@ -56,13 +76,18 @@
 impl Departures {
     /// Records that a server leaves or has left, by a view of the given revision.
     pub fn record(&mut self, server: &BackendServer, revision: StoreRevision, now: Millis) {
-        let known = Known {
-            born_ms: server.born_ms,
-            writes: server.writes,
-            revision,
-            at: now,
-        };
-        self.put(&server.id, known, now);
+        self.put(&server.id, Known::new(server, revision, now, false), now);
+    }
+
+    /// Records that a server has stated in an answer that it leaves. Returns whether that was unknown.
+    pub fn record_stated(&mut self, server: &BackendServer, revision: StoreRevision, now: Millis) -> bool {
+        self.put(&server.id, Known::new(server, revision, now, true), now)
+    }
+
+    /// Whether a server has stated in an answer that it leaves. A server that starts anew may stay.
+    pub fn is_stated(&self, server: &BackendServer, now: Millis) -> bool {
+        let known = self.by_server.get(&server.id);
+        known.is_some_and(|it| it.is_stated_for(server, now))
     }
 
     /// Merges what another VM tells; returns the servers whose departure was unknown. Malformed and expired departures
@@ -77,6 +102,7 @@
                 writes: it.writes,
                 revision: it.revision,
                 at: now - it.age_ms,
+                is_stated: it.is_stated,
             };
             if self.put(&it.server, known, now) {
                 learnt.push(it.server);
@@ -110,6 +136,7 @@
             writes: it.writes,
             revision: it.revision,
             age_ms: now.since(it.at),
+            is_stated: it.is_stated,
         });
         recent.collect()
     }
@@ -118,8 +145,14 @@
     fn put(&mut self, server: &str, known: Known, now: Millis) -> bool {
         let order = |it: &Known| (it.born_ms, it.writes);
         if let Some(earlier) = self.by_server.get_mut(server) {
-            if order(&known) > order(earlier) {
-                *earlier = known;
+            let was_stated = earlier.is_stated && earlier.born_ms == known.born_ms;
+            let is_news = known.is_stated && !was_stated && known.born_ms >= earlier.born_ms;
+            if order(&known) > order(earlier) || is_news {
+                *earlier = Known {
+                    writes: known.writes.max(if was_stated { earlier.writes } else { 0 }),
+                    is_stated: known.is_stated || was_stated,
+                    ..known
+                };
                 return true;
             }
             earlier.revision = earlier.revision.max(known.revision);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod placement;
 pub mod quota;
 pub mod routes;
+pub mod statements;
 pub mod streams;
 pub mod succession;
--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -65,6 +65,7 @@
         writes: 1,
         revision: DEPARTED_AT,
         age_ms: if index == 1 { u64::MAX } else { 0 },
+        is_stated: false,
     });
 
     let learnt = departures.merge(told.collect(), START);
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -11,7 +11,7 @@
 use guava_fleet::crashes::{CrashFindings, Proof, Verdict};
 use guava_platform_standin::caller::{Call, send, send_and_disconnect};
 use guava_platform_standin::raw::{request_text, taken_up_lines};
-use guava_platform_standin::server::ServerFaults;
+use guava_platform_standin::server::{ServerFaults, Stated};
 use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH, configuration};
 use guava_platform_standin::store::StoreFaults;
 use guava_soak::fleet::{Backend, ENGINE_COUNT, Fleet, MODEL_COUNT, RATE, VM_COUNT};
@@ -25,7 +25,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 47] = [
+const EVENTS: [(&str, &str, &[&str]); 50] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -40,7 +40,7 @@
     (
         "E1004",
         "RequestSent",
-        &["server", "version", "route", "left_ms", "waited_ms"],
+        &["server", "version", "route", "left_ms", "waited_ms", "stated"],
     ),
     ("E1005", "RequestRetried", &["server", "why"]),
     ("E1006", "RequestFinished", &["server", "after_ms"]),
@@ -101,6 +101,9 @@
         "OriginUnknown",
         &["attempt", "why", "table_era", "era", "revision", "versions", "age_ms"],
     ),
+    ("E2023", "LeavingStated", &["server", "born_ms"]),
+    ("E2024", "RestStated", &["server", "rest_ms"]),
+    ("E2025", "StatementUnreadable", &["server", "header", "value"]),
     ("E4001", "ProcessStarted", &["incarnation", "zone"]),
     ("E4002", "ProcessReady", &["config_version", "servers", "source_age_ms"]),
     ("E4003", "ShutdownStarted", &["connections"]),
@@ -264,6 +267,7 @@
     }
     set_server_faults(&fleet.backends[..ENGINE_COUNT], ServerFaults::default());
     wait_for_event(dir, "E2014").await;
+    trigger_statements(fleet, dir).await;
     let plain_server = fleet.backends[ENGINE_COUNT]
         .server
         .take()
@@ -278,6 +282,29 @@
     wait_for_event(dir, "E2012").await;
 }
 
+/// Makes the plain servers send a header that cannot be read, ask for a rest and say that they leave.
+async fn trigger_statements(fleet: &Fleet, dir: &Path) {
+    let address = fleet.processes[0].vm.callers;
+    let stated = [
+        (Some("perhaps"), None, "E2025"),
+        (None, Some("0.2"), "E2024"),
+        (Some("1"), None, "E2023"),
+    ];
+    for (leaving, rest, event) in stated {
+        for backend in &fleet.backends[ENGINE_COUNT..] {
+            backend.server.as_ref().expect("the server is running").state(Stated {
+                leaving: leaving.map(str::to_owned),
+                rest: rest.map(str::to_owned),
+            });
+        }
+        let started = Instant::now();
+        while !is_logged(dir, event) && started.elapsed() < LINE_TIMEOUT {
+            send(address, call(&format!("stated-{event}"), BOOKING_PATH)).await;
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
 /// Provides valid and invalid settings, configurations and peer messages, and sends a burst of refused requests.
 async fn trigger_input_events(fleet: &Fleet, dir: &Path) {
     let process = &fleet.processes[0];
