Leave a server alone from its first answer that says it leaves

What callers saw: requests, retries and streams taken up went to a server that had told the VM in an answer that it leaves, for as long as the store's notice took, and broke off when it ended (DRAIN).

Cause: only the store could take a server out. Its notice comes after the server's own, or never to a VM that the store turns away, and each later view shows the entry as ready, with the same start and count of writes.

Change: a statement is a departure that holds for the life of the server, whatever a view says, until the server starts anew; it expires 120 s after the server is listed no more. The view shows the server as draining, so choice, the check before the first byte, streams taken up, replacements, placement and the feed follow. It is pushed to other processes at once and spread by gossip.

--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -267,8 +267,10 @@
     }
 
     /// Applies a change that the store reports of a server's entry. Returns whether followers need the change.
-    pub fn put_server(&mut self, server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
-        if server.state == ServerState::Ready {
+    pub fn put_server(&mut self, mut server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
+        if self.departures.is_stated(&server, now) {
+            server.state = ServerState::Draining;
+        } else if server.state == ServerState::Ready {
             self.departures.forget(&server.id);
         }
         self.advance_to(revision);
@@ -321,22 +323,32 @@
     pub fn put_departures(&mut self, told: Vec<Departure>, now: Millis) -> bool {
         let learnt = self.departures.merge(told, now);
         let mut is_change = false;
-        for id in learnt {
-            let Some(known) = self.servers.get(&id).map(|it| Arc::clone(&it.server)) else {
-                continue;
-            };
-            if known.state == ServerState::Ready && self.departures.covers(&known, self.servers_revision, now) {
-                let mut leaving = (*known).clone();
-                leaving.state = ServerState::Draining;
-                is_change |= self.insert_server(leaving, self.servers_revision, now);
-            }
+        for id in &learnt {
+            is_change |= self.apply_departure(id, now);
         }
         is_change
     }
 
+    /// Marks a server as leaving if its entry is older than its departure. Returns whether followers need the change.
+    fn apply_departure(&mut self, id: &str, now: Millis) -> bool {
+        let Some(known) = self.servers.get(id).map(|it| Arc::clone(&it.server)) else {
+            return false;
+        };
+        if known.state != ServerState::Ready || !self.departures.covers(&known, self.servers_revision, now) {
+            return false;
+        }
+        let mut leaving = (*known).clone();
+        leaving.state = ServerState::Draining;
+        self.insert_server(leaving, self.servers_revision, now)
+    }
+
     /// Records that a server states in an answer that it leaves. Returns whether that was unknown.
     pub fn record_leaving(&mut self, server: &BackendServer, now: Millis) -> bool {
-        self.departures.record_stated(server, self.servers_revision, now)
+        let is_news = self.departures.record_stated(server, self.servers_revision, now);
+        if is_news {
+            self.apply_departure(&server.id, now);
+        }
+        is_news
     }
 
     /// Whether a server has stated in an answer that it leaves.
@@ -368,6 +380,9 @@
     /// Removes servers whose entries were not renewed in time after an outage of the store. Returns their number.
     pub fn remove_expired(&mut self, now: Millis) -> usize {
         self.rests.remove_ended(now);
+        for (_, known) in self.servers.iter() {
+            self.departures.renew(&known.server, now);
+        }
         let is_overdue = |it: &KnownServer| {
             it.missing_since
                 .is_some_and(|since| now.since(since) >= EXPIRY_GRACE_MS)
--- a/crates/entry/src/findings.rs
+++ b/crates/entry/src/findings.rs
@@ -29,12 +29,6 @@
 const VERDICTS_NAME: &str = "prompts";
 /// Time in which news is batched before it is pushed.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
-/// Processes to which news is pushed. With four, 98 in 100 processes of a large fleet receive it by pushes.
-const FAN_OUT: usize = 4;
-/// In fleets with no more other processes than this, news is pushed to all.
-const SMALL_FLEET: usize = 8;
-/// Timeout of a push.
-const PUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval at which conclusions are drawn from what other VMs sent, and the store's copy is compared.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval, in milliseconds, at which the store's copy is renewed, so that verdicts in use do not look idle there.
@@ -124,19 +118,11 @@
         state.findings.has_news.notified().await;
         sleep(BATCH_DELAY).await;
         let at = now();
-        let news = Arc::new(state.findings.crashes.lock().take_news(at));
+        let news = state.findings.crashes.lock().take_news(at);
         if news.is_empty() {
             continue;
         }
-        for address in state.random_peers(FAN_OUT, SMALL_FLEET, at) {
-            let (state, news) = (Arc::clone(&state), Arc::clone(&news));
-            tokio::spawn(async move {
-                let pushed = peers::call::<_, bool>(&state, address, "findings", &*news, PUSH_TIMEOUT).await;
-                if let Err(e) = pushed {
-                    log::debug!("push of findings to {address} failed: {e}");
-                }
-            });
-        }
+        peers::push(&state, "findings", news);
     }
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -59,6 +59,15 @@
 /// Interval between reports to the coordinator in a small fleet; also the growth per step.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Processes to which news is pushed. With four, 98 in 100 processes of a large fleet receive it by pushes.
+const FAN_OUT: usize = 4;
+/// In fleets with no more other processes than this, news is pushed to all.
+const SMALL_FLEET: usize = 8;
+/// Timeout of a push.
+const PUSH_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which departures are batched before they are pushed.
+const BATCH_DELAY: Duration = Duration::from_millis(20);
+
 derive_value! {
     /// State that one process sends another.
     pub struct Exchange {
@@ -195,6 +204,34 @@
     postcard::from_bytes(answer.body()).map_err(|e| CallError::Malformed(e.to_string()))
 }
 
+/// Sends a message to a few live processes, in a small fleet to all, without waiting for their answers. They pass on what
+/// is new to them.
+pub fn push<M: Serialize + Send + Sync + 'static>(state: &Arc<EntryState>, name: &'static str, message: M) {
+    let message = Arc::new(message);
+    for address in state.random_peers(FAN_OUT, SMALL_FLEET, now()) {
+        let (state, message) = (Arc::clone(state), Arc::clone(&message));
+        tokio::spawn(async move {
+            let pushed = call::<_, bool>(&state, address, name, &*message, PUSH_TIMEOUT).await;
+            if let Err(e) = pushed {
+                log::debug!("push of {name} to {address} failed: {e}");
+            }
+        });
+    }
+}
+
+/// Pushes what servers have stated of their departure for as long as the process runs.
+pub async fn push_departures(state: Arc<EntryState>) {
+    loop {
+        state.departures_learnt.notified().await;
+        sleep(BATCH_DELAY).await;
+        let mut departures = state.departures(now());
+        departures.retain(|it| it.is_stated);
+        if !departures.is_empty() {
+            push(&state, "departures", departures);
+        }
+    }
+}
+
 /// Answers a message; `None` if its name is unknown or its body cannot be decoded.
 pub async fn answer(
     state: &Arc<EntryState>,
@@ -212,6 +249,10 @@
             state.apply_findings(decode(body)?);
             encode(&true)
         }
+        "departures" => {
+            state.apply_departures(decode(body)?, now());
+            encode(&true)
+        }
         "begun" => encode(&state.streams.merge(&decode::<Vec<RecordGroup>>(body)?)),
         "versions" => encode(&state.streams.confirmed()),
         "origin" => encode(&state.streams.answer_origin(&decode(body)?)),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -188,6 +188,8 @@
     pub streams: Streams,
     /// Notified when the coordinator should receive a report at once.
     pub demand_changed: Notify,
+    /// Notified when a departure of a server has become known that was not in the store.
+    pub departures_learnt: Notify,
     /// Notified when the list of members has been read from the store.
     pub members_listed: Notify,
     budgets: Mutex<HashMap<String, RetryBudget>>,
@@ -219,6 +221,7 @@
             findings: Findings::default(),
             streams: Streams::default(),
             demand_changed: Notify::new(),
+            departures_learnt: Notify::new(),
             members_listed: Notify::new(),
             budgets: Mutex::default(),
             view: Mutex::default(),
@@ -568,6 +571,7 @@
     /// Applies departures of servers that another process tells.
     pub fn apply_departures(&self, told: Vec<Departure>, now: Millis) {
         if self.view.lock().put_departures(told, now) {
+            self.departures_learnt.notify_one();
             self.signal_change();
         }
     }
@@ -599,6 +603,8 @@
                 server.id,
                 server.born_ms
             );
+            self.departures_learnt.notify_one();
+            self.signal_change();
         }
         if let Some(rest_ms) = stated.rest_ms
             && self.view.lock().record_rest(server, rest_ms, at)
--- /dev/null
+++ b/crates/entry/tests/statements.rs
@@ -0,0 +1,166 @@
+//! Tests of what backend servers state in their answers, against the entry process with scripted servers.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use guava_entry::state::{EntryState, now};
+use guava_fleet::model::{ServerState, StoreRevision};
+use guava_fleet::statements::Statements;
+use guava_platform_standin::raw::{LEAVING_LINE, taken_up_lines};
+use guava_platform_standin::settings::{LOOKUP_PATH, STREAM_PATH};
+use rstest::rstest;
+use support::{
+    Entry, FakePeers, ScriptedServer, add_peers, answer_head, call, call_with_lines, chunk, event, list_servers,
+    put_server, start_entry, start_server, write,
+};
+use tokio::time::sleep;
+
+/// Server that answers each request wholly, with further header lines.
+async fn server(id: &str, is_engine: bool, lines: &'static str) -> ScriptedServer {
+    start_server(id, is_engine, move |mut stream, attempt| async move {
+        if is_engine {
+            let head = answer_head(&attempt, &format!("{lines}transfer-encoding: chunked\r\n"));
+            write(&mut stream, &format!("{head}{}0\r\n\r\n", chunk(&event(1)))).await;
+        } else {
+            let answer = answer_head(&attempt, &format!("{lines}content-length: 6\r\n")) + "served";
+            write(&mut stream, &answer).await;
+        }
+    })
+    .await
+}
+
+fn received(server: &ScriptedServer) -> usize {
+    server.received.lock().len()
+}
+
+async fn call_all(entry: &Entry, name: &str, count: usize, path: &str) -> Vec<String> {
+    let calls = (0..count).map(|index| {
+        let (address, name, path) = (entry.address, format!("{name}-{index}"), path.to_owned());
+        tokio::spawn(async move { call(address, &name, &path).await.0 })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut answers = Vec::new();
+    for call in calls {
+        answers.push(call.await.expect("the caller's task ends"));
+    }
+    answers
+}
+
+fn is_served(answer: &str) -> bool {
+    answer.starts_with("HTTP/1.1 200")
+}
+
+/// Tells the process of a new write of a server's entry, which is ready as before.
+fn write_entry(state: &EntryState, server: &ScriptedServer, born_ms: u64, number: u64) {
+    let mut entry = server.entry.clone();
+    (entry.born_ms, entry.writes) = (born_ms, number);
+    state.apply_server(&server.entry.id, Some(entry), StoreRevision { era: 1, number }, now());
+}
+
+/// Guards against requests to a server that has said in an answer that it leaves, while the store lists it as ready.
+#[rstest]
+#[tokio::test]
+async fn leaving_server_gets_no_more_requests(
+    #[values((STREAM_PATH, true), (LOOKUP_PATH, false))] (path, is_engine): (&str, bool),
+    #[values(false, true)] is_listed_again: bool,
+) {
+    let entry = start_entry(Arc::default()).await;
+    let leaving = server("leaving", is_engine, LEAVING_LINE).await;
+    let other = server("other", is_engine, "").await;
+    list_servers(&entry.state, &[&leaving]);
+    assert!(is_served(&call(entry.address, "first", path).await.0));
+    put_server(&entry.state, other.entry.clone(), 2);
+    if is_listed_again {
+        write_entry(&entry.state, &leaving, 1, 9);
+    }
+
+    let answers = call_all(&entry, "later", 8, path).await;
+
+    assert!(answers.iter().all(|it| is_served(it)), "{answers:?}");
+    assert_eq!((received(&leaving), received(&other)), (1, 8));
+}
+
+/// Guards against a server that is left alone for good although it has started anew under its id.
+#[tokio::test]
+async fn server_that_starts_anew_gets_requests_again() {
+    let entry = start_entry(Arc::default()).await;
+    let leaving = server("leaving", false, LEAVING_LINE).await;
+    list_servers(&entry.state, &[&leaving]);
+    call(entry.address, "first", LOOKUP_PATH).await;
+    let refused = call(entry.address, "refused", LOOKUP_PATH).await.0;
+
+    write_entry(&entry.state, &leaving, 2, 9);
+    let served = call(entry.address, "served", LOOKUP_PATH).await.0;
+
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    assert!(is_served(&served), "{served}");
+}
+
+/// Guards against requests that were chosen for a server before its statement, and are sent after it: they wait for
+/// their turn at the engine.
+#[tokio::test]
+async fn paced_request_looks_again_after_a_statement() {
+    let peers = FakePeers {
+        wait_ms: 400,
+        ..FakePeers::default()
+    };
+    let entry = start_entry(Arc::new(peers)).await;
+    add_peers(&entry.state);
+    let leaving = server("leaving", true, LEAVING_LINE).await;
+    let other = server("other", true, "").await;
+    list_servers(&entry.state, &[&leaving]);
+
+    let paced = call(entry.address, "paced", STREAM_PATH);
+    let stating = async {
+        sleep(Duration::from_millis(150)).await;
+        put_server(&entry.state, other.entry.clone(), 2);
+        let stated = Statements {
+            is_leaving: true,
+            rest_ms: None,
+        };
+        entry.state.record_statements("test", &leaving.entry, &stated, &[]);
+    };
+    let ((answer, _), ()) = tokio::join!(paced, stating);
+
+    assert!(is_served(&answer), "{answer}");
+    assert_eq!((received(&leaving), received(&other)), (0, 1));
+}
+
+/// Guards against a stream that goes on, or is taken up, at a server that has said that it leaves.
+#[tokio::test]
+async fn stream_is_not_taken_up_at_a_leaving_server() {
+    let entry = start_entry(Arc::default()).await;
+    let leaving = server("leaving", true, LEAVING_LINE).await;
+    let other = server("other", true, "").await;
+    list_servers(&entry.state, &[&leaving]);
+    call(entry.address, "begun", STREAM_PATH).await;
+    put_server(&entry.state, other.entry.clone(), 2);
+
+    let lines = taken_up_lines("begun", 1);
+    let answer = call_with_lines(entry.address, "taken-up", STREAM_PATH, &lines).await.0;
+
+    assert!(is_served(&answer), "{answer}");
+    assert_eq!((received(&leaving), received(&other)), (1, 1));
+}
+
+/// Guards against VMs that learn only from the store, or from an answer of their own, that a server leaves.
+#[tokio::test]
+async fn statement_binds_vms_that_are_told() {
+    let (entry, told) = (start_entry(Arc::default()).await, start_entry(Arc::default()).await);
+    let leaving = server("leaving", false, LEAVING_LINE).await;
+    let other = server("other", false, "").await;
+    list_servers(&entry.state, &[&leaving]);
+    list_servers(&told.state, &[&leaving, &other]);
+    call(entry.address, "first", LOOKUP_PATH).await;
+
+    told.state.apply_departures(entry.state.departures(now()), now());
+    write_entry(&told.state, &leaving, 1, 9);
+    call_all(&told, "later", 8, LOOKUP_PATH).await;
+
+    assert_eq!((received(&leaving), received(&other)), (1, 8));
+    let states = told.state.servers();
+    let leaving = states.iter().find(|it| it.id == "leaving").expect("listed");
+    assert_eq!(leaving.state, ServerState::Draining, "placement counts it as leaving");
+}
--- a/crates/fleet/src/departures.rs
+++ b/crates/fleet/src/departures.rs
@@ -4,6 +4,9 @@
 //! left since the copy was made, and so does a process that has read nothing else. What the server itself has written
 //! tells which entry is older: its start time, and its count of writes. Departures are spread to all VMs, so that one
 //! that was cut off or has just started does not use such a server either.
+//!
+//! A server that states in an answer that it leaves is ahead of the store, whose entry of it stays ready for a while, with
+//! the same start and the same count. Such a departure holds until the server starts anew.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -116,8 +119,21 @@
         self.by_server.remove(server);
     }
 
-    /// Whether an entry of a server, in a view of the given revision, is older than its departure.
+    /// Keeps what a listed server has stated for as long as it is listed with the same start. An entry without a start may
+    /// be of a server that has started anew, so it takes another answer.
+    pub fn renew(&mut self, server: &BackendServer, now: Millis) {
+        let known = self.by_server.get_mut(&server.id);
+        if let Some(known) = known.filter(|it| server.born_ms > 0 && it.is_stated_for(server, now)) {
+            known.at = now;
+        }
+    }
+
+    /// Whether an entry of a server, in a view of the given revision, is older than its departure. What the server has
+    /// stated itself comes before the store's notice and holds in any view.
     pub fn covers(&self, server: &BackendServer, revision: StoreRevision, now: Millis) -> bool {
+        if self.is_stated(server, now) {
+            return true;
+        }
         let known = self.by_server.get(&server.id);
         known.filter(|it| now.since(it.at) < KEPT_MS).is_some_and(|known| {
             let is_later_view = revision.era == known.revision.era && revision > known.revision;
@@ -162,7 +178,7 @@
             self.by_server.retain(|_, it| now.since(it.at) < KEPT_MS);
         }
         if self.by_server.len() >= MAX_KEPT {
-            let oldest = self.by_server.iter().min_by_key(|(_, it)| it.at);
+            let oldest = self.by_server.iter().min_by_key(|(_, it)| (it.is_stated, it.at));
             if let Some(oldest) = oldest.map(|(server, _)| server.clone()) {
                 self.by_server.remove(&oldest);
             }
--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -74,3 +74,48 @@
     assert_eq!(departures.recent(START).len(), 32);
     assert!(departures.recent(START + 120_000).is_empty());
 }
+
+/// Guards against a server that has said that it leaves and counts as ready in a later view, and against one that is left
+/// alone for good.
+#[rstest]
+#[case::later_view(5, 3, 101, 0, true)]
+#[case::later_entry(5, 9, 200, 0, true)]
+#[case::new_start(6, 1, 101, 0, false)]
+#[case::while_listed(5, 9, 200, 600_000, true)]
+#[case::entry_without_a_start(0, 9, 200, 0, true)]
+#[case::entry_without_a_start_long_after(0, 9, 200, 600_000, false)]
+fn stated_departure_holds_for_the_life_of_the_server(
+    #[case] born_ms: u64,
+    #[case] writes: u64,
+    #[case] number: u64,
+    #[case] after_ms: u64,
+    #[case] expected: bool,
+) {
+    let mut departures = Departures::default();
+    let stated = server(if born_ms == 0 { 0 } else { 5 }, 3);
+    departures.record_stated(&stated, DEPARTED_AT, START);
+    let listed = server(born_ms, writes);
+    for passed_ms in (0..after_ms).step_by(60_000) {
+        departures.renew(&stated, START + passed_ms);
+    }
+
+    let covers = departures.covers(&listed, StoreRevision { era: 1, number }, START + after_ms);
+
+    assert_eq!(covers, expected);
+}
+
+/// Guards against a statement that the store's later notice of the same departure takes back.
+#[test]
+fn notice_of_the_store_does_not_weaken_a_statement() {
+    let mut departures = Departures::default();
+    departures.record_stated(&server(5, 3), DEPARTED_AT, START);
+    let leaving = BackendServer {
+        state: ServerState::Draining,
+        ..server(5, 4)
+    };
+
+    departures.record(&leaving, DEPARTED_AT, START);
+
+    assert!(departures.is_stated(&server(5, 9), START));
+    assert!(departures.recent(START)[0].is_stated, "other VMs are told");
+}
