Send nothing to a server in the rest that it has asked this VM for

What callers saw: a server that turned requests away and named a time got their repeats and new requests all the same, up to six from one request, so it stayed overloaded; callers waited, or were refused with a time that had nothing to do with the server (BUDGET).

Cause: the time was read nowhere. A refusal carried the fact only, and the request was sent again after 40 ms, to the same server too.

Change: a rest binds this VM until it ends or the server starts anew, on all ways: choice, the check before the first byte, replacements of silent servers, polls and orders of the coordinator. When all servers rest or leave, callers are refused at once (G1207, E1018) with the time until the first rest ends; a rest that ends within the objective is waited for. Refused requests count as demand, VMs report longer rests, and a model whose engines rest for most VMs that wait for it is loaded at another.

--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -45,6 +45,15 @@
     }
 }
 
+/// Why no server of a service takes a request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Obstacle {
+    /// All leave.
+    Leaving,
+    /// All that could take it have asked this VM for a rest; the first one ends after so many milliseconds.
+    Resting(u64),
+}
+
 /// View of the deployment; [`crate::state::EntryState`] holds it behind a lock.
 #[derive(Debug, Default)]
 pub struct ClusterView {
@@ -424,6 +433,51 @@
         })
     }
 
+    /// Whether a server accepts requests and wants some of this VM now.
+    pub fn takes_requests(&self, server: &BackendServer, now: Millis) -> bool {
+        self.rests.left_ms(server, now).is_none() && self.accepts_requests(server)
+    }
+
+    /// Servers of a service that take requests now. `model` is the model and its adapter; `None` for a plain service.
+    pub fn available(
+        &self,
+        service: &str,
+        model: Option<(&str, Option<&str>)>,
+        now: Millis,
+    ) -> impl Iterator<Item = &Arc<BackendServer>> {
+        let ready = self.ready(service);
+        ready.filter(move |it| self.serves(it, model, now) && self.rests.left_ms(it, now).is_none())
+    }
+
+    /// Why no server of a service that satisfies `may_use` takes a request now; `None` if one does, or if it is not known
+    /// that none will.
+    pub fn obstacle(
+        &self,
+        service: &str,
+        model: Option<(&str, Option<&str>)>,
+        may_use: impl Fn(&BackendServer) -> bool,
+        now: Millis,
+    ) -> Option<Obstacle> {
+        if !self.ready(service).any(|it| may_use(it)) {
+            let mut listed = self.servers().filter(|it| it.service == service);
+            return listed.any(|it| may_use(it)).then_some(Obstacle::Leaving);
+        }
+        let holders = self
+            .ready(service)
+            .filter(|it| may_use(it) && self.serves(it, model, now));
+        let rests: Option<Vec<u64>> = holders.map(|it| self.rests.left_ms(it, now)).collect();
+        rests?.into_iter().min().map(Obstacle::Resting)
+    }
+
+    fn ready(&self, service: &str) -> impl Iterator<Item = &Arc<BackendServer>> {
+        self.servers()
+            .filter(move |it| it.service == service && it.state == ServerState::Ready)
+    }
+
+    fn serves(&self, server: &BackendServer, model: Option<(&str, Option<&str>)>, now: Millis) -> bool {
+        model.is_none_or(|(name, adapter)| self.holds(server, name, adapter, now))
+    }
+
     /// Counter that grows with each server entry that is received or removed.
     pub fn server_updates(&self) -> u64 {
         self.server_updates
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -257,6 +257,7 @@
         let requested_models: HashSet<String> = report.demand.iter().map(|it| it.model.clone()).collect();
         let mut placement = self.placement.lock();
         placement.record_report(&report.vm, report.demand, report.running, report.next_ms, at);
+        placement.record_rests(&report.vm, report.rests, at);
         let is_large = self.vms.lock().len() > LARGE_FLEET_VMS;
         let mut shared_answer = self.shared_answer.lock();
         if !is_large || at.since(shared_answer.at) >= SHARED_ANSWER_INTERVAL_MS {
@@ -810,6 +811,7 @@
         let (polls, orders) = {
             let mut placement = self.placement.lock();
             self.update_inputs(&mut placement, at);
+            placement.set_rests(&self.state.rests(at), at);
             let orders = placement.next_orders(at);
             (placement.polls(self.poll_permits.available_permits(), at), orders)
         };
@@ -840,18 +842,21 @@
     }
 
     async fn send_order(self: Arc<Self>, order: Order) {
-        let Some(term) = self.term() else {
+        // The order was decided a moment ago; meanwhile the server may have stated that it leaves or wants a rest.
+        let server = self
+            .state
+            .server(&order.server)
+            .filter(|it| it.address == order.address);
+        let server = server.filter(|it| self.state.takes_requests(it, now()));
+        let (Some(term), Some(server)) = (self.term(), server) else {
             let mut placement = self.placement.lock();
             placement.record_outcome(&order, OrderOutcome::Conflict, now());
             return;
         };
         let at = now();
         let holder = &self.state.settings.vm;
-        let server = self.state.server(&order.server);
         let sink = |stated: &Statements, unreadable: &[Unreadable]| {
-            if let Some(server) = server.as_ref().filter(|it| it.address == order.address) {
-                self.state.record_statements("order", server, stated, unreadable);
-            }
+            self.state.record_statements("order", &server, stated, unreadable);
         };
         let outcome = engine::send_order(&*self.state.clients.orders, &order, holder, term, &sink).await;
         let (event, label) = match outcome {
@@ -882,6 +887,9 @@
 
     async fn poll_engine(self: Arc<Self>, server: guava_fleet::model::BackendServer) {
         let _permit = self.poll_permits.acquire().await;
+        if !self.state.takes_requests(&server, now()) {
+            return;
+        }
         let sink = |stated: &Statements, unreadable: &[Unreadable]| {
             self.state.record_statements("report", &server, stated, unreadable);
         };
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -22,6 +22,7 @@
 
 use crate::attempt::{AttemptError, IncomingAnswer, OpenConnection, OutgoingRequest};
 use crate::breakage::{self, BrokenAttempt};
+use crate::cluster_view::Obstacle;
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{self, PaceRequest};
@@ -247,6 +248,53 @@
         }
     }
 
+    /// Whether the request may be sent to a server now.
+    fn may_send_to(&self, server: &BackendServer) -> bool {
+        self.may_use(server) && self.state.takes_requests(server, now())
+    }
+
+    /// Fails if it is known that no server takes the request soon enough, because all leave or rest.
+    fn check_obstacle(&self) -> Result<(), Failure> {
+        let at = now();
+        let caller = &self.inbound.caller;
+        let is_untried = |it: &BackendServer| self.may_use(it) && !self.may_have_run.contains(&it.id);
+        let Some(obstacle) = self.state.obstacle(&self.service, self.wanted(), is_untried, at) else {
+            return Ok(());
+        };
+        let retry_after = match obstacle {
+            Obstacle::Leaving => DEFAULT_RETRY_AFTER,
+            Obstacle::Resting(left_ms) => {
+                let is_in_time = at + left_ms < self.waits_since + self.resolved.route.objective_ms;
+                let is_loaded_before = self.model_wait(at).is_some_and(|it| it > 0 && it < left_ms);
+                if is_in_time || is_loaded_before {
+                    return Ok(());
+                }
+                if let Some(model) = &caller.model {
+                    let adapter = caller.adapter.as_deref();
+                    self.state
+                        .record_refused(&self.service, model, adapter, self.bound_version());
+                }
+                Duration::from_millis(left_ms)
+            }
+        };
+        log_event!(
+            Event::NoServerTakes,
+            self.id(),
+            "service={} model={} obstacle={obstacle:?}",
+            self.service,
+            self.model()
+        );
+        Err(Failure::not_run(Code::NoCapacity).retry_after(retry_after))
+    }
+
+    /// Model and adapter that an engine must hold for the request; `None` for a plain service.
+    fn wanted(&self) -> Option<(&str, Option<&str>)> {
+        let service = self.resolved.in_force.config.services.get(&self.service)?;
+        service.engine.as_ref()?;
+        let caller = &self.inbound.caller;
+        Some((caller.model.as_deref()?, caller.adapter.as_deref()))
+    }
+
     /// Fails if no server is left at which the stream may go on. A server that has been tried is none: the caller, who
     /// gets an end of the answer, takes the stream up there at once.
     fn check_binding(&self) -> Result<(), Failure> {
@@ -427,8 +475,8 @@
                 return Err("no connection to another server");
             }
         };
-        if !self.may_use(&selected.server) || !self.state.accepts_requests(&selected.server) {
-            return Err("the other server leaves");
+        if !self.may_send_to(&selected.server) {
+            return Err("the other server leaves or rests");
         }
         // Pacing and connecting take time, in which the route or the key may change.
         self.resolved = self.check_replacement(silent)?;
@@ -532,8 +580,9 @@
     ) -> Result<(SelectedServer, IncomingAnswer), Failure> {
         let inbound = Arc::clone(&self.inbound);
         loop {
-            // An event of the silent server may have bound the stream since the replacement was selected.
-            let next = match replacement.take().filter(|it| self.may_use(&it.selected.server)) {
+            // Since the replacement was selected, an event of the silent server may have bound the stream, and the
+            // replacement may have stated that it leaves or wants a rest.
+            let next = match replacement.take().filter(|it| self.may_send_to(&it.selected.server)) {
                 Some(next) => Some(next),
                 None => self.connect_next().await?,
             };
@@ -595,7 +644,7 @@
             return Err(stopping());
         }
         let has_service_changed = selected.server.service != self.service;
-        let is_usable = self.may_use(&selected.server) && self.state.accepts_requests(&selected.server);
+        let is_usable = self.may_send_to(&selected.server);
         if has_service_changed || !is_usable {
             log_event!(
                 Event::RequestRetried,
@@ -687,7 +736,9 @@
                 let may_have_run = !self.may_have_run.is_empty();
                 self.inbound.may_have_run.store(may_have_run, Ordering::Relaxed);
                 self.refusals += 1;
-                if let Some(model) = &self.inbound.caller.model {
+                if !self.state.takes_requests(&selected, at) {
+                    self.check_obstacle()?;
+                } else if let Some(model) = &self.inbound.caller.model {
                     self.state.record_missing_model(server, model, at);
                 }
                 let has_budget = self.state.try_take_retry(&self.service, at);
@@ -737,6 +788,7 @@
                 return Ok(selected);
             }
             self.check_binding()?;
+            self.check_obstacle()?;
             let at = now();
             let latest_start = self.latest_start();
             if at >= latest_start {
@@ -869,16 +921,9 @@
     fn select_server(&self, excluded: Option<&str>) -> Option<SelectedServer> {
         let at = now();
         let caller = &self.inbound.caller;
-        let engine = self
-            .resolved
-            .in_force
-            .config
-            .services
-            .get(&self.service)?
-            .engine
-            .as_ref();
-        let model = caller.model.as_deref().filter(|_| engine.is_some());
-        let wanted = model.map(|it| (it, caller.adapter.as_deref()));
+        self.resolved.in_force.config.services.get(&self.service)?;
+        let wanted = self.wanted();
+        let model = wanted.map(|(model, _)| model);
         let available = self.state.candidates(&self.service, wanted, at);
         let health = self.state.health.lock();
         let zone = &self.state.settings.zone;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -22,6 +22,7 @@
 use guava_fleet::health::{Outcomes, SharedFailure};
 use guava_fleet::model::{BackendServer, Configuration, StoreRevision};
 use guava_fleet::placement::{Demand, OrderAges, Running, Wait};
+use guava_fleet::statements::Rest;
 use guava_fleet::streams::RecordGroup;
 use guava_platform::CallError;
 use http::Request;
@@ -68,6 +69,9 @@
 /// Time in which departures are batched before they are pushed.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 
+/// Shortest rest that is reported, in milliseconds; no model is loaded elsewhere before a shorter one ends.
+const MIN_REPORTED_REST_MS: u64 = 1_000;
+
 derive_value! {
     /// State that one process sends another.
     pub struct Exchange {
@@ -114,6 +118,8 @@
         pub next_ms: u64,
         /// Outcomes of requests since the last report, for servers that failed.
         pub outcomes: Vec<Outcomes>,
+        /// Rests that servers have asked the VM for, if they last longer than a short load.
+        pub rests: Vec<Rest>,
     }
 
     /// Announcement by a coordinator that its term has ended.
@@ -395,6 +401,11 @@
             store_age_ms: state.store_age_ms(now()),
             next_ms: pause.as_millis() as u64,
             outcomes: state.health.lock().take_outcomes(),
+            rests: state
+                .rests(now())
+                .into_iter()
+                .filter(|it| it.left_ms >= MIN_REPORTED_REST_MS)
+                .collect(),
         };
         let answer = if coordinator.coordinates() {
             Some(coordinator.handle_report(report))
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -19,7 +19,7 @@
 use guava_fleet::placement::{Demand, EngineModels, Running, Wait};
 use guava_fleet::quota::Buckets;
 use guava_fleet::routes::ActiveConfig;
-use guava_fleet::statements::Statements;
+use guava_fleet::statements::{Rest, Statements};
 use guava_fleet::succession::{LiveVm, Succession};
 use guava_platform::headers::Unreadable;
 use guava_platform::settings::Settings;
@@ -31,7 +31,7 @@
 
 use crate::changes::Changes;
 use crate::client::{Clients, StoreClient};
-use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS, STORE_OUTAGE_MS};
+use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS, Obstacle, STORE_OUTAGE_MS};
 use crate::feed::{Applied, FeedAnswer, FeedQuery};
 use crate::findings::Findings;
 use crate::log_event;
@@ -56,6 +56,9 @@
 /// coordinator of 300 VMs ran out of file descriptors, which slowed it further.
 const MAX_CONCURRENT_QUOTA_CALLS: usize = 8;
 
+/// Time for which a refused request counts as demand, in milliseconds; a VM reports several times in it.
+const REFUSED_DEMAND_MS: u64 = 1_000;
+
 /// Limit on large answers of backend servers that are read at the same time, each up to a megabyte.
 const MAX_CONCURRENT_LARGE_ANSWERS: usize = 2;
 
@@ -146,6 +149,8 @@
     running: HashMap<(String, String), u32>,
     /// Times since which requests wait for a model.
     waiting: HashMap<ModelKey, Vec<Millis>>,
+    /// When a request for a model was last refused because its servers rest; its caller comes back.
+    refused: HashMap<ModelKey, Millis>,
     arrived: HashMap<ModelKey, Arrivals>,
 }
 
@@ -780,6 +785,27 @@
         self.view.lock().record_missing_model(server, model, now);
     }
 
+    /// Whether new requests may be sent to a server now: it accepts them, and has not asked this VM for a rest.
+    pub fn takes_requests(&self, server: &BackendServer, now: Millis) -> bool {
+        self.view.lock().takes_requests(server, now)
+    }
+
+    /// Why no server of a service that satisfies `may_use` takes a request now; `None` if it is not known that none does.
+    pub fn obstacle(
+        &self,
+        service: &str,
+        model: Option<(&str, Option<&str>)>,
+        may_use: impl Fn(&BackendServer) -> bool,
+        now: Millis,
+    ) -> Option<Obstacle> {
+        self.view.lock().obstacle(service, model, may_use, now)
+    }
+
+    /// Rests that servers have asked this VM for and that have not ended.
+    pub fn rests(&self, now: Millis) -> Vec<Rest> {
+        self.view.lock().rests(now)
+    }
+
     /// Ready servers of a service that can take a request, with their running requests of all VMs. `model` is the model
     /// and its adapter; `None` for a plain service.
     pub fn candidates(
@@ -790,11 +816,7 @@
     ) -> Vec<(Arc<BackendServer>, u32)> {
         let own = self.running_by_server();
         let view = self.view.lock();
-        let ready = view
-            .servers()
-            .filter(|it| it.service == service && it.state == ServerState::Ready);
-        let available = ready.filter(|it| model.is_none_or(|(name, adapter)| view.holds(it, name, adapter, now)));
-        let with_load = available.map(|it| {
+        let with_load = view.available(service, model, now).map(|it| {
             let id = &it.id;
             let own_now = own.get(id).copied().unwrap_or(0);
             let own_loads_at_report = view.own_loads_at_report.get(id).copied().unwrap_or(0);
@@ -1016,6 +1038,16 @@
             let arrived = arrived.remove(key).unwrap_or_default();
             demand.push(demand_for(key.clone(), since, arrived));
         }
+        let at = now();
+        in_flight.refused.retain(|_, it| at.since(*it) < REFUSED_DEMAND_MS);
+        for (key, since) in in_flight
+            .refused
+            .iter()
+            .filter(|(key, _)| !in_flight.waiting.contains_key(*key))
+        {
+            let arrived = arrived.remove(key).unwrap_or_default();
+            demand.push(demand_for(key.clone(), &[*since], arrived));
+        }
         demand.extend(arrived.into_iter().map(|(key, arrived)| demand_for(key, &[], arrived)));
         let running = in_flight.running.iter().map(|((server, model), count)| Running {
             server: server.clone(),
@@ -1053,6 +1085,15 @@
         arrived.prompt_tokens = arrived.prompt_tokens.saturating_add(prompt_tokens);
     }
 
+    /// Counts a request that was refused because the servers with its model rest as waiting for a while, so that its model
+    /// is loaded elsewhere.
+    pub fn record_refused(&self, service: &str, model: &str, adapter: Option<&str>, version: Option<&str>) {
+        let (adapter, version) = (adapter.map(str::to_owned), version.map(str::to_owned));
+        let key = (service.to_owned(), model.to_owned(), adapter, version);
+        self.in_flight.lock().refused.insert(key, now());
+        self.demand_changed.notify_one();
+    }
+
     /// Counts a request as waiting for a model until the guard is dropped. `version` is the software version that it is
     /// bound to.
     pub fn track_waiting(
--- a/crates/entry/tests/statements.rs
+++ b/crates/entry/tests/statements.rs
@@ -3,12 +3,12 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use guava_entry::state::{EntryState, now};
 use guava_fleet::model::{ServerState, StoreRevision};
 use guava_fleet::statements::Statements;
-use guava_platform_standin::raw::{LEAVING_LINE, taken_up_lines};
+use guava_platform_standin::raw::{LEAVING_LINE, rest_head, taken_up_lines};
 use guava_platform_standin::settings::{LOOKUP_PATH, STREAM_PATH};
 use rstest::rstest;
 use support::{
@@ -17,6 +17,9 @@
 };
 use tokio::time::sleep;
 
+/// Time within which a request that cannot be served is refused, far below every deadline.
+const AT_ONCE: Duration = Duration::from_millis(700);
+
 /// Server that answers each request wholly, with further header lines.
 async fn server(id: &str, is_engine: bool, lines: &'static str) -> ScriptedServer {
     start_server(id, is_engine, move |mut stream, attempt| async move {
@@ -31,6 +34,14 @@
     .await
 }
 
+/// Server that turns each request away and asks for a rest.
+async fn shedding_server(id: &str, is_engine: bool, seconds: &'static str) -> ScriptedServer {
+    start_server(id, is_engine, move |mut stream, attempt| async move {
+        write(&mut stream, &rest_head(&attempt, seconds)).await;
+    })
+    .await
+}
+
 fn received(server: &ScriptedServer) -> usize {
     server.received.lock().len()
 }
@@ -145,6 +156,29 @@
     assert_eq!((received(&leaving), received(&other)), (1, 1));
 }
 
+/// Guards against callers that wait for their deadline when no server takes requests any more.
+#[rstest]
+#[case::all_leave(LEAVING_LINE)]
+#[tokio::test]
+async fn callers_are_refused_at_once_when_all_servers_leave(
+    #[case] lines: &'static str,
+    #[values((STREAM_PATH, true), (LOOKUP_PATH, false))] (path, is_engine): (&str, bool),
+) {
+    let entry = start_entry(Arc::default()).await;
+    let leaving = server("leaving", is_engine, lines).await;
+    list_servers(&entry.state, &[&leaving]);
+    call(entry.address, "first", path).await;
+    let started = Instant::now();
+
+    let answer = call(entry.address, "refused", path).await.0;
+
+    assert!(
+        answer.starts_with("HTTP/1.1 503") && answer.contains("G1207"),
+        "{answer}"
+    );
+    assert!(started.elapsed() < AT_ONCE, "{:?}", started.elapsed());
+}
+
 /// Guards against VMs that learn only from the store, or from an answer of their own, that a server leaves.
 #[tokio::test]
 async fn statement_binds_vms_that_are_told() {
@@ -164,3 +198,102 @@
     let leaving = states.iter().find(|it| it.id == "leaving").expect("listed");
     assert_eq!(leaving.state, ServerState::Draining, "placement counts it as leaving");
 }
+
+/// Time, in seconds, that an answer names in its `Retry-After` header; zero if it names none.
+fn retry_after(answer: &str) -> f64 {
+    let mut lines = answer.lines();
+    let value = lines.find_map(|it| it.strip_prefix("retry-after: "));
+    value.and_then(|it| it.parse().ok()).unwrap_or_default()
+}
+
+/// Guards against retries and new requests to a server that has asked this VM for a rest.
+#[rstest]
+#[tokio::test]
+async fn resting_server_gets_no_more_requests(
+    #[values((STREAM_PATH, true), (LOOKUP_PATH, false))] (path, is_engine): (&str, bool),
+) {
+    let entry = start_entry(Arc::default()).await;
+    let resting = shedding_server("resting", is_engine, "30").await;
+    let other = server("other", is_engine, "").await;
+    list_servers(&entry.state, &[&resting]);
+    call(entry.address, "first", path).await;
+    put_server(&entry.state, other.entry.clone(), 2);
+
+    let answers = call_all(&entry, "later", 8, path).await;
+
+    assert!(answers.iter().all(|it| is_served(it)), "{answers:?}");
+    assert_eq!((received(&resting), received(&other)), (1, 8));
+}
+
+/// Guards against callers that wait for a server that takes nothing, or are told to come back too early.
+#[rstest]
+#[tokio::test]
+async fn callers_are_refused_at_once_with_the_time_until_a_rest_ends(
+    #[values((STREAM_PATH, true), (LOOKUP_PATH, false))] (path, is_engine): (&str, bool),
+) {
+    let entry = start_entry(Arc::default()).await;
+    let later = shedding_server("later", is_engine, "60").await;
+    let sooner = shedding_server("sooner", is_engine, "4").await;
+    list_servers(&entry.state, &[&later, &sooner]);
+    let started = Instant::now();
+
+    let first = call(entry.address, "first", path).await.0;
+    let second = call(entry.address, "second", path).await.0;
+
+    for answer in [&first, &second] {
+        assert!(
+            answer.starts_with("HTTP/1.1 503") && answer.contains("G1207"),
+            "{answer}"
+        );
+        assert!((3.0..=4.0).contains(&retry_after(answer)), "{answer}");
+    }
+    assert!(started.elapsed() < 2 * AT_ONCE, "{:?}", started.elapsed());
+    assert_eq!((received(&later), received(&sooner)), (1, 1));
+}
+
+/// Guards against a server that is left alone after the end of its rest, or after it has started anew.
+#[rstest]
+#[case::time_passes("1.5", 1)]
+#[case::new_start("60", 2)]
+#[tokio::test]
+async fn rest_ends(#[case] seconds: &'static str, #[case] born_ms: u64) {
+    let entry = start_entry(Arc::default()).await;
+    let resting = shedding_server("resting", false, seconds).await;
+    list_servers(&entry.state, &[&resting]);
+    call(entry.address, "first", LOOKUP_PATH).await;
+    call(entry.address, "refused", LOOKUP_PATH).await;
+    let before = received(&resting);
+
+    sleep(Duration::from_millis(1_600)).await;
+    write_entry(&entry.state, &resting, born_ms, 9);
+    call(entry.address, "again", LOOKUP_PATH).await;
+
+    assert_eq!((before, received(&resting)), (1, 2));
+}
+
+/// Guards against requests that were chosen for a server before it asked for a rest, and are sent in it.
+#[tokio::test]
+async fn paced_request_looks_again_after_a_rest_is_asked_for() {
+    let peers = FakePeers {
+        wait_ms: 400,
+        ..FakePeers::default()
+    };
+    let entry = start_entry(Arc::new(peers)).await;
+    add_peers(&entry.state);
+    let resting = server("resting", true, "").await;
+    list_servers(&entry.state, &[&resting]);
+
+    let paced = call(entry.address, "paced", STREAM_PATH);
+    let stating = async {
+        sleep(Duration::from_millis(150)).await;
+        let stated = Statements {
+            is_leaving: false,
+            rest_ms: Some(30_000),
+        };
+        entry.state.record_statements("test", &resting.entry, &stated, &[]);
+    };
+    let ((answer, _), ()) = tokio::join!(paced, stating);
+
+    assert!(retry_after(&answer) > 25.0, "{answer}");
+    assert_eq!(received(&resting), 0);
+}
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -14,6 +14,7 @@
 use guava_core::units::Millis;
 
 use crate::model::{BackendServer, EngineSpec, HeldModel, ServerState};
+use crate::statements::Rest;
 
 mod orders;
 mod rank;
@@ -49,6 +50,8 @@
 const ABSENT_CACHE_MS: u64 = 500;
 /// Time after which an unanswered poll of an engine's state counts as lost. An answer ends the wait earlier.
 const POLL_TIMEOUT_MS: u64 = 500;
+/// Limit on the rests of one report.
+const MAX_RESTS: usize = 256;
 /// Minimum time for which a model stays loaded before it may be evicted for another model that requests wait for, so
 /// that the requests that waited for it can start.
 const MIN_RESIDENCY_MS: u64 = 1_000;
@@ -144,6 +147,15 @@
     valid_until: Millis,
     demand: Vec<Demand>,
     running: Vec<Running>,
+    /// End of the rests that servers have asked the VM for, with the server's start.
+    rests: HashMap<String, (u64, Millis)>,
+}
+
+impl VmReport {
+    fn rests_from(&self, engine: &Engine, now: Millis) -> bool {
+        let rest = self.rests.get(&engine.server.id);
+        rest.is_some_and(|(born_ms, until)| *born_ms == engine.server.born_ms && now < *until)
+    }
 }
 
 /// Decaying sums of a model's arrivals.
@@ -245,6 +257,8 @@
     /// Time of the last poll, while it is unanswered.
     polled_at: Option<Millis>,
     failed_calls: u32,
+    /// End of the rest that it has asked this VM for.
+    rests_until: Millis,
 }
 
 /// Quiet periods in which this process may not send orders yet, and the times of its own last orders. They are kept by
@@ -367,6 +381,22 @@
         engine.on_disk.extend(server.on_disk.iter().cloned());
     }
 
+    /// Records the rests that servers have asked this VM for. They get no orders and no polls meanwhile.
+    pub fn set_rests(&mut self, rests: &[Rest], now: Millis) {
+        for engine in self.engines.values_mut() {
+            let own = |it: &&Rest| it.server == engine.server.id && it.born_ms == engine.server.born_ms;
+            engine.rests_until = rests.iter().find(own).map_or(Millis(0), |it| now + it.left_ms);
+        }
+    }
+
+    /// Records the rests that servers have asked a VM for, as it reports them.
+    pub fn record_rests(&mut self, vm: &str, rests: Vec<Rest>, now: Millis) {
+        if let Some(report) = self.vm_reports.get_mut(vm) {
+            let rests = rests.into_iter().take(MAX_RESTS);
+            report.rests = rests.map(|it| (it.server, (it.born_ms, now + it.left_ms))).collect();
+        }
+    }
+
     /// Records a VM's report. `next_ms` is the longest time until the VM's next report, in milliseconds.
     pub fn record_report(&mut self, vm: &str, demand: Vec<Demand>, running: Vec<Running>, next_ms: u64, now: Millis) {
         for it in demand.iter().filter(|it| it.arrived > 0) {
@@ -386,6 +416,7 @@
             valid_until: now + MIN_REPORT_VALID_MS.max(2 * next_ms),
             demand,
             running,
+            rests: HashMap::new(),
         };
         self.vm_reports.insert(vm.to_owned(), report);
     }
@@ -490,7 +521,7 @@
             let at = engine.pending.as_ref().map_or(engine.next_poll, |it| it.poll_at);
             let needs_poll = !engine.is_confirmed || engine.pending.as_ref().is_some_and(|it| !it.sent || it.accepted);
             let awaits_answer = engine.polled_at.is_some_and(|it| now.since(it) < POLL_TIMEOUT_MS);
-            if needs_poll && !awaits_answer && now >= at {
+            if needs_poll && !awaits_answer && now >= at.max(engine.rests_until) {
                 engine.delay_poll(now, orders::POLL_MS);
                 engine.polled_at = Some(now);
                 due.push(engine.server.clone());
@@ -517,6 +548,7 @@
             next_poll: now,
             polled_at: None,
             failed_calls: 0,
+            rests_until: Millis(0),
             server,
         };
         let held = std::mem::take(&mut engine.server.held);
@@ -580,6 +612,7 @@
         times.allows(&self.server.id, now)
             && self.is_confirmed
             && self.server.state == ServerState::Ready
+            && now >= self.rests_until
             && self.failed_calls < orders::MAX_FAILED_CALLS
     }
 }
--- a/crates/fleet/src/placement/rank.rs
+++ b/crates/fleet/src/placement/rank.rs
@@ -7,7 +7,7 @@
 use super::{
     ABSENT_CACHE_MS, AbsentModels, Engine, LARGE_FLEET_ENGINES, LoadPlan, MAX_PRELOADS, MAX_SLOT_UTILISATION,
     MAX_STORE_LOADS, MAX_STORE_LOADS_FOR_WAITING, MIN_RESIDENCY_MS, ModelState, Order, OrderKind, Placement,
-    STORE_WINDOW_MS, Tier, Wait,
+    STORE_WINDOW_MS, Tier, VmReport, Wait,
 };
 use crate::model::{EngineSpec, ServerState};
 
@@ -127,7 +127,7 @@
                 }
                 let time_left = || engines().filter_map(|it| it.load_left_ms(spec, model, now)).min();
                 let ms = match count {
-                    _ if count.held > 0 => 0,
+                    _ if count.replicas > 0 && !self.is_stranded(service, model, version, now) => 0,
                     _ if count.loads > 0 => time_left().unwrap_or(0),
                     _ if engines().any(|it| it.has_local_copy(model)) => model_spec.host_ms,
                     // A load for another version of the same model may serve these requests as well.
@@ -256,8 +256,11 @@
             let versions = it.by_version.iter();
             versions.map(move |(version, waiting)| (waiting.count, it.rate, model, version))
         });
-        let missing =
-            waiting.filter(|(_, _, model, version)| !self.is_placed(service, round, model, version.as_deref()));
+        let is_missing = |model: &str, version: Option<&str>| {
+            !self.is_placed(service, round, model, version)
+                || (round.count(model).loads == 0 && self.is_stranded(service, model, version, round.now))
+        };
+        let missing = waiting.filter(|(_, _, model, version)| is_missing(model, version.as_deref()));
         let mut missing: Vec<(u32, f64, String, Option<String>)> = missing
             .map(|(count, rate, model, version)| (count, rate, model.clone(), version.clone()))
             .collect();
@@ -265,12 +268,32 @@
         for (_, _, model, version) in missing {
             let version = version.as_deref();
             // A load for requests of another version may have been planned before.
-            if !self.is_placed(service, round, &model, version) {
+            if !self.is_placed(service, round, &model, version) || round.count(&model).loads == 0 {
                 self.plan_load(service, &model, version, round, MAX_STORE_LOADS_FOR_WAITING, true);
             }
         }
     }
 
+    /// Whether most VMs with requests that wait for a model have been asked for a rest by all engines that serve it.
+    fn is_stranded(&self, service: &str, model: &str, version: Option<&str>, now: Millis) -> bool {
+        if self.valid_reports(now).all(|it| it.rests.is_empty()) {
+            return false;
+        }
+        let engines = self
+            .engines_of(service)
+            .filter(|it| it.runs(version) && it.server.state == ServerState::Ready && it.serves(model));
+        let engines: Vec<&Engine> = engines.collect();
+        let waits = |it: &&VmReport| {
+            let mut demand = it.demand.iter();
+            demand.any(|it| {
+                it.waiting > 0 && it.service == service && it.model == model && it.version.as_deref() == version
+            })
+        };
+        let waiting: Vec<&VmReport> = self.valid_reports(now).filter(waits).collect();
+        let has_rest = |vm: &&&VmReport| engines.iter().all(|it| vm.rests_from(it, now));
+        !engines.is_empty() && 2 * waiting.iter().filter(has_rest).count() > waiting.len()
+    }
+
     /// Whether an engine that runs `version` and accepts requests holds the model or will hold it.
     fn is_placed(&self, service: &str, round: &PlanningRound<'_>, model: &str, version: Option<&str>) -> bool {
         if version.is_none() {
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -7,6 +7,7 @@
 use guava_core::units::Millis;
 use guava_fleet::model::{BackendServer, EngineSpec, HeldModel, ModelSpec, ServerState};
 use guava_fleet::placement::{Demand, EngineReport, Order, OrderKind, OrderOutcome, Placement, QuietPeriods, Running};
+use guava_fleet::statements::Rest;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -250,6 +251,9 @@
     rng: ChaCha8Rng,
     /// Time of each load, and whether it came from the weight store.
     loads: Vec<(u64, bool)>,
+    /// Rests that engines have asked the coordinator's VM for, and those that the reporting VM has been asked for.
+    own_rests: Vec<Rest>,
+    told_rests: Vec<Rest>,
 }
 
 impl Fleet {
@@ -274,6 +278,8 @@
             faults,
             rng: ChaCha8Rng::seed_from_u64(seed),
             loads: Vec::new(),
+            own_rests: Vec::new(),
+            told_rests: Vec::new(),
         }
     }
 
@@ -285,6 +291,8 @@
         }
         self.placement.set_servers(&self.servers, at);
         self.placement.record_report("vm", demand, running, NEXT_REPORT_MS, at);
+        self.placement.record_rests("vm", self.told_rests.clone(), at);
+        self.placement.set_rests(&self.own_rests, at);
         let (due, waiting) = std::mem::take(&mut self.answers)
             .into_iter()
             .partition(|(when, ..)| *when <= self.now);
@@ -453,6 +461,54 @@
     assert_eq!(fleet.placement.waits(Millis(fleet.now)), []);
 }
 
+fn rest_of(fleet: &Fleet, engine: usize) -> Rest {
+    Rest {
+        server: fleet.servers[engine].id.clone(),
+        born_ms: fleet.servers[engine].born_ms,
+        left_ms: 5_000,
+    }
+}
+
+/// Guards against orders and polls to an engine that has asked the coordinator's VM for a rest.
+#[test]
+fn resting_engine_gets_no_orders_and_no_polls() {
+    let mut fleet = Fleet::new(4, &spec(24), NO_FAULTS, 1);
+    fleet.own_rests = vec![rest_of(&fleet, 0)];
+
+    let first = fleet.first_orders(1_000);
+    fleet.placement.start_term(Millis(fleet.now), QuietPeriods::default());
+    let polled = fleet.placement.polls(usize::MAX, Millis(fleet.now + 1_000));
+
+    assert_eq!(first.len(), 3, "{first:?}");
+    assert!(!first.contains_key("i-0") && polled.iter().all(|it| it.id != "i-0"));
+    assert_eq!(polled.len(), 3);
+}
+
+/// Guards against requests that wait for a rest to end although another engine could take them sooner, and against loads
+/// for VMs that an engine still serves.
+#[rstest]
+#[case::only_engine_rests(0, 2)]
+#[case::another_engine_rests(1, 1)]
+fn a_model_is_loaded_elsewhere_while_its_engines_rest(#[case] resting: usize, #[case] holders: usize) {
+    let mut fleet = Fleet::new(4, &spec(24), NO_FAULTS, 1);
+    fleet.told_rests = vec![rest_of(&fleet, resting)];
+    let demand = Demand {
+        arrived: 0,
+        ..demand_for("m0", None, 1)
+    };
+
+    let mut waits = Vec::new();
+    for _ in 0..500 {
+        fleet.step(vec![demand.clone()], Vec::new());
+        waits.extend(fleet.placement.waits(Millis(fleet.now)));
+    }
+
+    assert_eq!(fleet.holders("m0"), holders);
+    let first = waits.first().map_or(0, |it| it.ms);
+    assert_eq!(first > 0, holders > 1, "{first} ms");
+    assert_eq!(waits.last().map(|it| it.ms), Some(0));
+}
+
 /// Guards against more loads from the weight store than its rate limit allows in any 5 s.
 #[rstest]
 fn store_loads_stay_within_the_rate_limit(#[values(1, 2, 3)] seed: u64) {
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -25,7 +25,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 50] = [
+const EVENTS: [(&str, &str, &[&str]); 51] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -59,6 +59,7 @@
         &["server", "silent_ms", "begun", "attempts", "left_ms", "next"],
     ),
     ("E1017", "ConnectionCut", &["unanswered", "why"]),
+    ("E1018", "NoServerTakes", &["service", "model", "obstacle"]),
     ("E2009", "ServerLeaving", &["server", "revision"]),
     ("E2010", "ServerEnded", &["server", "revision"]),
     ("E2012", "ServerListed", &["server", "version", "revision"]),
@@ -289,6 +290,7 @@
         (Some("perhaps"), None, "E2025"),
         (None, Some("0.2"), "E2024"),
         (Some("1"), None, "E2023"),
+        (Some("1"), None, "E1018"),
     ];
     for (leaving, rest, event) in stated {
         for backend in &fleet.backends[ENGINE_COUNT..] {
@@ -297,8 +299,8 @@
                 rest: rest.map(str::to_owned),
             });
         }
-        let started = Instant::now();
-        while !is_logged(dir, event) && started.elapsed() < LINE_TIMEOUT {
+        let from = Instant::now();
+        while !is_logged(dir, event) && from.elapsed() < LINE_TIMEOUT {
             send(address, call(&format!("stated-{event}"), BOOKING_PATH)).await;
             sleep(Duration::from_millis(100)).await;
         }
