Ask a server for its start before a stream goes on out of step

Cause: requests name the id of a server, not its start, and such a VM does not know yet that the entry it chose by is of an earlier start.

Change: before an event is passed on or recorded, the start is asked for by the server's report: for a new stream if the view is older than 2.6 s, for one that goes on unless one version serves and the view is fresh. Another start, or none, drops the answer (E1019); the stream goes on elsewhere or ends.

Evidence: stream_does_not_begin_at_an_unknown_start_of_a_server and stream_is_not_taken_up_at_an_unknown_start_of_a_server failed before: the caller got the other version's events. One more call for such streams; none while the view is fresh and one version serves.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -15,6 +15,8 @@
 use guava_fleet::model::{BackendServer, Route, RouteKind};
 use guava_fleet::routes::draw_service;
 use guava_fleet::statements::Statements;
+use guava_fleet::streams::FRESH_VIEW_MS;
+use guava_platform::engine;
 use guava_platform::headers::{self, ServerHeaders, Unreadable};
 use http::Response;
 use http_body_util::BodyExt;
@@ -615,13 +617,52 @@
                 self.wait_for_head(&selected.server, sending).await?
             };
             match head {
-                Head::Received(Ok(incoming)) => return Ok((selected, incoming)),
+                Head::Received(Ok(incoming)) if self.is_of_known_start(&selected.server).await => {
+                    return Ok((selected, incoming));
+                }
+                Head::Received(Ok(incoming)) => {
+                    let why = "the server may have started anew";
+                    self.handle_lost_answer(&selected.server, Some(incoming.begun), why)?;
+                }
                 Head::Received(Err(e)) => self.handle_error(selected, e).await?,
                 Head::Replaced(next) => replacement = Some(next),
             }
         }
     }
 
+    /// Whether an answer is of the life of the server that its entry describes, as far as it matters: a server that has
+    /// started anew under its id may run another software version, and a process whose view is old does not know. It
+    /// asks the server before an event is passed on or recorded.
+    async fn is_of_known_start(&self, server: &BackendServer) -> bool {
+        if !self.resolved.route.is_resumable_stream() {
+            return true;
+        }
+        let at = now();
+        let is_known = match &self.bound {
+            Some(_) => self.state.streams.is_settled(at, &server.service),
+            None => self.state.source_age_ms(at) <= FRESH_VIEW_MS,
+        };
+        if is_known {
+            return true;
+        }
+        let sink = |stated: &Statements, unreadable: &[Unreadable]| {
+            self.state.record_statements(self.id(), server, stated, unreadable);
+        };
+        let found = engine::fetch_start(&*self.state.clients.reports, server, &sink).await;
+        let is_same = matches!(found, Ok(born_ms) if born_ms == server.born_ms);
+        if !is_same {
+            log_event!(
+                Event::StartUnconfirmed,
+                self.id(),
+                "server={} born_ms={} found={found:?} age_ms={}",
+                server.id,
+                server.born_ms,
+                self.state.source_age_ms(at)
+            );
+        }
+        is_same
+    }
+
     /// Waits until a server can take the request, and opens a connection to it. Returns `None` if the server must not get
     /// the request any more or does not accept the connection.
     async fn connect_next(&mut self) -> Result<Option<NextServer>, Failure> {
--- a/crates/entry/src/streams.rs
+++ b/crates/entry/src/streams.rs
@@ -269,6 +269,11 @@
         }
     }
 
+    /// Whether all servers of a service run one software version, as far as a fresh view and the table tell.
+    pub fn is_settled(&self, at: Millis, service: &str) -> bool {
+        self.known.lock().versions.is_settled(at, service)
+    }
+
     /// Record of a stream, for another process.
     pub fn answer_origin(&self, query: &OriginQuery) -> OriginAnswer {
         let at = now();
--- a/crates/entry/tests/stream_versions.rs
+++ b/crates/entry/tests/stream_versions.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use guava_entry::state::{EntryState, now};
@@ -237,3 +238,78 @@
     assert_eq!(requests_at(&[&other]), 0);
     assert!(started.elapsed() < AT_ONCE, "{:?}", started.elapsed());
 }
+
+/// Engine that has started anew under its id with another version: its entry, as far as it is known here, is of its
+/// earlier start.
+async fn restarted_engine(id: &str) -> ScriptedServer {
+    let server = engine(id, Some("v1"), |mut stream, attempt| async move {
+        let head = answer_head(&attempt, "transfer-encoding: chunked\r\n");
+        let events: String = (1..=EVENTS)
+            .map(|id| chunk(&event(id).replace("piece", "other")))
+            .collect();
+        write(&mut stream, &format!("{head}{events}0\r\n\r\n")).await;
+    })
+    .await;
+    server.reported_start.store(2, Ordering::Relaxed);
+    server
+}
+
+/// Makes the process one that has learnt nothing for five seconds, because it was cut off or stood still.
+fn fall_behind(state: &EntryState) {
+    let before = now() - 5_000;
+    state.record_store_contact(1, before);
+    state.streams.observe(state, now());
+}
+
+/// Guards against a process out of step that records a stream for the version that its server ran before, so that it goes
+/// on at a server of that version.
+#[tokio::test]
+async fn stream_does_not_begin_at_an_unknown_start_of_a_server() {
+    let entry = start_entry(Arc::default()).await;
+    let restarted = restarted_engine("restarted").await;
+    list_servers(&entry.state, &[&restarted]);
+    fall_behind(&entry.state);
+
+    let (answer, _) = call(entry.address, "r1", STREAM_PATH).await;
+
+    assert_eq!(requests_at(&[&restarted]), 1);
+    assert!(
+        !answer.contains("other") && !answer.starts_with("HTTP/1.1 200"),
+        "{answer}"
+    );
+}
+
+/// Guards against a stream that is taken up at a process out of step, and goes on at another version than the one that
+/// began it.
+#[tokio::test]
+async fn stream_is_not_taken_up_at_an_unknown_start_of_a_server() {
+    let entry = start_entry(Arc::default()).await;
+    let first = breaking_engine("first", Some("v1")).await;
+    list_servers(&entry.state, &[&first]);
+    call(entry.address, "r1", STREAM_PATH).await;
+    let restarted = restarted_engine("restarted").await;
+    list_servers(&entry.state, &[&restarted]);
+    fall_behind(&entry.state);
+
+    let lines = taken_up_lines("r1", EVENTS_BEFORE_BREAK);
+    let (answer, _) = call_with_lines(entry.address, "r2", STREAM_PATH, &lines).await;
+
+    assert_eq!(requests_at(&[&restarted]), 1);
+    assert!(
+        !answer.contains("other") && !answer.starts_with("HTTP/1.1 200"),
+        "{answer}"
+    );
+}
+
+/// Guards against streams that end at a process out of step although their server is the one that it knows.
+#[tokio::test]
+async fn stream_begins_at_a_known_start_of_a_server_out_of_step() {
+    let entry = start_entry(Arc::default()).await;
+    let server = sound_engine("same", Some("v1"), 1).await;
+    list_servers(&entry.state, &[&server]);
+    fall_behind(&entry.state);
+
+    let (answer, _) = call(entry.address, "r1", STREAM_PATH).await;
+
+    assert_eq!(event_ids(&answer), ["1", "2", "3", "4", "5", "6"]);
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -185,8 +186,10 @@
 pub struct ScriptedServer {
     /// Its entry in the store.
     pub entry: BackendServer,
-    /// Heads of the requests that it received.
+    /// Heads of the requests that it received, without those for its report.
     pub received: Arc<Mutex<Vec<String>>>,
+    /// Start that it reports, in milliseconds.
+    pub reported_start: Arc<AtomicU64>,
 }
 
 /// Starts a server that calls `script` for each request, with the connection and the id of the attempt.
@@ -199,13 +202,19 @@
     let address = listener.local_addr().expect("bound");
     let received = Arc::new(Mutex::new(Vec::new()));
     let heads = Arc::clone(&received);
+    let reported_start = Arc::new(AtomicU64::new(1));
+    let start = Arc::clone(&reported_start);
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let (script, heads) = (script.clone(), Arc::clone(&heads));
+            let (script, heads, start) = (script.clone(), Arc::clone(&heads), Arc::clone(&start));
             tokio::spawn(async move {
                 let Some(head) = read_head(&mut stream).await else {
                     return;
                 };
+                if head.starts_with("GET /v1/report ") {
+                    write(&mut stream, &report(start.load(Ordering::Relaxed))).await;
+                    return;
+                }
                 let attempt = attempt_id(&head).unwrap_or_default();
                 heads.lock().push(head);
                 script(stream, attempt).await;
@@ -234,9 +243,16 @@
             on_disk: Vec::new(),
         },
         received,
+        reported_start,
     }
 }
 
+fn report(born_ms: u64) -> String {
+    let body = format!("{{\"born\":{born_ms}}}");
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
 /// Makes the servers known to the entry process.
 pub fn list_servers(state: &EntryState, servers: &[&ScriptedServer]) {
     let entries = servers.iter().map(|it| it.entry.clone()).collect();
--- a/crates/fleet/src/streams.rs
+++ b/crates/fleet/src/streams.rs
@@ -25,7 +25,7 @@
 /// the coordinator could still see it, long enough before its version is removed.
 const MAX_VIEW_AGE_MS: u64 = 110_000;
 /// Age of the view of the store up to which it counts as fresh.
-const FRESH_VIEW_MS: u64 = 2_600;
+pub const FRESH_VIEW_MS: u64 = 2_600;
 /// Longest pause between two observations after which a coordinator begins to watch anew.
 const MAX_PAUSE_MS: u64 = 5_000;
 /// Limit on versions of one service.
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -25,7 +25,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 51] = [
+const EVENTS: [(&str, &str, &[&str]); 52] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -60,6 +60,7 @@
     ),
     ("E1017", "ConnectionCut", &["unanswered", "why"]),
     ("E1018", "NoServerTakes", &["service", "model", "obstacle"]),
+    ("E1019", "StartUnconfirmed", &["server", "born_ms", "found", "age_ms"]),
     ("E2009", "ServerLeaving", &["server", "revision"]),
     ("E2010", "ServerEnded", &["server", "revision"]),
     ("E2012", "ServerListed", &["server", "version", "revision"]),
@@ -219,6 +220,7 @@
     let sent = taking_up.write_all(text.as_bytes()).await;
     sent.expect("the connection is open");
     wait_for_event(dir, "E1015").await;
+    trigger_unconfirmed_start(fleet, dir).await;
     fleet.store.set_faults(StoreFaults::default());
     let cut_answers = ServerFaults {
         cut: 1.0,
@@ -246,6 +248,25 @@
     sent.expect("the process accepts connections");
 }
 
+/// Makes the engines report another start than their entries state, while the processes have lost the store.
+async fn trigger_unconfirmed_start(fleet: &Fleet, dir: &Path) {
+    wait_for_event(dir, "E5001").await;
+    let engines = || {
+        fleet.backends[..ENGINE_COUNT]
+            .iter()
+            .filter_map(|it| it.server.as_ref())
+    };
+    for engine in engines() {
+        engine.state(Stated {
+            start_ms: Some(1),
+            ..Stated::default()
+        });
+    }
+    send(fleet.processes[0].vm.callers, call("unconfirmed", STREAM_PATH)).await;
+    wait_for_event(dir, "E1019").await;
+    engines().for_each(|it| it.state(Stated::default()));
+}
+
 /// Makes engines refuse orders, then drains, shuts down and restarts a plain server.
 async fn trigger_server_events(fleet: &mut Fleet, dir: &Path) {
     let address = fleet.processes[0].vm.callers;
@@ -297,6 +318,7 @@
             backend.server.as_ref().expect("the server is running").state(Stated {
                 leaving: leaving.map(str::to_owned),
                 rest: rest.map(str::to_owned),
+                ..Stated::default()
             });
         }
         let from = Instant::now();
