Count an answer that waited in a suspension as late

What callers saw: nothing by itself. A VM that stood still took answers that had waited in its sockets for fresh ones, so its view looked new although it was seconds old, and the checks for VMs out of step passed.

Cause: a timeout gives an answer that is there precedence over the time that has passed, and the runtime's clock says nothing of how old it is.

Change: an answer that is read later than its timeout, by the clock that counts suspensions, counts as none. This covers the store, the feed, other processes, polls and orders, whose outcomes without an answer are safe already.

Evidence: answer_that_waited_in_a_suspension_counts_as_late failed before in the suspended case.

Measured result: both cases pass.

--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -133,11 +133,18 @@
             let body = body.map_err(|e| CallError::Unanswered(e.to_string()))?;
             Ok(Response::from_parts(head, body.to_bytes()))
         };
-        tokio::time::timeout(timeout, exchange).await.unwrap_or_else(|_| {
+        let unanswered = || {
             Err(CallError::Unanswered(format!(
                 "no answer within {} ms",
                 timeout.as_millis()
             )))
-        })
+        };
+        let sent = now();
+        let answer = tokio::time::timeout(timeout, exchange).await;
+        // An answer that waited while this process was suspended tells what was true before.
+        if now().since(sent) > timeout.as_millis() as u64 {
+            return unanswered();
+        }
+        answer.unwrap_or_else(|_| unanswered())
     }
 }
