Correct the test of answers that wait in a suspension

What callers saw: nothing.

Change: the server answers while the runtime is blocked, and the call is a task of its own, as in the program.

--- a/crates/entry/tests/held_up_answers.rs
+++ b/crates/entry/tests/held_up_answers.rs
@@ -25,19 +25,18 @@
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         let _ = stream.read(&mut [0; 1_024]);
+        thread::sleep(TIMEOUT / 4);
         let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
         thread::sleep(2 * TIMEOUT);
     });
     let client = PooledClient::new(0, 1_024);
     let req = Request::get("/").body(Bytes::new()).expect("a request");
 
+    let call = tokio::spawn(async move { client.call(address, req, TIMEOUT).await });
+    tokio::time::sleep(Duration::from_millis(20)).await;
     // Blocks the only thread of the runtime, as a suspension does.
-    let suspension = async { thread::sleep(suspended) };
-    let sent = async {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-        suspension.await;
-    };
-    let (answer, ()) = tokio::join!(client.call(address, req, TIMEOUT), sent);
+    thread::sleep(suspended);
+    let answer = call.await.expect("the call does not panic");
 
     assert_eq!(answer.is_ok(), is_answered, "{answer:?}");
     assert!(is_answered || matches!(answer, Err(CallError::Unanswered(_))));
