Let servers of the soak say that they leave or want a rest

What callers saw: nothing.

Cause: no server of the soak stated anything in its answers, so it could not show requests at servers that had told the VM to send none.

Change: each run draws statements beside its faults: a server says that it leaves seconds before its entry does, or turns requests away with a rest. Draws of older seeds do not change.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use guava_platform_standin::caller::{Finished, Outcome, Try};
-use guava_platform_standin::record::{ReceivedOrder, Record, Run};
+use guava_platform_standin::record::{Arrival, ReceivedOrder, Record, Run};
 use guava_platform_standin::settings::{BOOKING_PATH, ENGINE_SERVICE, REPORT_PATH, STREAM_PATH};
 
 use crate::faults::Disturbance;
@@ -25,6 +25,13 @@
 /// Fraction, from 0 to 1, of the requests after recovery that must be served.
 const MIN_SERVED_FRACTION: f64 = 0.9;
 
+/// Time after a VM was told that a server leaves in which its callers' requests may still reach the server.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time after a VM was asked for a rest from which on its requests count.
+const REST_REACTION_TIME: Duration = Duration::from_millis(500);
+/// Number of requests that may reach a server in the rest that it has asked the VM for.
+const MAX_IN_REST: usize = 2;
+
 /// Observations of one run, as input to [`check`].
 #[derive(Debug)]
 pub struct Observations<'a> {
@@ -54,6 +61,15 @@
         !concerning.any(|it| it.from <= to && from <= it.to + SETTLING_TIME)
     }
 
+    /// Whether the VM with this address ran without a stop or restart between the two.
+    fn has_run(&self, address: SocketAddr, from: Instant, to: Instant) -> bool {
+        let Some(vm) = self.addresses.iter().position(|it| *it == address) else {
+            return false;
+        };
+        let mut interrupting = self.disturbances.iter().filter(|it| it.interrupts_vm(vm));
+        !interrupting.any(|it| it.from <= to && from <= it.to + SETTLING_TIME)
+    }
+
     /// Whether no fault kept backend servers from answering at any time between the two.
     fn have_servers_been_sound(&self, from: Instant, to: Instant) -> bool {
         let mut concerning = self.disturbances.iter().filter(|it| it.concerns_servers());
@@ -72,6 +88,7 @@
     check_versions(observations.finished, &mut violations);
     check_taken_up(observations, &mut violations);
     check_planned_work(observations, &mut violations);
+    check_statements(observations, &mut violations);
     violations.extend(
         observations
             .record
@@ -296,3 +313,46 @@
         }
     }
 }
+
+/// Reports requests at servers that had told the same VM that they leave, or that had asked it for a rest.
+fn check_statements(observations: &Observations<'_>, violations: &mut Vec<String>) {
+    let tries = observations.finished.iter().flat_map(|it| &it.tries);
+    let tries: BTreeMap<&str, &Try> = tries.map(|it| (it.attempt.as_str(), it)).collect();
+    let arrivals = observations.record.arrivals();
+    let mut by_server: BTreeMap<&str, Vec<(&Arrival, &Try)>> = BTreeMap::new();
+    for arrival in &arrivals {
+        if let Some(sent) = tries.get(arrival.attempt.as_str()) {
+            by_server.entry(&arrival.server).or_default().push((arrival, sent));
+        }
+    }
+    for (server, reached) in &by_server {
+        for (told, told_try) in reached {
+            let Some(answered) = told.answered else {
+                continue;
+            };
+            let same_vm = || {
+                let later = reached.iter().filter(|(_, sent)| sent.address == told_try.address);
+                later.filter(|(it, _)| observations.has_run(told_try.address, answered, it.at))
+            };
+            let late = |(_, sent): &&(&Arrival, &Try)| sent.at > answered + DRAIN_TIME;
+            let was_passed_on = told_try.outcome == Outcome::Served;
+            if told.said_leaving
+                && was_passed_on
+                && let Some((it, _)) = same_vm().find(late)
+            {
+                let after = (it.at - answered).as_millis();
+                violations.push(format!(
+                    "{server}: {} came {after} ms after it said that it leaves",
+                    it.attempt
+                ));
+            }
+            if let Some(rest) = told.rest {
+                let span = answered + REST_REACTION_TIME..answered + rest;
+                let count = same_vm().filter(|(it, _)| span.contains(&it.at)).count();
+                if count > MAX_IN_REST {
+                    violations.push(format!("{server}: {count} requests in a rest of {rest:?}"));
+                }
+            }
+        }
+    }
+}
--- a/crates/soak/src/cmd.rs
+++ b/crates/soak/src/cmd.rs
@@ -46,6 +46,9 @@
     /// Number of disturbances by planned work and silent servers in each run, in addition to the faults.
     #[arg(long, default_value_t = 4)]
     pub work: usize,
+    /// Number of statements of backend servers that they leave or want a rest in each run, in addition to the faults.
+    #[arg(long, default_value_t = 4)]
+    pub statements: usize,
     /// Time in seconds, from the start of traffic, within which faults begin.
     #[arg(long, default_value_t = 12)]
     pub span_s: u64,
@@ -132,6 +135,7 @@
     let (span_ms, backends) = (args.span_s * 1_000, ENGINE_COUNT + PLAIN_SERVER_COUNT);
     let mut planned = faults::plan(&mut rng, args.faults, span_ms, VM_COUNT, backends);
     planned.extend(faults::plan_work(&mut rng, args.work, span_ms, backends));
+    planned.extend(faults::plan_statements(&mut rng, args.statements, span_ms, backends));
     planned.sort_by_key(|it| it.at_ms);
     let mut fleet = Fleet::start(&args.program, &dir, &organisations).await?;
     if args.work > 0 {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use guava_platform_standin::server::ServerFaults;
+use guava_platform_standin::server::{ServerFaults, Stated};
 use guava_platform_standin::store::StoreFaults;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -16,6 +16,9 @@
 /// Time after SIGTERM at which a process that has not exited is killed.
 const STOP_GRACE_PERIOD: Duration = Duration::from_secs(8);
 
+/// Time for which a server serves on after its entry says that it leaves.
+const DRAIN_TIME: Duration = Duration::from_millis(2_500);
+
 /// Interval between two changes of the configuration.
 const CONFIGURATION_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -50,6 +53,11 @@
     Server(usize, ServerFaults),
     /// Makes a backend server send nothing for a time, after which it goes on.
     Silence(usize),
+    /// Makes a backend server say in its answers that it leaves; its entry says so only at the end of the duration. The
+    /// server serves on for as long as requests may reach it, and then starts again with another id.
+    Leave(usize),
+    /// Makes a backend server turn requests away and ask for a rest of this length.
+    Shed(usize, Duration),
     /// Replaces one engine after the other by one of this software version.
     Release(String),
     /// Changes the configuration again and again.
@@ -95,9 +103,21 @@
         }
     }
 
+    /// Whether it stops or restarts this entry process, which then need not know what servers have stated before.
+    pub fn interrupts_vm(&self, vm: usize) -> bool {
+        match self.fault {
+            Fault::Kill(index) | Fault::Stop(index) | Fault::Pause(index) => index == vm,
+            Fault::KillAll => true,
+            _ => false,
+        }
+    }
+
     /// Whether it keeps backend servers from answering.
     pub fn concerns_servers(&self) -> bool {
-        matches!(self.fault, Fault::ServerLink(..) | Fault::Crash(_) | Fault::Server(..))
+        matches!(
+            self.fault,
+            Fault::ServerLink(..) | Fault::Crash(_) | Fault::Server(..) | Fault::Leave(_) | Fault::Shed(..)
+        )
     }
 }
 
@@ -140,6 +160,24 @@
     work.collect()
 }
 
+/// Draws `count` statements of backend servers, as [`plan`] does for faults: every other one that a server leaves.
+pub fn plan_statements(rng: &mut ChaCha8Rng, count: usize, span_ms: u64, backends: usize) -> Vec<Planned> {
+    let stated = (0..count).map(|number| {
+        let backend = rng.random_range(0..backends);
+        let fault = if number % 2 == 0 {
+            Fault::Leave(backend)
+        } else {
+            Fault::Shed(backend, Duration::from_millis(rng.random_range(200..4_000)))
+        };
+        Planned {
+            at_ms: rng.random_range(0..span_ms),
+            for_ms: rng.random_range(1_000..5_000),
+            fault,
+        }
+    });
+    stated.collect()
+}
+
 fn draw_fault(rng: &mut ChaCha8Rng, vms: usize, backends: usize) -> Fault {
     let vm = rng.random_range(0..vms);
     let backend = rng.random_range(0..backends);
@@ -266,6 +304,17 @@
             sleep(duration).await;
             Ok(())
         }
+        Fault::Leave(index) => leave(fleet, *index, duration).await,
+        Fault::Shed(index, rest) => {
+            let stated = Stated {
+                rest: Some(rest.as_secs_f64().to_string()),
+                ..Stated::default()
+            };
+            set_stated(fleet, *index, stated).await;
+            sleep(duration).await;
+            set_stated(fleet, *index, Stated::default()).await;
+            Ok(())
+        }
         Fault::Release(version) => release(fleet, version, duration).await,
         Fault::Reconfigure => {
             let started = tokio::time::Instant::now();
@@ -300,6 +349,26 @@
     }
 }
 
+async fn set_stated(fleet: &tokio::sync::Mutex<Fleet>, index: usize, stated: Stated) {
+    if let Some(server) = &fleet.lock().await.backends[index].server {
+        server.state(stated);
+    }
+}
+
+async fn leave(fleet: &tokio::sync::Mutex<Fleet>, index: usize, duration: Duration) -> Result<(), SoakError> {
+    let stated = Stated {
+        leaving: Some("1".to_owned()),
+        ..Stated::default()
+    };
+    set_stated(fleet, index, stated).await;
+    sleep(duration).await;
+    if let Some(server) = &fleet.lock().await.backends[index].server {
+        server.drain();
+    }
+    sleep(DRAIN_TIME).await;
+    crash(fleet, index, Duration::ZERO).await
+}
+
 async fn restart(
     fleet: &tokio::sync::Mutex<Fleet>,
     index: usize,
--- a/crates/soak/tests/regressions.rs
+++ b/crates/soak/tests/regressions.rs
@@ -55,12 +55,30 @@
     assert_eq!(report.violations, Vec::<String>::new(), "{:?}", report.faults);
 }
 
+/// Guards against VMs that pass over what servers state in their answers.
+#[rstest]
+#[case(3501, 0, 8)]
+#[case(3502, 6, 6)]
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_beside_statements(#[case] seed: u64, #[case] faults: usize, #[case] statements: usize) {
+    let args = Args {
+        statements,
+        ..args(seed, faults, 0)
+    };
+
+    let report = run_seed(&args, seed).await.expect("the run can be carried out");
+
+    println!("seed {seed}: {:?}", report.outcomes);
+    assert_eq!(report.violations, Vec::<String>::new(), "{:?}", report.faults);
+}
+
 fn args(seed: u64, faults: usize, work: usize) -> Args {
     Args {
         seed,
         seeds: 1,
         faults,
         work,
+        statements: 0,
         span_s: 12,
         jobs: 1,
         program: program(),
