Wake waiting requests when a server asks for a rest

What callers saw: a request that waited for a model looked again up to 250 ms after the server's statement, so it was refused that much later.

Cause: the statement did not signal a change of the view; found on rereading the diff.

Change: it does.

Evidence: by reading; the bounded pause hides it from the tests.

Measured result: the 17 tests of statements pass.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -615,6 +615,7 @@
             && self.view.lock().record_rest(server, rest_ms, at)
         {
             log_event!(Event::RestStated, call, "server={} rest_ms={rest_ms}", server.id);
+            self.signal_change();
         }
     }
 
