Keep streams that begin at a busy server out of step

Cause: the check treated no answer like another start; found on rereading the diff.

Change: for a stream that begins only another start drops the answer; one that goes on still needs certainty. Answers that are no success are not checked.

Evidence: by reading.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -617,10 +617,10 @@
                 self.wait_for_head(&selected.server, sending).await?
             };
             match head {
-                Head::Received(Ok(incoming)) if self.is_of_known_start(&selected.server).await => {
-                    return Ok((selected, incoming));
-                }
                 Head::Received(Ok(incoming)) => {
+                    if !incoming.status.is_success() || self.is_of_known_start(&selected.server).await {
+                        return Ok((selected, incoming));
+                    }
                     let why = "the server may have started anew";
                     self.handle_lost_answer(&selected.server, Some(incoming.begun), why)?;
                 }
@@ -649,7 +649,11 @@
             self.state.record_statements(self.id(), server, stated, unreadable);
         };
         let found = engine::fetch_start(&*self.state.clients.reports, server, &sink).await;
-        let is_same = matches!(found, Ok(born_ms) if born_ms == server.born_ms);
+        let is_same = match &found {
+            Ok(born_ms) => *born_ms == server.born_ms,
+            // A stream that goes on needs certainty; one that begins would more likely be lost to a busy server.
+            Err(_) => self.bound.is_none(),
+        };
         if !is_same {
             log_event!(
                 Event::StartUnconfirmed,
