Decide apart from the request whether it waits for a rest to end

What callers saw: nothing.

Cause: on rereading the diff, the decision whether a request waits while all servers rest stood in the middle of the dispatch, and each round of the coordinator compared each engine with each rest.

Change: Obstacle::is_worth_waiting in guava_fleet decides; rests are looked up by engine.

--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -9,7 +9,7 @@
 use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
 use guava_fleet::placement::{EngineModels, Wait};
 use guava_fleet::routes::ActiveConfig;
-use guava_fleet::statements::{Rest, Rests};
+use guava_fleet::statements::{Obstacle, Rest, Rests};
 
 use crate::changes::{Changes, VersionedMap};
 use crate::state::{CoordinatorHint, HEARTBEAT_AGE_UNIT_MS, Heartbeat, KnownMember, MEMBER_TIMEOUT_MS};
@@ -45,15 +45,6 @@
     }
 }
 
-/// Why no server of a service takes a request now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Obstacle {
-    /// All leave.
-    Leaving,
-    /// All that could take it have asked this VM for a rest; the first one ends after so many milliseconds.
-    Resting(u64),
-}
-
 /// View of the deployment; [`crate::state::EntryState`] holds it behind a lock.
 #[derive(Debug, Default)]
 pub struct ClusterView {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -14,7 +14,7 @@
 use guava_fleet::choice::{self, Candidate};
 use guava_fleet::model::{BackendServer, Route, RouteKind};
 use guava_fleet::routes::draw_service;
-use guava_fleet::statements::Statements;
+use guava_fleet::statements::{Obstacle, Statements};
 use guava_fleet::streams::FRESH_VIEW_MS;
 use guava_platform::engine;
 use guava_platform::headers::{self, ServerHeaders, Unreadable};
@@ -24,7 +24,6 @@
 
 use crate::attempt::{AttemptError, IncomingAnswer, OpenConnection, OutgoingRequest};
 use crate::breakage::{self, BrokenAttempt};
-use crate::cluster_view::Obstacle;
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{self, PaceRequest};
@@ -263,14 +262,13 @@
         let Some(obstacle) = self.state.obstacle(&self.service, self.wanted(), is_untried, at) else {
             return Ok(());
         };
+        let objective_at = self.waits_since + self.resolved.route.objective_ms;
+        if obstacle.is_worth_waiting(objective_at.since(at), self.model_wait(at)) {
+            return Ok(());
+        }
         let retry_after = match obstacle {
             Obstacle::Leaving => DEFAULT_RETRY_AFTER,
             Obstacle::Resting(left_ms) => {
-                let is_in_time = at + left_ms < self.waits_since + self.resolved.route.objective_ms;
-                let is_loaded_before = self.model_wait(at).is_some_and(|it| it > 0 && it < left_ms);
-                if is_in_time || is_loaded_before {
-                    return Ok(());
-                }
                 if let Some(model) = &caller.model {
                     let adapter = caller.adapter.as_deref();
                     self.state
@@ -630,9 +628,9 @@
         }
     }
 
-    /// Whether an answer is of the life of the server that its entry describes, as far as it matters: a server that has
-    /// started anew under its id may run another software version, and a process whose view is old does not know. It
-    /// asks the server before an event is passed on or recorded.
+    /// Whether the server that has answered is still the process that its entry describes. Under the same id another one
+    /// may have started with another software version, which a process whose view is old does not know; the server is
+    /// asked then. Must be called before an event is passed on or recorded.
     async fn is_of_known_start(&self, server: &BackendServer) -> bool {
         if !self.resolved.route.is_resumable_stream() {
             return true;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -19,7 +19,7 @@
 use guava_fleet::placement::{Demand, EngineModels, Running, Wait};
 use guava_fleet::quota::Buckets;
 use guava_fleet::routes::ActiveConfig;
-use guava_fleet::statements::{Rest, Statements};
+use guava_fleet::statements::{Obstacle, Rest, Statements};
 use guava_fleet::succession::{LiveVm, Succession};
 use guava_platform::headers::Unreadable;
 use guava_platform::settings::Settings;
@@ -31,7 +31,7 @@
 
 use crate::changes::Changes;
 use crate::client::{Clients, StoreClient};
-use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS, Obstacle, STORE_OUTAGE_MS};
+use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS, STORE_OUTAGE_MS};
 use crate::feed::{Applied, FeedAnswer, FeedQuery};
 use crate::findings::Findings;
 use crate::log_event;
--- a/crates/entry/tests/statement_load.rs
+++ b/crates/entry/tests/statement_load.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 
 use guava_core::units::Millis;
-use guava_entry::cluster_view::{ClusterView, Obstacle};
+use guava_entry::cluster_view::ClusterView;
 use guava_fleet::choice::{Candidate, choose};
 use guava_fleet::model::{BackendServer, ServerState, StoreRevision};
+use guava_fleet::statements::Obstacle;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -384,8 +384,13 @@
     /// Records the rests that servers have asked this VM for. They get no orders and no polls meanwhile.
     pub fn set_rests(&mut self, rests: &[Rest], now: Millis) {
         for engine in self.engines.values_mut() {
-            let own = |it: &&Rest| it.server == engine.server.id && it.born_ms == engine.server.born_ms;
-            engine.rests_until = rests.iter().find(own).map_or(Millis(0), |it| now + it.left_ms);
+            engine.rests_until = Millis(0);
+        }
+        for rest in rests {
+            let engine = self.engines.get_mut(&rest.server);
+            if let Some(engine) = engine.filter(|it| it.server.born_ms == rest.born_ms) {
+                engine.rests_until = now + rest.left_ms;
+            }
         }
     }
 
--- a/crates/fleet/src/statements.rs
+++ b/crates/fleet/src/statements.rs
@@ -37,6 +37,28 @@
     }
 }
 
+/// Why no server of a service takes a request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Obstacle {
+    /// All leave.
+    Leaving,
+    /// All that could take it have asked this VM for a rest; the first one ends after so many milliseconds.
+    Resting(u64),
+}
+
+impl Obstacle {
+    /// Whether a request may wait for the end of the obstacle: it ends while the request can still meet its objective,
+    /// or the model is loaded at another engine before. `spare_ms` is the time left for the objective, `load_ms` the time
+    /// until the model is loaded, if that is known.
+    pub fn is_worth_waiting(self, spare_ms: u64, load_ms: Option<u64>) -> bool {
+        match self {
+            Self::Leaving => false,
+            // A load time of zero is that of an engine that rests.
+            Self::Resting(left_ms) => left_ms < spare_ms || load_ms.is_some_and(|it| it > 0 && it < left_ms),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Known {
     born_ms: u64,
