Compare entries of servers by what the servers wrote

Cause: the store carried an older write of the server out late. The view forgot a departure on any ready entry of the store, and where a departure was compared, a later revision came before the server's own count of writes. A late write has a later revision and an older count.

Change: on each path (change of the store, list, told entry, told departure) start and count of writes decide. An older entry of the same life is left out, one older than the departure counts as leaving. Where they do not tell (no start, no count, a clock set back before a new start) the entry is withheld until it has outlived a late write.

The test departure_covers_older_entries_only asked for an entry with the departure's own count in a later view to be used at once; such an entry may be a late write. It is replaced by a stricter one that tells three outcomes.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -91,6 +91,7 @@
     LeavingStated = 2023, Info, "A backend server states in an answer that it leaves.";
     RestStated = 2024, Info, "A backend server has asked this VM for a rest.";
     StatementUnreadable = 2025, Warn, "A header in which a backend server states something could not be read and is ignored.";
+    EntryOutdated = 2026, Info, "An entry of a backend server is or may be older than what is known of the server.";
 
     // 3xxx: administration.
     ObjectWritten = 3001, Info, "An operator's change was accepted.";
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use guava_core::units::Millis;
-use guava_fleet::departures::{Departure, Departures};
+use guava_fleet::departures::{Departure, Departures, EntryAge};
 use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
 use guava_fleet::placement::{EngineModels, Wait};
 use guava_fleet::routes::ActiveConfig;
@@ -24,12 +24,41 @@
 /// Time without contact to the store after which missing entries may have expired during the outage.
 pub(crate) const STORE_OUTAGE_MS: u64 = 2_600;
 
+/// Heartbeats that a server may miss before its entry lapses.
+const MISSED_HEARTBEATS: u64 = 3;
+/// Time, in milliseconds, until the removal of a lapsed entry is known.
+const REMOVAL_DELAY_MS: u64 = 1_000;
+/// Heartbeat interval, in milliseconds, of servers if the settings name none.
+const DEFAULT_HEARTBEAT_MS: u64 = 1_200;
+/// Limit on entries that are noted for the log between two readings.
+const MAX_NOTED: usize = 64;
+
 /// Known backend server.
 #[derive(Debug, Clone)]
 struct KnownServer {
     server: Arc<BackendServer>,
     /// When its entry was found missing right after an outage of the store; `None` while the entry exists.
     missing_since: Option<Millis>,
+    /// Since when a ready entry counts as leaving because it may be older than the server's departure; `None` for any
+    /// other entry.
+    withheld_since: Option<Millis>,
+}
+
+/// Ready entry that does not make its server available, because it is or may be older than what is known of the server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OldEntry {
+    /// Id of the server.
+    pub server: String,
+    /// Start that the entry states.
+    pub born_ms: u64,
+    /// Count of writes that the entry states.
+    pub writes: u64,
+    /// Count of writes of the entry that is kept in its place; `None` if the entry is taken over as leaving.
+    pub kept_writes: Option<u64>,
+    /// Revision of the view that holds the entry.
+    pub revision: StoreRevision,
+    /// Whether the entry becomes available once it has outlived a late write.
+    pub is_unclear: bool,
 }
 
 /// Age reported by another process, and when it was received.
@@ -74,6 +103,10 @@
     complete_to: StoreRevision,
     servers: VersionedMap<KnownServer>,
     departures: Departures,
+    /// Heartbeat interval of servers in milliseconds; zero for the default.
+    heartbeat_ms: u64,
+    /// Old entries to be logged.
+    old_entries: Vec<OldEntry>,
     /// Rests that servers have asked this VM for.
     rests: Rests,
     /// Number of entries received, including those whose change is not published to followers.
@@ -98,6 +131,15 @@
 }
 
 impl ClusterView {
+    /// Creates the view of a process that has just started. `heartbeat_ms` is the interval, in milliseconds, at which
+    /// servers renew their entries.
+    pub fn new(heartbeat_ms: u64) -> Self {
+        Self {
+            heartbeat_ms,
+            ..Self::default()
+        }
+    }
+
     /// Puts a configuration in force if its version is higher than the current one. Returns whether it was.
     pub fn put_config(&mut self, in_force: ActiveConfig) -> bool {
         let current = self.config.as_ref().map_or(0, |it| it.config.version);
@@ -237,7 +279,7 @@
             self.remove_server(&id, revision, now);
         }
         for (_, server) in listed {
-            self.put_told_server(server, revision, now);
+            self.put_entry(server, revision, now);
         }
         let is_first = !std::mem::replace(&mut self.has_servers, true);
         self.advance_to(revision);
@@ -257,7 +299,7 @@
         }
         let mut is_change = false;
         for server in changes.present {
-            is_change |= self.put_told_server(server, revision, now);
+            is_change |= self.put_entry(server, revision, now);
         }
         for id in &changes.gone {
             is_change |= self.remove_server(id, revision, now);
@@ -267,28 +309,48 @@
     }
 
     /// Applies a change that the store reports of a server's entry. Returns whether followers need the change.
-    pub fn put_server(&mut self, mut server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
-        if self.departures.is_stated(&server, now) {
-            server.state = ServerState::Draining;
-        } else if server.state == ServerState::Ready {
-            self.departures.forget(&server.id);
-        }
+    pub fn put_server(&mut self, server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
         self.advance_to(revision);
-        self.insert_server(server, revision, now)
+        self.put_entry(server, revision, now)
     }
 
-    /// Applies an entry that may be older than what is known: of another process, or in a list of a restored store.
-    fn put_told_server(&mut self, mut server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
-        if self.departures.covers(&server, revision, now) {
-            server.state = ServerState::Draining;
+    /// Applies an entry, which may be older than what is known: one that another process tells, one in a list of a
+    /// restored store, or one that the store has written late.
+    fn put_entry(&mut self, mut server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
+        let known = self.servers.get(&server.id);
+        if let Some(known) = known.filter(|it| is_earlier_in_life(&server, &it.server)) {
+            let kept_writes = Some(known.server.writes);
+            self.note_old_entry(&server, revision, kept_writes, false);
+            return false;
         }
-        self.insert_server(server, revision, now)
-    }
-
-    fn insert_server(&mut self, server: BackendServer, revision: StoreRevision, now: Millis) -> bool {
+        let withheld_since = known.and_then(|it| it.withheld_since);
+        let age = self.departures.entry_age(&server, revision, now);
         if server.state == ServerState::Draining {
-            self.departures.record(&server, revision, now);
+            // Another process may withhold the entry; the server itself may be ready.
+            if age == EntryAge::Later {
+                self.departures.record(&server, revision, now);
+            }
+            return self.insert_server(server, None);
         }
+        let withheld_since = match age {
+            EntryAge::Later => None,
+            EntryAge::Earlier => {
+                self.note_old_entry(&server, revision, None, false);
+                server.state = ServerState::Draining;
+                None
+            }
+            EntryAge::Unclear => {
+                if withheld_since.is_none() {
+                    self.note_old_entry(&server, revision, None, true);
+                }
+                server.state = ServerState::Draining;
+                Some(withheld_since.unwrap_or(now))
+            }
+        };
+        self.insert_server(server, withheld_since)
+    }
+
+    fn insert_server(&mut self, server: BackendServer, withheld_since: Option<Millis>) -> bool {
         self.server_updates += 1;
         let known = self.servers.get(&server.id);
         let is_same = known.is_some_and(|it| it.missing_since.is_none() && is_same_except_models(&it.server, &server));
@@ -296,11 +358,64 @@
         let known = KnownServer {
             server: Arc::new(server),
             missing_since: None,
+            withheld_since,
         };
         self.servers.put(&id, known, !is_same);
         !is_same
     }
 
+    fn note_old_entry(
+        &mut self,
+        server: &BackendServer,
+        revision: StoreRevision,
+        kept_writes: Option<u64>,
+        is_unclear: bool,
+    ) {
+        if server.state == ServerState::Ready && self.old_entries.len() < MAX_NOTED {
+            self.old_entries.push(OldEntry {
+                server: server.id.clone(),
+                born_ms: server.born_ms,
+                writes: server.writes,
+                kept_writes,
+                revision,
+                is_unclear,
+            });
+        }
+    }
+
+    /// Old entries received since the last call.
+    pub fn take_old_entries(&mut self) -> Vec<OldEntry> {
+        std::mem::take(&mut self.old_entries)
+    }
+
+    /// Time, in milliseconds, after which an entry that nobody renews is known to have lapsed.
+    fn lapse_ms(&self) -> u64 {
+        let heartbeat_ms = match self.heartbeat_ms {
+            0 => DEFAULT_HEARTBEAT_MS,
+            stated => stated,
+        };
+        heartbeat_ms
+            .saturating_mul(MISSED_HEARTBEATS)
+            .saturating_add(REMOVAL_DELAY_MS)
+    }
+
+    /// Makes servers available whose withheld entries have outlived a late write. Returns their ids.
+    pub fn release_withheld(&mut self, now: Millis) -> Vec<String> {
+        let lapse_ms = self.lapse_ms();
+        let is_due = |it: &KnownServer| it.withheld_since.is_some_and(|since| now.since(since) >= lapse_ms);
+        let due = self.servers.iter().filter(|(_, it)| is_due(it));
+        let due: Vec<Arc<BackendServer>> = due.map(|(_, it)| Arc::clone(&it.server)).collect();
+        for server in &due {
+            self.departures.outlive(server);
+            let ready = BackendServer {
+                state: ServerState::Ready,
+                ..(**server).clone()
+            };
+            self.insert_server(ready, None);
+        }
+        due.iter().map(|it| it.id.clone()).collect()
+    }
+
     /// Applies the removal of a server's entry. Returns whether followers need the change. Right after an outage of the
     /// store the removal of a ready server is held back, because the entry may only have expired.
     pub fn remove_server(&mut self, id: &str, revision: StoreRevision, now: Millis) -> bool {
@@ -334,12 +449,10 @@
         let Some(known) = self.servers.get(id).map(|it| Arc::clone(&it.server)) else {
             return false;
         };
-        if known.state != ServerState::Ready || !self.departures.covers(&known, self.servers_revision, now) {
+        if known.state != ServerState::Ready {
             return false;
         }
-        let mut leaving = (*known).clone();
-        leaving.state = ServerState::Draining;
-        self.insert_server(leaving, self.servers_revision, now)
+        self.put_entry((*known).clone(), self.servers_revision, now)
     }
 
     /// Records that a server states in an answer that it leaves. Returns whether that was unknown.
@@ -601,6 +714,11 @@
     }
 }
 
+/// Whether an entry was written before another one of the same life of a server.
+fn is_earlier_in_life(entry: &BackendServer, other: &BackendServer) -> bool {
+    entry.born_ms > 0 && entry.born_ms == other.born_ms && entry.writes > 0 && entry.writes < other.writes
+}
+
 fn contains_model(held: &[HeldModel], model: &str, adapter: Option<&str>) -> bool {
     let has_adapter = |it: &HeldModel| adapter.is_none_or(|name| it.adapters.iter().any(|held| held == name));
     held.iter().any(|it| it.name == model && has_adapter(it))
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -58,7 +58,6 @@
 
 /// Time for which a refused request counts as demand, in milliseconds; a VM reports several times in it.
 const REFUSED_DEMAND_MS: u64 = 1_000;
-
 /// Limit on large answers of backend servers that are read at the same time, each up to a megabyte.
 const MAX_CONCURRENT_LARGE_ANSWERS: usize = 2;
 
@@ -229,7 +228,7 @@
             departures_learnt: Notify::new(),
             members_listed: Notify::new(),
             budgets: Mutex::default(),
-            view: Mutex::default(),
+            view: Mutex::new(ClusterView::new(settings.heartbeat_ms)),
             in_flight: Mutex::default(),
             changes: watch::Sender::new(0),
             eras: watch::Sender::new(0),
@@ -468,11 +467,31 @@
 
     /// Replaces all servers by a list read from the store at `revision`.
     pub fn apply_server_list(&self, list: Vec<BackendServer>, revision: StoreRevision, now: Millis) {
-        if self.view.lock().put_server_list(list, revision, now) {
+        let is_change = self.view.lock().put_server_list(list, revision, now);
+        self.log_old_entries();
+        if is_change {
             self.signal_change();
         }
     }
 
+    fn log_old_entries(&self) {
+        let old_entries = self.view.lock().take_old_entries();
+        for it in old_entries {
+            log_event!(
+                Event::EntryOutdated,
+                "-",
+                "server={} born_ms={} writes={} kept_writes={} unclear={} revision={}.{}",
+                it.server,
+                it.born_ms,
+                it.writes,
+                it.kept_writes.map_or_else(|| "-".to_owned(), |it| it.to_string()),
+                it.is_unclear,
+                it.revision.era,
+                it.revision.number
+            );
+        }
+    }
+
     /// Records that all changes of servers up to a store revision have been applied; zero for unknown.
     pub fn record_complete(&self, revision: StoreRevision) {
         self.view.lock().record_complete(revision);
@@ -492,25 +511,25 @@
 
     /// Applies a changed entry; `None` if it was removed or does not describe a usable server.
     pub fn apply_server(&self, id: &str, server: Option<BackendServer>, revision: StoreRevision, now: Millis) {
-        let state = server.as_ref().map(|it| it.state);
-        let version = server.as_ref().and_then(|it| it.version.clone());
-        let is_change = {
+        let (is_change, known) = {
             let mut view = self.view.lock();
-            match server {
+            let is_change = match server {
                 Some(server) => view.put_server(server, revision, now),
                 None => view.remove_server(id, revision, now),
-            }
+            };
+            (is_change, view.server(id).map(Arc::clone))
         };
+        self.log_old_entries();
         if !is_change {
             return;
         }
         let revision = format!("{}.{}", revision.era, revision.number);
-        match state {
+        match known.as_ref().map(|it| it.state) {
             Some(ServerState::Ready) => log_event!(
                 Event::ServerListed,
                 "-",
                 "server={id} version={} revision={revision}",
-                version.as_deref().unwrap_or("-")
+                known.as_ref().and_then(|it| it.version.as_deref()).unwrap_or("-")
             ),
             Some(ServerState::Draining) => log_event!(Event::ServerLeaving, "-", "server={id} revision={revision}"),
             None => log_event!(Event::ServerEnded, "-", "server={id} revision={revision}"),
@@ -518,15 +537,28 @@
         self.signal_change();
     }
 
-    /// Removes servers whose entries were not renewed after an outage of the store.
+    /// Removes servers whose entries were not renewed after an outage of the store, and makes those available whose
+    /// withheld entries were.
     pub fn remove_expired(&self, now: Millis) {
-        let dropped = self.view.lock().remove_expired(now);
+        let (dropped, released) = {
+            let mut view = self.view.lock();
+            (view.remove_expired(now), view.release_withheld(now))
+        };
         if dropped > 0 {
             log_event!(
                 Event::ServerEnded,
                 "-",
                 "servers={dropped} reason=entry was not renewed"
             );
+        }
+        for id in &released {
+            log_event!(
+                Event::ServerListed,
+                "-",
+                "server={id} reason=withheld entry was renewed"
+            );
+        }
+        if dropped > 0 || !released.is_empty() {
             self.signal_change();
         }
     }
@@ -575,7 +607,9 @@
 
     /// Applies departures of servers that another process tells.
     pub fn apply_departures(&self, told: Vec<Departure>, now: Millis) {
-        if self.view.lock().put_departures(told, now) {
+        let is_change = self.view.lock().put_departures(told, now);
+        self.log_old_entries();
+        if is_change {
             self.departures_learnt.notify_one();
             self.signal_change();
         }
@@ -763,6 +797,7 @@
             }
             (is_newer, is_change)
         };
+        self.log_old_entries();
         if is_change {
             self.signal_change();
         }
--- a/crates/entry/tests/cluster_view.rs
+++ b/crates/entry/tests/cluster_view.rs
@@ -5,6 +5,7 @@
 use guava_entry::cluster_view::{ClusterView, EXPIRY_GRACE_MS};
 use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
 use guava_fleet::placement::EngineModels;
+use rstest::rstest;
 
 fn server(id: &str, state: ServerState) -> BackendServer {
     BackendServer {
@@ -262,3 +263,112 @@
     assert!(!view.accepts_requests(&before));
     assert!(view.accepts_requests(&after));
 }
+
+/// Time after which an entry that nobody renews is known to have lapsed.
+const LAPSE_MS: u64 = 4_600;
+
+/// Way on which an entry reaches a view.
+#[derive(Debug, Clone, Copy)]
+enum Way {
+    /// As a change that the store reports.
+    Store,
+    /// In a list of the store or of another process.
+    List,
+    /// As a change that another process tells.
+    Told,
+}
+
+fn put(view: &mut ClusterView, way: Way, server: BackendServer, number: u64, now: Millis) {
+    match way {
+        Way::Store => view.put_server(server, at(number), now),
+        Way::List => view.put_server_list(vec![server], at(number), now),
+        Way::Told => view.put_server_changes(
+            Changes {
+                change: number,
+                is_whole: false,
+                present: vec![server],
+                gone: Vec::new(),
+            },
+            at(number),
+            now,
+        ),
+    };
+}
+
+fn entry(state: ServerState, born_ms: u64, writes: u64) -> BackendServer {
+    BackendServer {
+        born_ms,
+        writes,
+        ..server("a", state)
+    }
+}
+
+/// Guards against a server that leaves or has left and gets requests again because the store carries out an older write of
+/// it, on whichever way the entry arrives.
+#[rstest]
+fn entry_that_the_store_writes_late_does_not_bring_a_server_back(
+    #[values(Way::Store, Way::List, Way::Told)] way: Way,
+    #[values(false, true)] is_removed: bool,
+) {
+    let mut view = ClusterView::default();
+    put(&mut view, way, entry(ServerState::Ready, 100, 7), 1, Millis(1_000));
+    put(&mut view, way, entry(ServerState::Draining, 100, 8), 2, Millis(2_000));
+    if is_removed {
+        view.remove_server("a", at(3), Millis(3_000));
+    }
+
+    let late = entry(ServerState::Ready, 100, 5);
+    put(&mut view, way, late.clone(), 4, Millis(4_000));
+    let is_used_at_once = view.accepts_requests(&late);
+    view.release_withheld(Millis(4_000 + LAPSE_MS));
+
+    assert!(!is_used_at_once && !view.accepts_requests(&late));
+    let noted: Vec<u64> = view.take_old_entries().iter().map(|it| it.writes).collect();
+    assert_eq!(noted, [5]);
+}
+
+/// Guards against a process that has just started, or was cut off, and uses a server whose older entry is all it has seen
+/// after others have told it of the departure.
+#[test]
+fn told_departure_counts_before_an_older_entry_of_a_later_view() {
+    let mut others = ClusterView::default();
+    others.put_server(entry(ServerState::Draining, 100, 8), at(2), Millis(2_000));
+    let mut view = ClusterView::default();
+    let late = entry(ServerState::Ready, 100, 5);
+    view.put_server_list(vec![late.clone()], at(4), Millis(4_000));
+
+    let is_change = view.put_departures(others.departures(Millis(4_100)), Millis(4_100));
+
+    assert!(is_change && !view.accepts_requests(&late));
+}
+
+/// Guards against a live server that is left alone because its entry looks older than its departure.
+#[rstest]
+#[case::later_start((100, 8), (200, 1), true)]
+#[case::ready_again((100, 8), (100, 9), true)]
+#[case::clock_set_back((100, 8), (90, 1), false)]
+#[case::no_counts((100, 0), (100, 0), false)]
+#[case::no_start((0, 8), (0, 1), false)]
+fn live_server_is_used_again(
+    #[case] departed: (u64, u64),
+    #[case] (born_ms, writes): (u64, u64),
+    #[case] is_used_at_once: bool,
+) {
+    let mut view = ClusterView::default();
+    view.put_server(
+        entry(ServerState::Draining, departed.0, departed.1),
+        at(2),
+        Millis(2_000),
+    );
+    let told = view.departures(Millis(2_000));
+
+    let ready = entry(ServerState::Ready, born_ms, writes);
+    view.put_server(ready.clone(), at(3), Millis(5_000));
+    let is_used = view.accepts_requests(&ready);
+    let released = view.release_withheld(Millis(5_000 + LAPSE_MS));
+    view.put_departures(told, Millis(5_000 + LAPSE_MS));
+
+    assert_eq!(is_used, is_used_at_once);
+    assert_eq!(released.is_empty(), is_used_at_once);
+    assert!(view.accepts_requests(&ready));
+}
--- a/crates/entry/tests/statement_load.rs
+++ b/crates/entry/tests/statement_load.rs
@@ -1,5 +1,5 @@
 //! Fleets of 6, 60 and 300 VMs in virtual time, before servers that leave or want rests and say so in their answers while
-//! the store lists them as ready.
+//! the store lists them as ready, and before servers that have left when the store carries out an older write.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -29,8 +29,10 @@
 const FAN_OUT: usize = 4;
 /// Interval at which servers write their entries, which stay ready.
 const WRITE_MS: u64 = 400;
-/// Time of the day at which all VMs that exchange messages must leave leaving servers alone.
+/// Time of the day at which all VMs that exchange messages must leave leaving servers alone: with late writes, less than
+/// the three seconds after which a VM that has started or was cut off counts as stable.
 const STABLE_AT_MS: u64 = 6_400;
+const STABLE_AFTER_LATE_WRITES_MS: u64 = 8_000;
 
 /// What the servers of a day do.
 #[derive(Debug, Clone, Copy)]
@@ -41,8 +43,14 @@
     Shedding(u64),
     /// All do, so that no server can be had.
     AllShedding(u64),
+    /// One in eight leaves by its entry at 3 s and ends at 4 s. At 5.2 s the store writes an older entry of it, which
+    /// lapses; a VM starts then, and those that were cut off are back. The servers start anew under their ids at 12 s.
+    LateWrites,
 }
 
+/// Time of the day at which the store carries out older writes, and at which they lapse.
+const LATE_WRITES: Range<u64> = 5_200..8_800;
+
 #[derive(Debug, Default)]
 struct Outcome {
     late: usize,
@@ -161,7 +169,39 @@
     }
 
     fn is_affected(&self, server: usize) -> bool {
-        matches!(self.load, Load::AllShedding(_)) || server.is_multiple_of(3)
+        match self.load {
+            Load::AllShedding(_) => true,
+            // One message holds the departures of all.
+            Load::LateWrites => server.is_multiple_of(8),
+            Load::Leaving | Load::Shedding(_) => server.is_multiple_of(3),
+        }
+    }
+
+    /// Entry of a server in the store; `None` while there is none.
+    fn entry(&self, server: usize, at: Millis) -> Option<BackendServer> {
+        let mut entry = self.servers[server].clone();
+        if !matches!(self.load, Load::LateWrites) || !self.is_affected(server) {
+            return Some(entry);
+        }
+        match at.since(START) {
+            3_000..4_000 => entry.state = ServerState::Draining,
+            day_ms if LATE_WRITES.contains(&day_ms) => entry.writes = 5,
+            4_000..12_000 => return None,
+            _ => {}
+        }
+        Some(entry)
+    }
+
+    /// A VM without any knowledge and those that were cut off read the store.
+    fn join(&mut self, revision: StoreRevision, at: Millis) {
+        let started = self.views.len() - 1;
+        self.views[started] = ClusterView::default();
+        self.told_leaving.retain(|(vm, ..), _| *vm != started);
+        let list: Vec<BackendServer> = (0..self.servers.len()).filter_map(|it| self.entry(it, at)).collect();
+        for vm in (0..self.cut).chain([started]) {
+            self.views[vm].put_server_list(list.clone(), revision, at);
+        }
+        self.cut = 0;
     }
 
     /// Whether a server leaves, and the rest that it asks for.
@@ -178,17 +218,35 @@
 
     fn write(&mut self, at: Millis) {
         let number = 1 + at.since(START) / WRITE_MS;
-        let starts_anew = matches!(self.load, Load::Leaving) && at.since(START) == 12_000;
+        let revision = StoreRevision { era: 1, number };
+        let day_ms = at.since(START);
+        let starts_anew = matches!(self.load, Load::Leaving | Load::LateWrites) && day_ms == 12_000;
         for index in 0..self.servers.len() {
             if starts_anew && self.is_affected(index) {
                 self.servers[index].born_ms += 12_000;
+                self.servers[index].writes = 0;
             }
             self.servers[index].writes += 1;
-            for view in &mut self.views[self.cut..] {
-                view.put_server(self.servers[index].clone(), StoreRevision { era: 1, number }, at);
+            let entry = self.entry(index, at);
+            for vm in self.cut..self.views.len() {
+                match &entry {
+                    Some(entry) => self.views[vm].put_server(entry.clone(), revision, at),
+                    None => self.views[vm].remove_server(&format!("s{index}"), revision, at),
+                };
+                if entry.as_ref().is_none_or(|it| it.state == ServerState::Draining) {
+                    let life = (vm, index, self.servers[index].born_ms);
+                    self.told_leaving.entry(life).or_insert(at);
+                }
             }
         }
-        if at.since(START) == STABLE_AT_MS {
+        if matches!(self.load, Load::LateWrites) && day_ms == LATE_WRITES.start {
+            self.join(revision, at);
+        }
+        let stable_at_ms = match self.load {
+            Load::LateWrites => STABLE_AFTER_LATE_WRITES_MS,
+            _ => STABLE_AT_MS,
+        };
+        if day_ms == stable_at_ms {
             self.count_unaware(at);
         }
         for view in &mut self.views {
@@ -198,7 +256,8 @@
     }
 
     fn count_unaware(&mut self, at: Millis) {
-        let leaving = (0..self.servers.len()).filter(|it| self.stated(*it, at).0);
+        let has_left = |it: &usize| matches!(self.load, Load::LateWrites) && self.is_affected(*it);
+        let leaving = (0..self.servers.len()).filter(|it| self.stated(*it, at).0 || has_left(it));
         let leaving: Vec<BackendServer> = leaving.map(|it| self.servers[it].clone()).collect();
         let views = self.views[self.cut..].iter();
         self.outcome.unaware = views
@@ -318,12 +377,19 @@
     }
 }
 
-/// Guards against requests to servers that leave or rest, against VMs that never learn of it, and against servers that are
-/// left alone for good.
+/// Guards against requests to servers that leave or rest, against VMs that never learn of it, against an older entry that
+/// brings a server back that has left, and against servers that are left alone for good.
 #[rstest]
 fn statements_bind_the_whole_fleet(
     #[values((6, 9), (60, 60), (300, 160))] (vms, servers): (usize, usize),
-    #[values(Load::Leaving, Load::Shedding(2_000), Load::Shedding(200), Load::AllShedding(1_500))] load: Load,
+    #[values(
+        Load::Leaving,
+        Load::Shedding(2_000),
+        Load::Shedding(200),
+        Load::AllShedding(1_500),
+        Load::LateWrites
+    )]
+    load: Load,
     #[values(1, 2, 3)] seed: u64,
 ) {
     // So many servers that the requests of a VM find all of them at rest.
--- a/crates/fleet/src/departures.rs
+++ b/crates/fleet/src/departures.rs
@@ -1,10 +1,14 @@
 //! Backend servers that are known to leave or to have left.
 //!
 //! Views of the store do not always grow newer: a store that was restored from a copy shows a server as ready that has
-//! left since the copy was made, and so does a process that has read nothing else. What the server itself has written
+//! left since the copy was made, and so does a process that has read nothing else. A write whose answer was lost may be
+//! carried out seconds later and replace a newer entry, in a view of a later revision. What the server itself has written
 //! tells which entry is older: its start time, and its count of writes. Departures are spread to all VMs, so that one
 //! that was cut off or has just started does not use such a server either.
 //!
+//! Where start and count do not tell, because one is missing or the clock was set back before a new start, the entry
+//! counts as later once it has outlived a late write: an entry that nobody renews lapses.
+//!
 //! A server that states in an answer that it leaves is ahead of the store, whose entry of it stays ready for a while, with
 //! the same start and the same count. Such a departure holds until the server starts anew.
 
@@ -44,6 +48,17 @@
     }
 }
 
+/// Age of a server's entry relative to the known departure of the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryAge {
+    /// The entry is later, or no departure is known.
+    Later,
+    /// The entry was written before the departure, or the server has stated in the same life that it leaves.
+    Earlier,
+    /// Neither the server's start nor its count of writes tells.
+    Unclear,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Known {
     born_ms: u64,
@@ -51,6 +66,8 @@
     revision: StoreRevision,
     at: Millis,
     is_stated: bool,
+    /// Start of the life whose entry has outlived a late write after the departure.
+    outlived_by: Option<u64>,
 }
 
 impl Known {
@@ -61,6 +78,7 @@
             revision,
             at,
             is_stated,
+            outlived_by: None,
         }
     }
 
@@ -106,6 +124,7 @@
                 revision: it.revision,
                 at: now - it.age_ms,
                 is_stated: it.is_stated,
+                outlived_by: None,
             };
             if self.put(&it.server, known, now) {
                 learnt.push(it.server);
@@ -114,9 +133,12 @@
         learnt
     }
 
-    /// Forgets the departure of a server that has written a new entry.
-    pub fn forget(&mut self, server: &str) {
-        self.by_server.remove(server);
+    /// Records that an entry of unclear age has outlived a late write: the server writes it. Entries of its life count as
+    /// later from now on.
+    pub fn outlive(&mut self, server: &BackendServer) {
+        if let Some(known) = self.by_server.get_mut(&server.id) {
+            known.outlived_by = Some(server.born_ms);
+        }
     }
 
     /// Keeps what a listed server has stated for as long as it is listed with the same start. An entry without a start may
@@ -128,22 +150,34 @@
         }
     }
 
-    /// Whether an entry of a server, in a view of the given revision, is older than its departure. What the server has
-    /// stated itself comes before the store's notice and holds in any view.
-    pub fn covers(&self, server: &BackendServer, revision: StoreRevision, now: Millis) -> bool {
+    /// Age of a server's entry in a view of the given revision. What the server has stated itself comes before the store's
+    /// notice and holds in any view.
+    pub fn entry_age(&self, server: &BackendServer, revision: StoreRevision, now: Millis) -> EntryAge {
         if self.is_stated(server, now) {
-            return true;
+            return EntryAge::Earlier;
         }
         let known = self.by_server.get(&server.id);
-        known.filter(|it| now.since(it.at) < KEPT_MS).is_some_and(|known| {
-            let is_later_view = revision.era == known.revision.era && revision > known.revision;
-            !is_later_view && (server.born_ms, server.writes) <= (known.born_ms, known.writes)
-        })
+        let Some(known) = known.filter(|it| now.since(it.at) < KEPT_MS) else {
+            return EntryAge::Later;
+        };
+        let is_same_life = server.born_ms > 0 && server.born_ms == known.born_ms;
+        let is_outnumbered = server.writes > 0 && server.writes < known.writes;
+        let is_counted_later = (server.born_ms, server.writes) > (known.born_ms, known.writes);
+        if is_counted_later || known.outlived_by == Some(server.born_ms) && !(is_same_life && is_outnumbered) {
+            EntryAge::Later
+        } else if is_same_life && is_outnumbered {
+            EntryAge::Earlier
+        } else if revision.era == known.revision.era && revision >= known.revision {
+            EntryAge::Unclear
+        } else {
+            EntryAge::Earlier
+        }
     }
 
     /// Latest departures, for another VM.
     pub fn recent(&self, now: Millis) -> Vec<Departure> {
-        let kept = self.by_server.iter().filter(|(_, it)| now.since(it.at) < KEPT_MS);
+        let is_told = |it: &Known| it.outlived_by.is_none() && now.since(it.at) < KEPT_MS;
+        let kept = self.by_server.iter().filter(|(_, it)| is_told(it));
         let mut kept: Vec<(&String, &Known)> = kept.collect();
         kept.sort_by_key(|(_, it)| Reverse(it.at));
         let recent = kept.into_iter().take(MAX_SENT).map(|(server, it)| Departure {
@@ -163,7 +197,8 @@
         if let Some(earlier) = self.by_server.get_mut(server) {
             let was_stated = earlier.is_stated && earlier.born_ms == known.born_ms;
             let is_news = known.is_stated && !was_stated && known.born_ms >= earlier.born_ms;
-            if order(&known) > order(earlier) || is_news {
+            let is_successor = earlier.outlived_by == Some(known.born_ms) && known.born_ms < earlier.born_ms;
+            if order(&known) > order(earlier) || is_news || is_successor {
                 *earlier = Known {
                     writes: known.writes.max(if was_stated { earlier.writes } else { 0 }),
                     is_stated: known.is_stated || was_stated,
--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -1,7 +1,7 @@
 //! Tests of servers that are known to leave or to have left.
 
 use guava_core::units::Millis;
-use guava_fleet::departures::{Departure, Departures};
+use guava_fleet::departures::{Departure, Departures, EntryAge};
 use guava_fleet::model::{BackendServer, ServerState, StoreRevision};
 use rstest::rstest;
 
@@ -27,28 +27,56 @@
     }
 }
 
-/// Guards against an older entry of a server that has left, and against a live server that is taken for one.
+/// Guards against an older entry of a server that has left, also one that the store has written late, and against a live
+/// server that is taken for one.
 #[rstest]
-#[case::same_entry_in_a_copy(5, 3, (2, 40), 0, true)]
-#[case::older_entry_in_a_copy(5, 2, (2, 40), 0, true)]
-#[case::older_view(5, 3, (1, 90), 0, true)]
-#[case::later_view_of_the_same_era(5, 3, (1, 101), 0, false)]
-#[case::later_entry(5, 4, (2, 40), 0, false)]
-#[case::later_start(6, 1, (2, 40), 0, false)]
-#[case::long_ago(5, 3, (2, 40), 120_000, false)]
-fn departure_covers_older_entries_only(
+#[case::same_entry_in_a_copy(5, 3, (2, 40), 0, EntryAge::Earlier)]
+#[case::older_entry_in_a_copy(5, 2, (2, 40), 0, EntryAge::Earlier)]
+#[case::older_view(5, 3, (1, 90), 0, EntryAge::Earlier)]
+#[case::older_entry_in_a_later_view(5, 2, (1, 101), 0, EntryAge::Earlier)]
+#[case::same_entry_in_a_later_view(5, 3, (1, 101), 0, EntryAge::Unclear)]
+#[case::no_count_in_a_later_view(5, 0, (1, 101), 0, EntryAge::Unclear)]
+#[case::no_start_in_a_later_view(0, 9, (1, 101), 0, EntryAge::Unclear)]
+#[case::earlier_start_in_a_later_view(4, 9, (1, 101), 0, EntryAge::Unclear)]
+#[case::earlier_start_in_an_older_view(4, 9, (1, 90), 0, EntryAge::Earlier)]
+#[case::later_entry(5, 4, (2, 40), 0, EntryAge::Later)]
+#[case::later_entry_in_an_older_view(5, 4, (1, 90), 0, EntryAge::Later)]
+#[case::later_start(6, 1, (2, 40), 0, EntryAge::Later)]
+#[case::long_ago(5, 3, (2, 40), 120_000, EntryAge::Later)]
+fn departure_is_compared_by_what_the_server_wrote(
     #[case] born_ms: u64,
     #[case] writes: u64,
     #[case] (era, number): (u64, u64),
     #[case] age_ms: u64,
-    #[case] expected: bool,
+    #[case] expected: EntryAge,
 ) {
     let mut departures = Departures::default();
     departures.record(&server(5, 3), DEPARTED_AT, START);
 
-    let covers = departures.covers(&server(born_ms, writes), StoreRevision { era, number }, START + age_ms);
+    let revision = StoreRevision { era, number };
+    let age = departures.entry_age(&server(born_ms, writes), revision, START + age_ms);
+
+    assert_eq!(age, expected);
+}
+
+/// Guards against a live server that is shut out again and again because others still tell the departure of its earlier
+/// life, and against its own departure being forgotten then.
+#[test]
+fn life_that_has_outlived_a_departure_is_not_shut_out_again() {
+    let mut departures = Departures::default();
+    let later = StoreRevision { era: 1, number: 101 };
+    departures.record(&server(5, 3), DEPARTED_AT, START);
+    let told = departures.recent(START);
+
+    departures.outlive(&server(4, 1));
+    let learnt = departures.merge(told, START);
+    let age = departures.entry_age(&server(4, 2), later, START);
+    let is_told_on = !departures.recent(START).is_empty();
+    departures.record(&server(4, 3), later, START);
 
-    assert_eq!(covers, expected);
+    assert!(learnt.is_empty() && !is_told_on);
+    assert_eq!(age, EntryAge::Later);
+    assert_eq!(departures.entry_age(&server(4, 2), later, START), EntryAge::Earlier);
 }
 
 /// Guards against state that grows with what other processes send.
@@ -99,9 +127,9 @@
         departures.renew(&stated, START + passed_ms);
     }
 
-    let covers = departures.covers(&listed, StoreRevision { era: 1, number }, START + after_ms);
+    let age = departures.entry_age(&listed, StoreRevision { era: 1, number }, START + after_ms);
 
-    assert_eq!(covers, expected);
+    assert_eq!(age == EntryAge::Earlier, expected);
 }
 
 /// Guards against a statement that the store's later notice of the same departure takes back.
