Let departures that one message does not hold take turns

What callers saw: nothing yet.

Cause: a message holds the 32 latest departures, and which of those of one moment was left to the order of a hash map, the same for as long as the map lived. A VM never told the others.

Change: half of a message holds the latest, the other half goes round the rest; the order of one moment is that of the ids.

Evidence: departures_that_one_message_does_not_hold_take_turns fails before (32 of 160 told).

--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -486,7 +486,7 @@
     }
 
     /// Servers that leave or have left, for another process.
-    pub fn departures(&self, now: Millis) -> Vec<Departure> {
+    pub fn departures(&mut self, now: Millis) -> Vec<Departure> {
         self.departures.recent(now)
     }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -729,7 +729,7 @@
 
     /// Builds the answer to a follower, with what it lacks if anything.
     pub fn feed_answer(&self, query: &FeedQuery) -> FeedAnswer {
-        let view = self.view.lock();
+        let mut view = self.view.lock();
         let config = view.config.as_ref();
         let config = config.filter(|it| it.config.version > query.config_version);
         let known = query.change.filter(|_| query.source == self.incarnation);
--- a/crates/fleet/src/departures.rs
+++ b/crates/fleet/src/departures.rs
@@ -25,8 +25,10 @@
 const KEPT_MS: u64 = 120_000;
 /// Limit on departures that are kept; the oldest are dropped.
 const MAX_KEPT: usize = 4_096;
-/// Limit on departures in one message; the latest are sent.
+/// Limit on departures in one message.
 const MAX_SENT: usize = 32;
+/// Latest departures in each message; the others take turns.
+const LATEST_SENT: usize = MAX_SENT / 2;
 /// Longest id of a server in a message.
 const MAX_ID: usize = 128;
 
@@ -92,6 +94,8 @@
 #[derive(Debug, Default)]
 pub struct Departures {
     by_server: HashMap<String, Known>,
+    /// Place, among the departures that take turns, at which the next message begins.
+    next_turn: usize,
 }
 
 impl Departures {
@@ -174,13 +178,20 @@
         }
     }
 
-    /// Latest departures, for another VM.
-    pub fn recent(&self, now: Millis) -> Vec<Departure> {
+    /// Departures for another VM. If one message cannot hold all, repeated messages do.
+    pub fn recent(&mut self, now: Millis) -> Vec<Departure> {
         let is_told = |it: &Known| it.outlived_by.is_none() && now.since(it.at) < KEPT_MS;
-        let kept = self.by_server.iter().filter(|(_, it)| is_told(it));
-        let mut kept: Vec<(&String, &Known)> = kept.collect();
-        kept.sort_by_key(|(_, it)| Reverse(it.at));
-        let recent = kept.into_iter().take(MAX_SENT).map(|(server, it)| Departure {
+        let told = self.by_server.iter().filter(|(_, it)| is_told(it));
+        let mut told: Vec<(&String, &Known)> = told.collect();
+        told.sort_by_key(|(server, it)| (Reverse(it.at), *server));
+        if told.len() > MAX_SENT {
+            let others = told.split_off(LATEST_SENT);
+            let turn = self.next_turn % others.len();
+            let in_turn = others.into_iter().cycle().skip(turn).take(MAX_SENT - LATEST_SENT);
+            told.extend(in_turn);
+            self.next_turn = turn + MAX_SENT - LATEST_SENT;
+        }
+        let recent = told.into_iter().map(|(server, it)| Departure {
             server: server.clone(),
             born_ms: it.born_ms,
             writes: it.writes,
--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -1,5 +1,7 @@
 //! Tests of servers that are known to leave or to have left.
 
+use std::collections::HashSet;
+
 use guava_core::units::Millis;
 use guava_fleet::departures::{Departure, Departures, EntryAge};
 use guava_fleet::model::{BackendServer, ServerState, StoreRevision};
@@ -103,6 +105,25 @@
     assert!(departures.recent(START + 120_000).is_empty());
 }
 
+/// Guards against departures that other processes never learn because one message does not hold all of the same moment.
+#[test]
+fn departures_that_one_message_does_not_hold_take_turns() {
+    let mut departures = Departures::default();
+    for index in 0..160 {
+        let leaving = BackendServer {
+            id: format!("s{index}"),
+            ..server(5, 3)
+        };
+        departures.record(&leaving, DEPARTED_AT, START);
+    }
+
+    let messages: Vec<Vec<Departure>> = (0..9).map(|_| departures.recent(START)).collect();
+
+    let told: HashSet<&str> = messages.iter().flatten().map(|it| it.server.as_str()).collect();
+    assert!(messages.iter().all(|it| it.len() == 32));
+    assert_eq!(told.len(), 160);
+}
+
 /// Guards against a server that has said that it leaves and counts as ready in a later view, and against one that is left
 /// alone for good.
 #[rstest]
