Answer 502 where a refusal of a server promises nothing

Cause: an answer with the server's code counts as run whatever its status, and its status was passed on as it is. To callers 408, 421, 429 and 503 promise that a request has not run and never will.

Change: such an answer to a request that must not run twice becomes G1311 (502) without the server's code or its Retry-After; what it states still binds this VM.

--- a/crates/core/src/codes.rs
+++ b/crates/core/src/codes.rs
@@ -84,6 +84,7 @@
     JobNotAccepted = 1308, 503, "The job could not be stored and was not accepted.";
     AnswerTooLarge = 1309, 502, "The answer is larger than the limit for stored answers.";
     AnswerMismatch = 1310, 502, "The backend server's answer belongs to another request.";
+    RefusedAfterRun = 1311, 502, "The backend server answered with a refusal but does not say that the request has not run.";
 
     // 14xx: state of the VM.
     Isolated = 1401, 503, "This VM has lost contact with the platform and the other VMs.";
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -356,6 +356,16 @@
             log_event!(Event::RequestRetried, self.id(), "server={server} status={status}");
             return Ok(None);
         }
+        // The caller would send the request again, and it would run twice. One that may run twice keeps the server's answer.
+        if headers::promises_not_run(incoming.status) && !self.resolved.route.may_retry() {
+            self.record_failure(&server, format_args!("status {status}"));
+            log_event!(
+                Event::RequestFailed,
+                self.id(),
+                "server={server} why=status {status} does not say that the request has not run"
+            );
+            return Err(Failure::unknown(Code::RefusedAfterRun));
+        }
         let IncomingAnswer {
             body,
             connection,
--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -9,8 +9,8 @@
 
 use guava_entry::state::EntryState;
 use guava_fleet::model::{BackendServer, ServerState, StoreRevision};
-use guava_platform_standin::raw::{failure_head, refusal_head};
-use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH};
+use guava_platform_standin::raw::{LEAVING_LINE, failure_head, refusal_head, sealed_answer};
+use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, REPORT_PATH, STREAM_PATH};
 use rstest::rstest;
 use support::{
     FakePeers, ScriptedServer, add_peers, answer_head, call, chunk, event, list_servers, put_config, start_entry,
@@ -438,6 +438,73 @@
     assert_eq!(requests, 1);
 }
 
+/// Guards against a request that must not run twice and is answered with a promise that it has not run, although its server
+/// has run it: the caller would send it again.
+#[rstest]
+#[case::full(BOOKING_PATH, "503 Service Unavailable")]
+#[case::rate_limit(BOOKING_PATH, "429 Too Many Requests")]
+#[case::timeout(BOOKING_PATH, "408 Request Timeout")]
+#[case::stream(REPORT_PATH, "503 Service Unavailable")]
+#[tokio::test]
+async fn refusal_without_a_promise_reaches_the_caller_as_unknown(
+    #[case] path: &'static str,
+    #[case] status: &'static str,
+) {
+    let entry = start_entry(Arc::default()).await;
+    let mut servers = Vec::new();
+    for id in ["a", "b"] {
+        let script = move |mut stream: TcpStream, attempt: String| async move {
+            let more = format!("retry-after: 3\r\n{LEAVING_LINE}");
+            write(&mut stream, &sealed_answer(status, &attempt, &more, "no")).await;
+        };
+        servers.push(start_server(id, path == REPORT_PATH, script).await);
+    }
+    list_servers(&entry.state, &[&servers[0], &servers[1]]);
+
+    let (answer, _) = call(entry.address, "r1", path).await;
+
+    let asked: Vec<&ScriptedServer> = servers.iter().filter(|it| !it.received.lock().is_empty()).collect();
+    let head = answer.split("\r\n\r\n").next().unwrap_or_default();
+    assert!(head.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(
+        answer.contains("G1311") && answer.contains("outcome_unknown"),
+        "{answer}"
+    );
+    assert!(
+        !head.contains("x-response-seal") && !head.contains("retry-after"),
+        "{head}"
+    );
+    assert_eq!(asked.len(), 1, "one server ran it");
+    let at = guava_entry::state::now();
+    assert!(
+        !entry.state.takes_requests(&asked[0].entry, at),
+        "what the server states still binds"
+    );
+}
+
+/// Guards against changed answers to requests that may run twice: their callers retry whatever the status.
+#[tokio::test]
+async fn refusal_of_an_idempotent_request_is_returned_unchanged() {
+    let entry = start_entry(Arc::default()).await;
+    let server = start_server("a", false, |mut stream, attempt| async move {
+        write(
+            &mut stream,
+            &sealed_answer("429 Too Many Requests", &attempt, "", "later"),
+        )
+        .await;
+    })
+    .await;
+    list_servers(&entry.state, &[&server]);
+
+    let (answer, _) = call(entry.address, "r1", LOOKUP_PATH).await;
+
+    assert!(
+        answer.starts_with("HTTP/1.1 429") && answer.contains("x-response-seal: s1"),
+        "{answer}"
+    );
+    assert!(answer.contains("later"), "{answer}");
+}
+
 /// What a server sends to which a stream continues.
 #[derive(Debug, Clone, Copy)]
 enum Next {
