Log why a request is refused before it is sent

What callers saw: streams that they took up were refused with G1207 after 1.5 to 2.0 s, or with G1204, and no line between E1001 and E1002 told what they had waited for.

Cause: the refusals of a request that waits for a model, a server or its turn at an engine were logged with their code only.

Change: E1022 tells the stage, how many servers the request may use, how many of them hold its model and rest, and the wait that it was told.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -59,6 +59,7 @@
     StartUnconfirmed = 1019, Debug, "The answer of a server was dropped, because the server may have started anew since its entry was received.";
     IdempotencyClaimed = 1020, Debug, "An idempotency record was claimed.";
     IdempotencyReplayed = 1021, Info, "A stored answer was given to a repeated request.";
+    RequestNotPlaced = 1022, Debug, "No backend server could take a request in time.";
     JobAccepted = 1030, Info, "A job was stored and accepted.";
     JobStarted = 1031, Info, "A job was started.";
     JobFinished = 1032, Info, "A job has its result.";
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -61,6 +61,17 @@
     pub is_unclear: bool,
 }
 
+/// Numbers of servers that a request may be sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Places {
+    /// Servers that accept requests.
+    pub ready: usize,
+    /// Those of them that hold the request's model and adapter.
+    pub holding: usize,
+    /// Those of them that have asked this VM for a rest.
+    pub resting: usize,
+}
+
 /// Age reported by another process, and when it was received.
 #[derive(Debug, Clone, Copy)]
 struct ReportedAge {
@@ -573,6 +584,24 @@
         rests?.into_iter().min().map(Obstacle::Resting)
     }
 
+    /// Numbers of servers that accept requests and satisfy `may_use`.
+    pub fn places(
+        &self,
+        service: &str,
+        model: Option<(&str, Option<&str>)>,
+        may_use: impl Fn(&BackendServer) -> bool,
+        now: Millis,
+    ) -> Places {
+        let ready: Vec<_> = self.ready(service).filter(|it| may_use(it)).collect();
+        let holding: Vec<_> = ready.iter().filter(|it| self.serves(it, model, now)).collect();
+        let resting = holding.iter().filter(|it| self.rests.left_ms(it, now).is_some());
+        Places {
+            ready: ready.len(),
+            resting: resting.count(),
+            holding: holding.len(),
+        }
+    }
+
     fn ready(&self, service: &str) -> impl Iterator<Item = &Arc<BackendServer>> {
         self.servers()
             .filter(move |it| it.service == service && it.state == ServerState::Ready)
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -845,10 +845,12 @@
             let at = now();
             let latest_start = self.latest_start();
             if at >= latest_start {
+                self.log_not_placed("queue", None);
                 return Err(self.deadline_failure());
             }
             // A request that cannot be served in time is refused now, with the time after which to retry.
             if let Some(wait) = self.model_wait(at).filter(|it| at + *it > latest_start) {
+                self.log_not_placed("load", Some(wait));
                 let retry_after = Duration::from_millis(wait);
                 return Err(self.deadline_failure().retry_after(retry_after));
             }
@@ -912,10 +914,11 @@
                 (Some(other), Some(other_wait)) if other_wait < wait => other,
                 _ => selected,
             };
-            if self.request_pace(&selected, tokens, max_wait).await.is_none() {
+            let Some(wait) = self.request_pace(&selected, tokens, max_wait).await else {
                 return Ok(selected);
-            }
+            };
             if now().since(started) > timeout || now() + RETURN_MARGIN_MS >= self.deadline() {
+                self.log_not_placed("pace", Some(wait));
                 return Err(Failure::not_run(Code::NoCapacity).retry_after(DEFAULT_RETRY_AFTER));
             }
             drop(selected);
@@ -953,6 +956,29 @@
         deadline.min(self.waits_since + (first_event_timeout_ms(route) - FIRST_EVENT_MS))
     }
 
+    /// Logs that the request is refused because no server takes it in time. `stage` is what it waited for, and `wait_ms` the
+    /// wait that it was told.
+    fn log_not_placed(&self, stage: &str, wait_ms: Option<u64>) {
+        let at = now();
+        let places = self
+            .state
+            .places(&self.service, self.wanted(), |it| self.may_use(it), at);
+        log_event!(
+            Event::RequestNotPlaced,
+            self.id(),
+            "stage={stage} service={} model={} version={} ready={} holding={} resting={} tried={} wait_ms={} waited_ms={}",
+            self.service,
+            self.model(),
+            self.bound_version().unwrap_or("-"),
+            places.ready,
+            places.holding,
+            places.resting,
+            self.may_have_run.len(),
+            wait_ms.map_or_else(|| "-".to_owned(), |it| it.to_string()),
+            at.since(self.waits_since)
+        );
+    }
+
     /// Estimated milliseconds until the request's model can take it; `None` without an estimate of the coordinator.
     fn model_wait(&self, at: Millis) -> Option<u64> {
         let model = self.inbound.caller.model.as_deref()?;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -31,7 +31,7 @@
 
 use crate::changes::Changes;
 use crate::client::{Clients, StoreClient};
-use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS, STORE_OUTAGE_MS};
+use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS, Places, STORE_OUTAGE_MS};
 use crate::feed::{Applied, FeedAnswer, FeedQuery};
 use crate::findings::Findings;
 use crate::log_event;
@@ -826,6 +826,17 @@
         self.view.lock().takes_requests(server, now)
     }
 
+    /// Numbers of servers of a service that accept requests and satisfy `may_use`.
+    pub fn places(
+        &self,
+        service: &str,
+        model: Option<(&str, Option<&str>)>,
+        may_use: impl Fn(&BackendServer) -> bool,
+        now: Millis,
+    ) -> Places {
+        self.view.lock().places(service, model, may_use, now)
+    }
+
     /// Why no server of a service that satisfies `may_use` takes a request now; `None` if it is not known that none does.
     pub fn obstacle(
         &self,
