Count refused streams as demand until their callers come back

What callers saw: a stream that they took up was refused with G1204 and a wait of 6 s, and each time that they came back again with a wait of 6 s (LOST).

Cause: a request whose model cannot be loaded in time is refused at once, and was demand for an instant only. Unless an engine of its version was free in the next 250 ms, its model was not loaded at all.

Change: such a request, if it is bound to a version, counts as demand for the time that its caller is told, 6 s at most. Demand of requests that servers turn away with a rest keeps its second. The number of models counted so is bounded.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -66,6 +66,8 @@
 const HEAD_TIMEOUT_MIN_MS: u64 = 250;
 /// Interval at which a replacement for a silent server is looked for.
 pub const REPLACEMENT_INTERVAL_MS: u64 = 500;
+/// Time for which a request that is refused because servers rest counts as demand for its model, in milliseconds.
+const REST_DEMAND_MS: u64 = 1_000;
 /// Deadline of a request that states none.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
@@ -257,7 +259,6 @@
     /// Fails if it is known that no server takes the request soon enough, because all leave or rest.
     fn check_obstacle(&self) -> Result<(), Failure> {
         let at = now();
-        let caller = &self.inbound.caller;
         let is_untried = |it: &BackendServer| self.may_use(it) && !self.may_have_run.contains(&it.id);
         let Some(obstacle) = self.state.obstacle(&self.service, self.wanted(), is_untried, at) else {
             return Ok(());
@@ -269,11 +270,7 @@
         let retry_after = match obstacle {
             Obstacle::Leaving => DEFAULT_RETRY_AFTER,
             Obstacle::Resting(left_ms) => {
-                if let Some(model) = &caller.model {
-                    let adapter = caller.adapter.as_deref();
-                    self.state
-                        .record_refused(&self.service, model, adapter, self.bound_version());
-                }
+                self.record_refused(REST_DEMAND_MS);
                 Duration::from_millis(left_ms)
             }
         };
@@ -851,6 +848,10 @@
             // A request that cannot be served in time is refused now, with the time after which to retry.
             if let Some(wait) = self.model_wait(at).filter(|it| at + *it > latest_start) {
                 self.log_not_placed("load", Some(wait));
+                // Few engines can take a stream that is bound to a version. Without this demand none would load its model.
+                if self.bound.is_some() {
+                    self.record_refused(wait);
+                }
                 let retry_after = Duration::from_millis(wait);
                 return Err(self.deadline_failure().retry_after(retry_after));
             }
@@ -956,6 +957,16 @@
         deadline.min(self.waits_since + (first_event_timeout_ms(route) - FIRST_EVENT_MS))
     }
 
+    /// Counts the request, which is refused, as demand for its model for `back_ms` milliseconds.
+    fn record_refused(&self, back_ms: u64) {
+        let caller = &self.inbound.caller;
+        if let Some(model) = &caller.model {
+            let adapter = caller.adapter.as_deref();
+            self.state
+                .record_refused(&self.service, model, adapter, self.bound_version(), back_ms);
+        }
+    }
+
     /// Logs that the request is refused because no server takes it in time. `stage` is what it waited for, and `wait_ms` the
     /// wait that it was told.
     fn log_not_placed(&self, stage: &str, wait_ms: Option<u64>) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -55,9 +55,11 @@
 /// Limit on this VM's concurrent calls for tokens from the coordinator. Each needs its own connection; a slow
 /// coordinator of 300 VMs ran out of file descriptors, which slowed it further.
 const MAX_CONCURRENT_QUOTA_CALLS: usize = 8;
-
-/// Time for which a refused request counts as demand, in milliseconds; a VM reports several times in it.
-const REFUSED_DEMAND_MS: u64 = 1_000;
+/// Longest time, in milliseconds, for which a refused request counts as waiting: the time until its caller comes back, if a
+/// load from the store is what it needs.
+const MAX_REFUSED_DEMAND_MS: u64 = 6_000;
+/// Limit on models, with adapter and version, for which refused requests are counted.
+const MAX_REFUSED_DEMAND: usize = 1_024;
 /// Limit on large answers of backend servers that are read at the same time, each up to a megabyte.
 const MAX_CONCURRENT_LARGE_ANSWERS: usize = 2;
 
@@ -148,14 +150,22 @@
     running: HashMap<(String, String), u32>,
     /// Times since which requests wait for a model.
     waiting: HashMap<ModelKey, Vec<Millis>>,
-    /// When a request for a model was last refused because its servers rest; its caller comes back.
-    refused: HashMap<ModelKey, Millis>,
+    /// Requests for a model that were refused and whose callers come back.
+    refused: HashMap<ModelKey, RefusedDemand>,
     arrived: HashMap<ModelKey, Arrivals>,
 }
 
 /// Service, model, adapter, and the software version that the requests are bound to.
 type ModelKey = (String, String, Option<String>, Option<String>);
 
+/// Demand of a refused request.
+#[derive(Debug, Clone, Copy)]
+struct RefusedDemand {
+    since: Millis,
+    /// When it ends unless another request is refused.
+    until: Millis,
+}
+
 /// Requests for a model since the last report.
 #[derive(Debug, Default, Clone, Copy)]
 struct Arrivals {
@@ -1086,14 +1096,14 @@
             demand.push(demand_for(key.clone(), since, arrived));
         }
         let at = now();
-        in_flight.refused.retain(|_, it| at.since(*it) < REFUSED_DEMAND_MS);
-        for (key, since) in in_flight
+        in_flight.refused.retain(|_, it| at < it.until);
+        for (key, refused) in in_flight
             .refused
             .iter()
             .filter(|(key, _)| !in_flight.waiting.contains_key(*key))
         {
             let arrived = arrived.remove(key).unwrap_or_default();
-            demand.push(demand_for(key.clone(), &[*since], arrived));
+            demand.push(demand_for(key.clone(), &[refused.since], arrived));
         }
         demand.extend(arrived.into_iter().map(|(key, arrived)| demand_for(key, &[], arrived)));
         let running = in_flight.running.iter().map(|((server, model), count)| Running {
@@ -1132,12 +1142,29 @@
         arrived.prompt_tokens = arrived.prompt_tokens.saturating_add(prompt_tokens);
     }
 
-    /// Counts a request that was refused because the servers with its model rest as waiting for a while, so that its model
-    /// is loaded elsewhere.
-    pub fn record_refused(&self, service: &str, model: &str, adapter: Option<&str>, version: Option<&str>) {
+    /// Counts a refused request as waiting for a model until its caller comes back, at most for `back_ms` milliseconds.
+    /// `version` is the software version that it is bound to.
+    pub fn record_refused(
+        &self,
+        service: &str,
+        model: &str,
+        adapter: Option<&str>,
+        version: Option<&str>,
+        back_ms: u64,
+    ) {
         let (adapter, version) = (adapter.map(str::to_owned), version.map(str::to_owned));
         let key = (service.to_owned(), model.to_owned(), adapter, version);
-        self.in_flight.lock().refused.insert(key, now());
+        let at = now();
+        let until = at + back_ms.min(MAX_REFUSED_DEMAND_MS);
+        let mut in_flight = self.in_flight.lock();
+        if in_flight.refused.len() < MAX_REFUSED_DEMAND {
+            let refused = in_flight
+                .refused
+                .entry(key)
+                .or_insert(RefusedDemand { since: at, until });
+            refused.until = refused.until.max(until);
+        }
+        drop(in_flight);
         self.demand_changed.notify_one();
     }
 
--- a/crates/entry/tests/stream_versions.rs
+++ b/crates/entry/tests/stream_versions.rs
@@ -8,11 +8,12 @@
 
 use guava_entry::state::{EntryState, now};
 use guava_fleet::model::StoreRevision;
+use guava_fleet::placement::Wait;
 use guava_platform_standin::raw::taken_up_lines;
-use guava_platform_standin::settings::{LOOKUP_PATH, REPORT_PATH, STREAM_PATH};
+use guava_platform_standin::settings::{ENGINE_SERVICE, LOOKUP_PATH, REPORT_PATH, STREAM_PATH};
 use rstest::rstest;
 use support::{
-    ScriptedServer, answer_head, call, call_with_lines, chunk, event, list_servers, start_entry, start_server,
+    MODEL, ScriptedServer, answer_head, call, call_with_lines, chunk, event, list_servers, start_entry, start_server,
     whole_answer, write,
 };
 use tokio::net::TcpStream;
@@ -313,3 +314,39 @@
 
     assert_eq!(event_ids(&answer), ["1", "2", "3", "4", "5", "6"]);
 }
+
+/// Guards against a stream that is refused again and again while no engine loads its model: refused at once, it would count
+/// as demand for an instant only.
+#[tokio::test]
+async fn refused_stream_counts_as_demand_until_its_caller_comes_back() {
+    let entry = start_entry(Arc::default()).await;
+    let mut empty = sound_engine("empty", Some("v1"), EVENTS_BEFORE_BREAK + 1).await;
+    empty.entry.held.clear();
+    list_servers(&entry.state, &[&empty]);
+    entry
+        .state
+        .streams
+        .record_begun(now(), "before", ENGINE_SERVICE, Some("v1"));
+    let wait = Wait {
+        service: ENGINE_SERVICE.to_owned(),
+        model: MODEL.to_owned(),
+        version: Some("v1".to_owned()),
+        ms: 6_000,
+    };
+    entry.state.apply_waits(vec![wait], now());
+
+    let lines = taken_up_lines("before", EVENTS_BEFORE_BREAK);
+    let (answer, _) = call_with_lines(entry.address, "r1", STREAM_PATH, &lines).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let (demand, _) = entry.state.collect_report();
+
+    assert!(
+        answer.starts_with("HTTP/1.1 503") && answer.contains("G1204"),
+        "{answer}"
+    );
+    assert_eq!(requests_at(&[&empty]), 0);
+    let bound = demand
+        .iter()
+        .filter(|it| it.model == MODEL && it.version.as_deref() == Some("v1"));
+    assert_eq!(bound.map(|it| it.waiting).sum::<u32>(), 1, "{demand:?}");
+}
