Let streams that go on come first at busy engines

What callers saw: a stream that they took up was refused with G1207 after 1.5 to 2.0 s and was never sent (LOST).

Cause: a request waits for its turn at an engine for at most what is left of its objective, 350 ms for a chat, and 40 ms once that has passed. New streams of all kinds keep the engine's queue at 350 to 600 ms, and may go to any engine; a stream bound to a version has one or two.

Change: a stream that goes on may wait up to 1.2 s for its turn, so it queues behind what is there and new streams leave it its place. If both engines that may take it name a wait beyond the time at which its caller leaves, it is refused at once with that wait.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -48,6 +48,11 @@
 const SHORT_PACE_WAIT_MS: u64 = 40;
 /// Upper bound of the wait for an engine.
 const MAX_PACE_WAIT_MS: u64 = 600;
+/// The same for a stream that goes on at the version that it is bound to. Longer than that of new streams, so that these
+/// leave it a place; callers leave after two seconds at the earliest.
+const MAX_BOUND_PACE_WAIT_MS: u64 = 1_200;
+/// Engines that are asked for a turn before a request pauses.
+const ASKED_ENGINES: usize = 2;
 /// Time from sending a prompt to its first event, at an engine with free capacity.
 const FIRST_EVENT_MS: u64 = 150;
 /// Lower bound of the time after which callers abandon a stream without a first event. Otherwise it is four objectives
@@ -901,7 +906,13 @@
         loop {
             let elapsed = now().since(self.inbound.arrived);
             let spare = objective.saturating_sub(elapsed + FIRST_EVENT_MS);
-            let max_wait = spare.clamp(SHORT_PACE_WAIT_MS, MAX_PACE_WAIT_MS);
+            // A stream that goes on has few engines, and most of those that wait there have others.
+            let max_wait = if self.bound.is_some() {
+                let left = self.latest_start().since(now());
+                left.clamp(SHORT_PACE_WAIT_MS, MAX_BOUND_PACE_WAIT_MS)
+            } else {
+                spare.clamp(SHORT_PACE_WAIT_MS, MAX_PACE_WAIT_MS)
+            };
             let Some(wait) = self.request_pace(&selected, tokens, SHORT_PACE_WAIT_MS).await else {
                 return Ok(selected);
             };
@@ -918,9 +929,15 @@
             let Some(wait) = self.request_pace(&selected, tokens, max_wait).await else {
                 return Ok(selected);
             };
-            if now().since(started) > timeout || now() + RETURN_MARGIN_MS >= self.deadline() {
+            let is_hopeless = now() + wait > self.latest_start() && self.has_few_engines();
+            if is_hopeless || now().since(started) > timeout || now() + RETURN_MARGIN_MS >= self.deadline() {
                 self.log_not_placed("pace", Some(wait));
-                return Err(Failure::not_run(Code::NoCapacity).retry_after(DEFAULT_RETRY_AFTER));
+                let retry_after = if is_hopeless {
+                    Duration::from_millis(wait)
+                } else {
+                    DEFAULT_RETRY_AFTER
+                };
+                return Err(Failure::not_run(Code::NoCapacity).retry_after(retry_after));
             }
             drop(selected);
             let pause = rand::random_range(PACE_RETRY_MS / 2..PACE_RETRY_MS);
@@ -929,6 +946,12 @@
         }
     }
 
+    /// Whether the request is a stream that goes on, and all engines that may take it have been asked for a turn.
+    fn has_few_engines(&self) -> bool {
+        let may_use = |it: &BackendServer| self.may_use(it) && !self.may_have_run.contains(&it.id);
+        self.bound.is_some() && self.state.places(&self.service, self.wanted(), may_use, now()).holding <= ASKED_ENGINES
+    }
+
     /// Waits until the prompt may be sent to the engine and returns `None`, at once if the VM that paces the engine does
     /// not answer. Returns the wait, in milliseconds, if it exceeds `max_wait_ms`.
     async fn request_pace(&self, selected: &SelectedServer, tokens: u64, max_wait_ms: u64) -> Option<u64> {
@@ -942,7 +965,7 @@
         if !answer.granted {
             return Some(answer.wait_ms);
         }
-        let wait = answer.wait_ms.min(MAX_PACE_WAIT_MS);
+        let wait = answer.wait_ms.min(max_wait_ms.max(MAX_PACE_WAIT_MS));
         tokio::time::sleep(Duration::from_millis(wait)).await;
         None
     }
--- a/crates/entry/tests/stream_versions.rs
+++ b/crates/entry/tests/stream_versions.rs
@@ -2,19 +2,26 @@
 
 mod support;
 
+use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use async_trait::async_trait;
+use bytes::Bytes;
+use guava_entry::peers::{PaceAnswer, PaceRequest};
 use guava_entry::state::{EntryState, now};
 use guava_fleet::model::StoreRevision;
 use guava_fleet::placement::Wait;
+use guava_platform::{CallError, Http};
 use guava_platform_standin::raw::taken_up_lines;
 use guava_platform_standin::settings::{ENGINE_SERVICE, LOOKUP_PATH, REPORT_PATH, STREAM_PATH};
+use http::{Request, Response};
 use rstest::rstest;
 use support::{
-    MODEL, ScriptedServer, answer_head, call, call_with_lines, chunk, event, list_servers, start_entry, start_server,
-    whole_answer, write,
+    KEY, MODEL, ScriptedServer, add_peers, answer_head, call, call_with_lines, chunk, event, list_servers, put_config,
+    start_entry, start_entry_with, start_server, whole_answer, write,
 };
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -350,3 +357,61 @@
         .filter(|it| it.model == MODEL && it.version.as_deref() == Some("v1"));
     assert_eq!(bound.map(|it| it.waiting).sum::<u32>(), 1, "{demand:?}");
 }
+
+/// Other entry processes that pace busy engines: they grant a prompt after `wait_ms`, if the request may wait so long.
+#[derive(Debug)]
+struct BusyPeers {
+    wait_ms: u64,
+}
+
+#[async_trait]
+impl Http for BusyPeers {
+    async fn call(&self, _: SocketAddr, req: Request<Bytes>, _: Duration) -> Result<Response<Bytes>, CallError> {
+        if req.uri().path() != "/pace" {
+            return Err(CallError::NotRun("not faked".to_owned()));
+        }
+        let request: PaceRequest = postcard::from_bytes(req.body()).expect("a request to send a prompt");
+        let answer = PaceAnswer {
+            granted: request.max_wait_ms >= self.wait_ms,
+            wait_ms: self.wait_ms,
+        };
+        Ok(Response::new(postcard::to_stdvec(&answer).expect("encodable").into()))
+    }
+}
+
+/// Guards against a stream that goes on and waits behind new streams, which may go to engines of any version, until it is
+/// refused; and against one that waits although no engine of its version can take it in time.
+#[rstest]
+#[case::stream_that_goes_on(900, true, "200", 0..1_500)]
+#[case::new_stream(900, false, "503", 1_400..3_000)]
+#[case::stream_that_cannot_go_on(5_000, true, "503", 0..600)]
+#[tokio::test]
+async fn stream_that_goes_on_comes_first_at_busy_engines(
+    #[case] wait_ms: u64,
+    #[case] goes_on: bool,
+    #[case] status: &str,
+    #[case] took_ms: Range<u128>,
+) {
+    let entry = start_entry_with(Arc::new(BusyPeers { wait_ms })).await;
+    put_config(&entry.state, 1, &[KEY]);
+    add_peers(&entry.state);
+    let engine = sound_engine("busy", Some("v1"), EVENTS_BEFORE_BREAK + 1).await;
+    list_servers(&entry.state, &[&engine]);
+    entry
+        .state
+        .streams
+        .record_begun(now(), "before", ENGINE_SERVICE, Some("v1"));
+
+    let lines = if goes_on {
+        taken_up_lines("before", EVENTS_BEFORE_BREAK)
+    } else {
+        String::new()
+    };
+    let started = Instant::now();
+    let (answer, _) = call_with_lines(entry.address, "r1", STREAM_PATH, &lines).await;
+
+    let elapsed = started.elapsed().as_millis();
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+    assert!(took_ms.contains(&elapsed), "{elapsed} ms");
+    assert!(wait_ms < 5_000 || answer.contains("retry-after: 5.000"), "{answer}");
+}
