Give permits for blocks of large answers

What callers saw: a sound answer of more than 64 KB waited for 2.5 s, the rest of the deadline of two others whose servers sent them slowly or had stopped.

Cause: large answers shared two permits, each for a whole answer and for as long as its server liked.

Change: a permit covers a block of 64 KB, 256 blocks in all. While all are taken, an answer that has not completed a block for a second fails like an interrupted one.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -21,6 +21,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::sync::SemaphorePermit;
 
 use crate::attempt::{AttemptError, IncomingAnswer, OpenConnection, OutgoingRequest};
 use crate::breakage::{self, BrokenAttempt};
@@ -38,8 +39,14 @@
 /// Answers are buffered before they are forwarded, so that the request can be retried if its answer is
 /// interrupted. A longer answer counts as interrupted.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
-/// Size up to which any number of answers is read at a time.
-const SMALL_ANSWER_BYTES: usize = 64 << 10;
+/// Size of the blocks for which large answers take permits. Any number of answers of up to one block is read at a time.
+const ANSWER_BLOCK_BYTES: usize = 64 << 10;
+/// Blocks of large answers that are buffered at a time, 16 MiB: about a sixteenth of the memory of a small VM.
+pub const MAX_LARGE_ANSWER_BLOCKS: usize = 256;
+/// Time in which a large answer completes a block while others wait; a link of 1 Mbit/s takes half a second.
+const BLOCK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for permits of a large answer; by then answers that are stalled have been dropped.
+const MAX_PERMIT_WAIT: Duration = Duration::from_secs(3);
 /// Pause before a refused request is sent again.
 const REFUSED_RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// Part of the caller's deadline reserved for returning the answer.
@@ -76,25 +83,45 @@
 /// Deadline of a request that states none.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
-/// Reads a whole answer. Of those that are larger than [`SMALL_ANSWER_BYTES`], only a few are read at a time, so that
-/// servers that send bytes without end do not take all memory.
+/// Reads a whole answer. Each block beyond the first takes a permit of a pool that all requests share, so that servers
+/// that send bytes without end do not take all memory. While the pool is used up, an answer fails whose block is not
+/// complete in time, because it keeps the permits that other answers wait for.
 async fn read_buffered(state: &EntryState, mut body: Incoming) -> Result<Bytes, String> {
     let mut buf = BytesMut::new();
-    let mut permit = None;
-    while let Some(frame) = body.frame().await {
-        let Ok(bytes) = frame.map_err(|e| e.to_string())?.into_data() else {
+    let mut permits: Option<SemaphorePermit<'_>> = None;
+    let mut block_began = now();
+    loop {
+        let held = permits.as_ref().map_or(0, SemaphorePermit::num_permits);
+        let frame = match tokio::time::timeout(BLOCK_TIMEOUT, body.frame()).await {
+            Ok(None) => return Ok(buf.freeze()),
+            Ok(Some(frame)) => Some(frame.map_err(|e| e.to_string())?),
+            Err(_) => None,
+        };
+        let block_ms = now().since(block_began);
+        if held > 0 && block_ms >= BLOCK_TIMEOUT.as_millis() as u64 && state.large_answers.available_permits() == 0 {
+            return Err(format!("{block_ms} ms for a block of a large answer while others wait"));
+        }
+        let Some(bytes) = frame.and_then(|it| it.into_data().ok()) else {
             continue;
         };
         let size = buf.len() + bytes.len();
         if size > MAX_BUFFERED_ANSWER_BYTES {
             return Err(format!("answer larger than {MAX_BUFFERED_ANSWER_BYTES} bytes"));
         }
-        if size > SMALL_ANSWER_BYTES && permit.is_none() {
-            permit = state.large_answers.acquire().await.ok();
+        let missing = (size.saturating_sub(1) / ANSWER_BLOCK_BYTES).saturating_sub(held);
+        if missing > 0 {
+            let acquiring = state.large_answers.acquire_many(missing as u32);
+            let Ok(Ok(acquired)) = tokio::time::timeout(MAX_PERMIT_WAIT, acquiring).await else {
+                return Err("too many large answers are being read".to_owned());
+            };
+            match &mut permits {
+                Some(permits) => permits.merge(acquired),
+                None => permits = Some(acquired),
+            }
+            block_began = now();
         }
         buf.extend_from_slice(&bytes);
     }
-    Ok(buf.freeze())
 }
 
 /// Time, in milliseconds, after which callers abandon a stream without a first event.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -32,6 +32,7 @@
 use crate::changes::Changes;
 use crate::client::{Clients, StoreClient};
 use crate::cluster_view::{ClusterView, EXPIRY_GRACE_MS, Places, STORE_OUTAGE_MS};
+use crate::dispatch::MAX_LARGE_ANSWER_BLOCKS;
 use crate::feed::{Applied, FeedAnswer, FeedQuery};
 use crate::findings::Findings;
 use crate::log_event;
@@ -60,8 +61,6 @@
 const MAX_REFUSED_DEMAND_MS: u64 = 6_000;
 /// Limit on models, with adapter and version, for which refused requests are counted.
 const MAX_REFUSED_DEMAND: usize = 1_024;
-/// Limit on large answers of backend servers that are read at the same time, each up to a megabyte.
-const MAX_CONCURRENT_LARGE_ANSWERS: usize = 2;
 
 derive_value! {
     /// Entry process, as registered in the store and gossiped.
@@ -188,7 +187,7 @@
     pub store: Store,
     /// Permits for concurrent calls for tokens from the coordinator.
     pub quota_calls: Semaphore,
-    /// Permits for reading large answers of backend servers.
+    /// Permits for blocks of large answers of backend servers.
     pub large_answers: Semaphore,
     /// This VM's shares of the organisations' rate limits.
     pub quota: Mutex<Buckets>,
@@ -228,7 +227,7 @@
             store,
             clients,
             quota_calls: Semaphore::new(MAX_CONCURRENT_QUOTA_CALLS),
-            large_answers: Semaphore::new(MAX_CONCURRENT_LARGE_ANSWERS),
+            large_answers: Semaphore::new(MAX_LARGE_ANSWER_BLOCKS),
             quota: Mutex::default(),
             pacer: Mutex::default(),
             health: Mutex::default(),
--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -373,6 +373,46 @@
     );
 }
 
+/// Guards against servers that send large answers slowly, or stop within them, and keep the large answers of sound servers
+/// from being read until their deadlines.
+#[rstest]
+#[case::slow(3, 70_000)]
+#[case::more_than_are_buffered(18, 1_000_000)]
+#[tokio::test]
+async fn large_answers_do_not_wait_for_stalled_ones(#[case] stalled: usize, #[case] stalled_after: usize) {
+    let entry = start_entry(Arc::default()).await;
+    let server = start_server("a", false, move |mut stream, attempt| async move {
+        if attempt == "sound" {
+            write(&mut stream, &whole_answer(&attempt, &"y".repeat(500_000))).await;
+            return;
+        }
+        write(&mut stream, &answer_head(&attempt, "content-length: 1048576\r\n")).await;
+        write(&mut stream, &"x".repeat(stalled_after)).await;
+        while write(&mut stream, "x").await {
+            sleep(Duration::from_millis(50)).await;
+        }
+    })
+    .await;
+    list_servers(&entry.state, &[&server]);
+    for index in 0..stalled {
+        let address = entry.address;
+        tokio::spawn(async move { call(address, &format!("stalled-{index}"), BOOKING_PATH).await });
+    }
+    sleep(Duration::from_millis(500)).await;
+
+    let started = Instant::now();
+    let (answer, is_closed) = call(entry.address, "sound", BOOKING_PATH).await;
+
+    let is_whole = is_closed && answer.matches('y').count() >= 500_000;
+    assert!(
+        answer.starts_with("HTTP/1.1 200") && is_whole,
+        "{}",
+        &answer[..answer.len().min(300)]
+    );
+    // A stalled answer is dropped after a second if others wait; the route's timeout is 3 s.
+    assert!(started.elapsed() < Duration::from_millis(1_500), "{:?}", started.elapsed());
+}
+
 /// Guards against requests that are refused for a second after all processes were restarted, and again on their return,
 /// although the configuration comes soon.
 #[tokio::test]
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -93,6 +93,15 @@
         }
     }
 
+    /// Largest resident memory of the running process so far, in bytes; `None` if it is not running.
+    pub fn peak_memory(&self) -> Option<u64> {
+        let pid = self.child.as_ref().and_then(Child::id)?;
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"))?;
+        let kib: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+        Some(kib * 1_024)
+    }
+
     /// Whether the process has exited and has not been waited for with [`Process::wait`].
     pub fn has_ended(&mut self) -> bool {
         let ended = self.child.as_mut().map(Child::try_wait);
