--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -410,7 +410,11 @@
         &answer[..answer.len().min(300)]
     );
     // A stalled answer is dropped after a second if others wait; the route's timeout is 3 s.
-    assert!(started.elapsed() < Duration::from_millis(1_500), "{:?}", started.elapsed());
+    assert!(
+        started.elapsed() < Duration::from_millis(1_500),
+        "{:?}",
+        started.elapsed()
+    );
 }
 
 /// Guards against requests that are refused for a second after all processes were restarted, and again on their return,
