Keep the mark of a server that lacks a model while others change

What callers saw: a stream that they took up was sent three times within 90 ms to a server that did not hold its model, and refused with G1207 (LOST).

Cause: a server that turns a request away for want of its model is left alone for 300 ms, but any change of the coordinator's placement, also of other servers, took all such marks away. After a crash the placement is out of date for a second while it changes many times.

Change: a change of placement takes away only the marks of the servers that have changed.

--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -638,6 +638,9 @@
         for placed in changes.present {
             let id = placed.server.clone();
             let is_change = self.placed.get(&id) != Some(&placed);
+            if is_change {
+                self.missing_models.retain(|(server, _), _| *server != id);
+            }
             self.placed.put(&id, placed, is_change);
         }
         for id in &removed {
@@ -645,7 +648,7 @@
         }
         self.placed_version = version;
         self.placed_at = Some(now);
-        self.missing_models.clear();
+        self.missing_models.retain(|_, it| now.since(*it) < MISSING_MODEL_MS);
     }
 
     /// Records that the placement known here is still current as of `version`.
--- a/crates/entry/tests/cluster_view.rs
+++ b/crates/entry/tests/cluster_view.rs
@@ -174,6 +174,39 @@
     assert!(view.holds(&entry, "m1", None, Millis(60_000)));
 }
 
+/// Guards against requests that go back at once to a server that has just turned one away for want of its model, because
+/// the placement of another server has changed.
+#[test]
+fn server_that_lacks_a_model_is_left_alone_while_others_change() {
+    let placed = |server: &str, models: &[&str]| EngineModels {
+        server: server.to_owned(),
+        born_ms: 1,
+        held: models.iter().map(|it| held(it)).collect(),
+    };
+    let changed = |change, placed| Changes {
+        change,
+        is_whole: false,
+        present: vec![placed],
+        gone: Vec::new(),
+    };
+    let mut view = ClusterView::default();
+    let entry = server("a", ServerState::Ready);
+    view.put_server(entry.clone(), at(1), Millis(0));
+    let both = vec![placed("a", &["m1"]), placed("b", &["m1"])];
+    view.put_placement((1, 1), whole_placement(both), Millis(0));
+
+    view.record_missing_model("a", "m1", Millis(10));
+    view.put_placement((1, 2), changed(2, placed("b", &["m1", "m2"])), Millis(20));
+    let is_used_at_once = view.holds(&entry, "m1", None, Millis(20));
+    view.put_placement((1, 3), changed(3, placed("a", &["m1", "m2"])), Millis(30));
+
+    assert!(!is_used_at_once);
+    assert!(
+        view.holds(&entry, "m1", None, Millis(30)),
+        "the server's own placement has changed"
+    );
+}
+
 /// Guards against a process that resumes from a revision whose changes are not all known and in force. It would send
 /// requests to a removed server for as long as it runs.
 #[test]
