--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -9,7 +9,7 @@
 
 use guava_entry::state::EntryState;
 use guava_fleet::model::{BackendServer, ServerState, StoreRevision};
-use guava_platform_standin::raw::{LEAVING_LINE, failure_head, refusal_head, sealed_answer};
+use guava_platform_standin::raw::{LEAVING_LINE, MAC_LINE, failure_head, refusal_head, sealed_answer};
 use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, REPORT_PATH, STREAM_PATH};
 use rstest::rstest;
 use support::{
@@ -514,10 +514,7 @@
         answer.contains("G1311") && answer.contains("outcome_unknown"),
         "{answer}"
     );
-    assert!(
-        !head.contains("x-response-seal") && !head.contains("retry-after"),
-        "{head}"
-    );
+    assert!(!head.contains(MAC_LINE) && !head.contains("retry-after"), "{head}");
     assert_eq!(asked.len(), 1, "one server ran it");
     let at = guava_entry::state::now();
     assert!(
@@ -543,7 +540,7 @@
     let (answer, _) = call(entry.address, "r1", LOOKUP_PATH).await;
 
     assert!(
-        answer.starts_with("HTTP/1.1 429") && answer.contains("x-response-seal: s1"),
+        answer.starts_with("HTTP/1.1 429") && answer.contains(MAC_LINE),
         "{answer}"
     );
     assert!(answer.contains("later"), "{answer}");
