Keep a withheld server out when it turns out to leave

What callers saw: nothing yet; found on reading the change of late entries as one who wants to break it.

Cause: an entry of unclear age was released once it had outlived a late write, without a look at what had become known meanwhile: a statement of the server that it leaves, or a later departure told by another VM. And the statement of a server whose clock was set back was not recorded while the departure of its earlier life, with a later start, was known.

Change: the age is judged again at the release; a statement in an answer counts for the life that answers.

Evidence: departure_that_becomes_known_meanwhile_keeps_a_withheld_server_out fails in its stated case without the second half of the change; the first half was written with the test.

--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -416,15 +416,18 @@
         let is_due = |it: &KnownServer| it.withheld_since.is_some_and(|since| now.since(since) >= lapse_ms);
         let due = self.servers.iter().filter(|(_, it)| is_due(it));
         let due: Vec<Arc<BackendServer>> = due.map(|(_, it)| Arc::clone(&it.server)).collect();
-        for server in &due {
-            self.departures.outlive(server);
-            let ready = BackendServer {
-                state: ServerState::Ready,
-                ..(**server).clone()
-            };
-            self.insert_server(ready, None);
-        }
-        due.iter().map(|it| it.id.clone()).collect()
+        let mut released = Vec::new();
+        for server in due {
+            let mut entry = (*server).clone();
+            // A departure that has become known meanwhile may be later than the entry.
+            if self.departures.entry_age(&entry, self.servers_revision, now) != EntryAge::Earlier {
+                self.departures.outlive(&entry);
+                entry.state = ServerState::Ready;
+                released.push(entry.id.clone());
+            }
+            self.insert_server(entry, None);
+        }
+        released
     }
 
     /// Applies the removal of a server's entry. Returns whether followers need the change. Right after an outage of the
--- a/crates/entry/tests/cluster_view.rs
+++ b/crates/entry/tests/cluster_view.rs
@@ -405,3 +405,25 @@
     assert_eq!(released.is_empty(), is_used_at_once);
     assert!(view.accepts_requests(&ready));
 }
+
+/// Guards against a server that is used once its withheld entry has outlived a late write, although it has said meanwhile
+/// that it leaves, or another process has told of a later departure.
+#[rstest]
+fn departure_that_becomes_known_meanwhile_keeps_a_withheld_server_out(#[values(false, true)] is_stated: bool) {
+    let mut view = ClusterView::default();
+    view.put_server(entry(ServerState::Draining, 200, 8), at(2), Millis(2_000));
+    let withheld = entry(ServerState::Ready, 90, 1);
+    view.put_server(withheld.clone(), at(3), Millis(5_000));
+
+    if is_stated {
+        view.record_leaving(&withheld, Millis(6_000));
+    } else {
+        let mut others = ClusterView::default();
+        others.put_server(entry(ServerState::Draining, 300, 2), at(9), Millis(6_000));
+        view.put_departures(others.departures(Millis(6_000)), Millis(6_000));
+    }
+    let released = view.release_withheld(Millis(5_000 + LAPSE_MS));
+
+    assert!(released.is_empty());
+    assert!(!view.accepts_requests(&withheld));
+}
--- a/crates/fleet/src/departures.rs
+++ b/crates/fleet/src/departures.rs
@@ -106,7 +106,15 @@
 
     /// Records that a server has stated in an answer that it leaves. Returns whether that was unknown.
     pub fn record_stated(&mut self, server: &BackendServer, revision: StoreRevision, now: Millis) -> bool {
-        self.put(&server.id, Known::new(server, revision, now, true), now)
+        let stated = Known::new(server, revision, now, true);
+        match self.by_server.get_mut(&server.id) {
+            // The server answers, so its life is the present one, although its clock says that it is an earlier one.
+            Some(earlier) if server.born_ms < earlier.born_ms => {
+                *earlier = stated;
+                true
+            }
+            _ => self.put(&server.id, stated, now),
+        }
     }
 
     /// Whether a server has stated in an answer that it leaves. A server that starts anew may stay.
