Trigger the two new events in the test of log lines

What callers saw: nothing.

Change: both are listed with their fields and triggered: an older entry over a newer one, and a request whose model cannot be loaded in time.

--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -25,7 +25,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 52] = [
+const EVENTS: [(&str, &str, &[&str]); 54] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -61,6 +61,21 @@
     ("E1017", "ConnectionCut", &["unanswered", "why"]),
     ("E1018", "NoServerTakes", &["service", "model", "obstacle"]),
     ("E1019", "StartUnconfirmed", &["server", "born_ms", "found", "age_ms"]),
+    (
+        "E1022",
+        "RequestNotPlaced",
+        &[
+            "stage",
+            "service",
+            "model",
+            "version",
+            "ready",
+            "holding",
+            "resting",
+            "wait_ms",
+            "waited_ms",
+        ],
+    ),
     ("E2009", "ServerLeaving", &["server", "revision"]),
     ("E2010", "ServerEnded", &["server", "revision"]),
     ("E2012", "ServerListed", &["server", "version", "revision"]),
@@ -106,6 +121,11 @@
     ("E2023", "LeavingStated", &["server", "born_ms"]),
     ("E2024", "RestStated", &["server", "rest_ms"]),
     ("E2025", "StatementUnreadable", &["server", "header", "value"]),
+    (
+        "E2026",
+        "EntryOutdated",
+        &["server", "born_ms", "writes", "kept_writes", "unclear", "revision"],
+    ),
     ("E4001", "ProcessStarted", &["incarnation", "zone"]),
     ("E4002", "ProcessReady", &["config_version", "servers", "source_age_ms"]),
     ("E4003", "ShutdownStarted", &["connections"]),
@@ -305,6 +325,31 @@
 }
 
 /// Makes the plain servers send a header that cannot be read, ask for a rest and say that they leave.
+/// Writes an older entry over the newer one of a server that nobody uses.
+async fn trigger_old_entry(fleet: &Fleet, dir: &Path) {
+    let entry = |state: &str, writes: u64| {
+        serde_json::json!({
+            "service": "unused", "address": "127.0.0.1:9", "zone": "caerdydd", "slots": 1, "state": state,
+            "born": 1_000, "seq": writes,
+        })
+    };
+    fleet.store.put("servers", "old", entry("draining", 8));
+    sleep(Duration::from_secs(1)).await;
+    fleet.store.put("servers", "old", entry("ready", 5));
+    wait_for_event(dir, "E2026").await;
+}
+
+/// Sends a request for a model that no engine holds, which cannot be loaded within its deadline.
+async fn trigger_unplaced_request(fleet: &Fleet, dir: &Path) {
+    let unplaced = Call {
+        model: Some(format!("m{}", MODEL_COUNT - 1)),
+        deadline: Duration::from_millis(300),
+        ..call("unplaced", STREAM_PATH)
+    };
+    send(fleet.processes[0].vm.callers, unplaced).await;
+    wait_for_event(dir, "E1022").await;
+}
+
 async fn trigger_statements(fleet: &Fleet, dir: &Path) {
     let address = fleet.processes[0].vm.callers;
     let stated = [
@@ -474,6 +519,8 @@
     let mut fleet = Fleet::start(&program(), &dir, &keys()).await.expect("the fleet starts");
 
     trigger_request_events(&fleet, &dir).await;
+    trigger_old_entry(&fleet, &dir).await;
+    trigger_unplaced_request(&fleet, &dir).await;
     trigger_server_events(&mut fleet, &dir).await;
     trigger_input_events(&fleet, &dir).await;
     trigger_process_events(&fleet, &dir).await;
