Check retries, time left, unanswered requests and falls in the soak

The soak, which runs those processes, checked none of: repeats of a service over all VMs, the time that requests leave servers, requests without an answer of a sound server, falls of brittle servers. Its traffic hardly repeated anything.

--- a/crates/entry/tests/dispatch.rs
+++ b/crates/entry/tests/dispatch.rs
@@ -13,8 +13,8 @@
 use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, REPORT_PATH, STREAM_PATH};
 use rstest::rstest;
 use support::{
-    FakePeers, ScriptedServer, add_peers, answer_head, call, chunk, event, list_servers, put_config, start_entry,
-    start_server, whole_answer, write,
+    FakePeers, NOWHERE, ScriptedServer, add_peers, answer_head, call, chunk, event, list_servers, list_versions,
+    put_config, start_entry, start_server, whole_answer, write,
 };
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -112,6 +112,37 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// Guards against a stream that spends its caller's patience on turns at engines that are not there.
+#[tokio::test]
+async fn turns_at_engines_that_refuse_connections_are_not_waited_for() {
+    let entry = start_entry(paced_peers()).await;
+    add_peers(&entry.state);
+    let sound = sound_engine("sound").await;
+    let mut entries = vec![BackendServer {
+        zone: "abertawe".to_owned(),
+        ..sound.entry.clone()
+    }];
+    // In the zone of the VM, so that they are preferred.
+    entries.extend((0..4).map(|index| BackendServer {
+        id: format!("gone-{index}"),
+        address: NOWHERE.into(),
+        ..sound.entry.clone()
+    }));
+    let revision = StoreRevision { era: 1, number: 1 };
+    entry
+        .state
+        .apply_server_list(entries, revision, guava_entry::state::now());
+    list_versions(&entry.state);
+    let started = Instant::now();
+
+    let (answer, _) = call(entry.address, "r1", STREAM_PATH).await;
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let one_turn_and_a_half = Duration::from_millis(PACE_WAIT_MS * 3 / 2);
+    let waited = started.elapsed();
+    assert!(waited < one_turn_and_a_half, "{waited:?}");
+}
+
 /// Guards against a request that runs although its key was withdrawn while it waited for its turn at the engine.
 #[tokio::test]
 async fn request_whose_key_is_withdrawn_while_it_waits_does_not_run() {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -9,6 +9,7 @@
 use guava_platform_standin::settings::{BOOKING_PATH, ENGINE_SERVICE, REPORT_PATH, STREAM_PATH};
 
 use crate::faults::Disturbance;
+use crate::limits;
 
 /// Shortest permitted time between the last order of one process to an engine and the first order of another process.
 const MIN_ORDER_GAP: Duration = Duration::from_secs(3);
@@ -53,7 +54,7 @@
 
 impl Observations<'_> {
     /// Whether neither the VM with this address nor the store was disturbed at any time between the two.
-    fn is_calm(&self, address: SocketAddr, from: Instant, to: Instant) -> bool {
+    pub(crate) fn is_calm(&self, address: SocketAddr, from: Instant, to: Instant) -> bool {
         let Some(vm) = self.addresses.iter().position(|it| *it == address) else {
             return false;
         };
@@ -61,6 +62,22 @@
         !concerning.any(|it| it.from <= to && from <= it.to + SETTLING_TIME)
     }
 
+    /// All attempts, with their requests.
+    pub(crate) fn tries(&self) -> impl Iterator<Item = (&Finished, &Try)> {
+        let finished = self.finished.iter();
+        finished.flat_map(|it| it.tries.iter().map(move |sent| (it, sent)))
+    }
+
+    /// Whether this server was up, without a fault, at any time between the two.
+    pub(crate) fn has_server_been_sound(&self, server: &str, from: Instant, to: Instant) -> bool {
+        let lives = self.record.lives();
+        let has_lived = lives
+            .iter()
+            .any(|it| it.server == server && it.from <= from && it.to.is_none_or(|end| end > to));
+        let mut concerning = self.disturbances.iter().filter(|it| it.concerns_server(server));
+        has_lived && !concerning.any(|it| it.from <= to && from <= it.to + SETTLING_TIME)
+    }
+
     /// Whether the VM with this address ran without a stop or restart between the two.
     fn has_run(&self, address: SocketAddr, from: Instant, to: Instant) -> bool {
         let Some(vm) = self.addresses.iter().position(|it| *it == address) else {
@@ -89,6 +106,10 @@
     check_taken_up(observations, &mut violations);
     check_planned_work(observations, &mut violations);
     check_statements(observations, &mut violations);
+    limits::check_repeats(observations, &mut violations);
+    limits::check_time_left(observations, &mut violations);
+    limits::check_unanswered(observations, &mut violations);
+    limits::check_falls(observations, &mut violations);
     violations.extend(
         observations
             .record
@@ -294,11 +315,7 @@
 /// Reports requests that ended without a complete answer at calm VMs although servers were silent or the configuration
 /// changed at most.
 fn check_planned_work(observations: &Observations<'_>, violations: &mut Vec<String>) {
-    let tries = observations
-        .finished
-        .iter()
-        .flat_map(|it| it.tries.iter().map(move |sent| (it, sent)));
-    for (it, sent) in tries {
+    for (it, sent) in observations.tries() {
         let had_time = sent.ended - it.at < it.call.deadline;
         let lives = observations.record.lives();
         let mut ends = lives.iter().filter_map(|it| it.to);
--- a/crates/soak/src/cmd.rs
+++ b/crates/soak/src/cmd.rs
@@ -18,7 +18,7 @@
 use crate::error::SoakError;
 use crate::faults::{self, Disturbance, Planned};
 use crate::fleet::{ENGINE_COUNT, Fleet, PLAIN_SERVER_COUNT, RATE, VM_COUNT};
-use crate::traffic::Traffic;
+use crate::traffic::{MEAN_INTERVAL_MS, Traffic};
 
 /// Time after the last fault until requests must be served as usual.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
@@ -49,10 +49,19 @@
     /// Number of statements of backend servers that they leave or want a rest in each run, in addition to the faults.
     #[arg(long, default_value_t = 4)]
     pub statements: usize,
+    /// Number of series in which servers trouble most requests while VMs restart, in addition to the faults.
+    #[arg(long, default_value_t = 0)]
+    pub pressure: usize,
+    /// Number of entry processes of each run.
+    #[arg(long, default_value_t = VM_COUNT)]
+    pub vms: usize,
+    /// Mean interval in milliseconds between two requests.
+    #[arg(long, default_value_t = MEAN_INTERVAL_MS)]
+    pub interval_ms: u64,
     /// Time in seconds, from the start of traffic, within which faults begin.
     #[arg(long, default_value_t = 12)]
     pub span_s: u64,
-    /// Number of concurrent runs; each starts four entry processes.
+    /// Number of concurrent runs; each starts its own entry processes.
     #[arg(long, default_value_t = 2)]
     pub jobs: usize,
     /// Path of the program under test.
@@ -133,11 +142,18 @@
         .collect();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let (span_ms, backends) = (args.span_s * 1_000, ENGINE_COUNT + PLAIN_SERVER_COUNT);
-    let mut planned = faults::plan(&mut rng, args.faults, span_ms, VM_COUNT, backends);
+    let mut planned = faults::plan(&mut rng, args.faults, span_ms, args.vms, backends);
     planned.extend(faults::plan_work(&mut rng, args.work, span_ms, backends));
     planned.extend(faults::plan_statements(&mut rng, args.statements, span_ms, backends));
+    planned.extend(faults::plan_pressure(
+        &mut rng,
+        args.pressure,
+        span_ms,
+        args.vms,
+        backends,
+    ));
     planned.sort_by_key(|it| it.at_ms);
-    let mut fleet = Fleet::start(&args.program, &dir, &organisations).await?;
+    let mut fleet = Fleet::start_sized(&args.program, &dir, &organisations, args.vms).await?;
     if args.work > 0 {
         fleet.set_event_interval(LONG_EVENT_INTERVAL);
     }
@@ -146,6 +162,7 @@
         addresses: vms.clone(),
         keys: organisations.iter().flat_map(|(_, keys)| keys.clone()).collect(),
         seed,
+        interval_ms: args.interval_ms,
     };
     let record = fleet.record.clone();
     let fleet = Arc::new(Mutex::new(fleet));
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::error::SoakError;
-use crate::fleet::{ENGINE_COUNT, Fleet};
+use crate::fleet::{ENGINE_COUNT, Fleet, backend_name};
 use crate::proxy::Link;
 
 /// Time after SIGTERM at which a process that has not exited is killed.
@@ -41,6 +41,8 @@
     PeerLink(usize, Link),
     /// Changes the link from all entry processes to a backend server.
     ServerLink(usize, Link),
+    /// Changes the links from one entry process to all backend servers of a kind: to the engines, or to the others.
+    VmLink(usize, Link, bool),
     /// Sets faults of the store.
     Store(StoreFaults),
     /// Discards the store's history of changes, so that watches must list all objects again.
@@ -95,7 +97,8 @@
             | Fault::Pause(index)
             | Fault::Hangup(index)
             | Fault::StoreLink(index, _)
-            | Fault::PeerLink(index, _) => *index == vm,
+            | Fault::PeerLink(index, _)
+            | Fault::VmLink(index, ..) => *index == vm,
             fault => matches!(
                 fault,
                 Fault::KillAll | Fault::Store(_) | Fault::Compact | Fault::Restore(_)
@@ -112,6 +115,20 @@
         }
     }
 
+    /// Whether it keeps the backend server with this id from answering.
+    pub fn concerns_server(&self, server: &str) -> bool {
+        match self.fault {
+            Fault::ServerLink(index, _)
+            | Fault::Crash(index)
+            | Fault::Server(index, _)
+            | Fault::Silence(index)
+            | Fault::Leave(index)
+            | Fault::Shed(index, _) => server.starts_with(&backend_name(index)),
+            Fault::Release(_) => true,
+            _ => false,
+        }
+    }
+
     /// Whether it keeps backend servers from answering.
     pub fn concerns_servers(&self) -> bool {
         matches!(
@@ -160,6 +177,52 @@
     work.collect()
 }
 
+/// Draws `count` series that press against the limits on retries, as [`plan`] does for faults: most servers of a kind turn
+/// requests away or fail while VMs restart one after the other, and single VMs lose their links to servers.
+pub fn plan_pressure(rng: &mut ChaCha8Rng, count: usize, span_ms: u64, vms: usize, backends: usize) -> Vec<Planned> {
+    let mut planned = Vec::new();
+    for number in 0..count {
+        let at_ms = rng.random_range(0..span_ms);
+        let for_ms = rng.random_range(4_000..8_000);
+        let faults = match number % 3 {
+            0 => ServerFaults {
+                refusing: 0.7,
+                ..ServerFaults::default()
+            },
+            1 => ServerFaults {
+                cut: 0.6,
+                ..ServerFaults::default()
+            },
+            _ => ServerFaults {
+                failing: 0.7,
+                ..ServerFaults::default()
+            },
+        };
+        let troubled = (0..backends).filter(|it| it % 3 != 2);
+        planned.extend(troubled.map(|backend| Planned {
+            at_ms,
+            for_ms,
+            fault: Fault::Server(backend, faults),
+        }));
+        let gap_ms = for_ms / vms as u64;
+        planned.extend((0..vms).map(|vm| Planned {
+            at_ms: at_ms + gap_ms * vm as u64,
+            for_ms: rng.random_range(100..500),
+            fault: Fault::Kill(vm),
+        }));
+        planned.push(Planned {
+            at_ms: rng.random_range(0..span_ms),
+            for_ms: rng.random_range(1_000..5_000),
+            fault: Fault::VmLink(
+                rng.random_range(0..vms),
+                [Link::Silent, Link::Reset][rng.random_range(0..2)],
+                rng.random_bool(0.5),
+            ),
+        });
+    }
+    planned
+}
+
 /// Draws `count` statements of backend servers, as [`plan`] does for faults: every other one that a server leaves.
 pub fn plan_statements(rng: &mut ChaCha8Rng, count: usize, span_ms: u64, backends: usize) -> Vec<Planned> {
     let stated = (0..count).map(|number| {
@@ -291,6 +354,12 @@
             Ok(())
         }
         Fault::Crash(index) => crash(fleet, *index, duration).await,
+        Fault::VmLink(vm, link, to_engines) => {
+            set_vm_link(fleet, *vm, Some(*link), *to_engines).await;
+            sleep(duration).await;
+            set_vm_link(fleet, *vm, None, *to_engines).await;
+            Ok(())
+        }
         Fault::Server(index, faults) => {
             set_server_faults(fleet, *index, *faults).await;
             sleep(duration).await;
@@ -343,6 +412,15 @@
     Ok(())
 }
 
+async fn set_vm_link(fleet: &tokio::sync::Mutex<Fleet>, vm: usize, link: Option<Link>, to_engines: bool) {
+    let fleet = fleet.lock().await;
+    let (engines, others) = fleet.backends.split_at(ENGINE_COUNT);
+    let backends = if to_engines { engines } else { others };
+    for backend in backends {
+        backend.link.set_for(vm, link);
+    }
+}
+
 async fn set_server_faults(fleet: &tokio::sync::Mutex<Fleet>, index: usize, faults: ServerFaults) {
     if let Some(server) = &fleet.lock().await.backends[index].server {
         server.set_faults(faults);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -18,9 +18,9 @@
 use tokio::time::sleep;
 
 use crate::error::SoakError;
-use crate::proxy::Proxy;
+use crate::proxy::{Pids, Proxy};
 
-/// Number of entry processes, each on a VM of its own.
+/// Usual number of entry processes, each on a VM of its own.
 pub const VM_COUNT: usize = 4;
 /// Number of model engines.
 pub const ENGINE_COUNT: usize = 4;
@@ -52,6 +52,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    index: usize,
+    pids: Pids,
 }
 
 impl Process {
@@ -71,6 +73,9 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
+        if let Some(pid) = child.id() {
+            self.pids.put(self.index, pid);
+        }
         self.child = Some(child);
         self.vm.is_first_start = false;
         Ok(())
@@ -128,16 +133,17 @@
     pub store: Store,
     /// Requests and orders that reached the backend servers.
     pub record: Record,
-    /// Entry processes, [`VM_COUNT`] in number.
+    /// Entry processes, one a VM.
     pub processes: Vec<Process>,
     /// Backend servers: first [`ENGINE_COUNT`] engines, then [`PLAIN_SERVER_COUNT`] plain servers.
     pub backends: Vec<Backend>,
     organisations: Vec<(String, Vec<String>)>,
     configuration_version: u64,
+    pids: Pids,
 }
 
 impl Fleet {
-    /// Starts the store, the backend servers and the entry processes, and waits until all processes are ready.
+    /// Starts the store, the backend servers and [`VM_COUNT`] entry processes, and waits until all processes are ready.
     ///
     /// `organisations` holds the name of each organisation with its keys. Settings and logs are written to `dir`.
     ///
@@ -145,6 +151,20 @@
     ///
     /// Fails if a server or process cannot be started, or the processes are not ready in time.
     pub async fn start(program: &Path, dir: &Path, organisations: &[(String, Vec<String>)]) -> Result<Self, SoakError> {
+        Self::start_sized(program, dir, organisations, VM_COUNT).await
+    }
+
+    /// The same with another number of entry processes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start`].
+    pub async fn start_sized(
+        program: &Path,
+        dir: &Path,
+        organisations: &[(String, Vec<String>)],
+        vms: usize,
+    ) -> Result<Self, SoakError> {
         let store = Store::start().await?;
         store.put(
             "config",
@@ -158,6 +178,7 @@
             backends: Vec::new(),
             organisations: organisations.to_vec(),
             configuration_version: 1,
+            pids: Pids::default(),
         };
         for at in 0..ENGINE_COUNT {
             let models = vec![format!("m{}", 2 * at), format!("m{}", 2 * at + 1)];
@@ -166,7 +187,7 @@
         for at in 0..PLAIN_SERVER_COUNT {
             fleet.add_backend(PLAIN_SERVICE, at, None).await?;
         }
-        fleet.add_processes(program, dir).await?;
+        fleet.add_processes(program, dir, vms).await?;
         for process in &mut fleet.processes {
             process.start()?;
         }
@@ -181,9 +202,9 @@
         Ok(fleet)
     }
 
-    async fn add_processes(&mut self, program: &Path, dir: &Path) -> Result<(), SoakError> {
+    async fn add_processes(&mut self, program: &Path, dir: &Path, vms: usize) -> Result<(), SoakError> {
         let mut addresses = Vec::new();
-        for _ in 0..VM_COUNT {
+        for _ in 0..vms {
             addresses.push((free_address()?, free_address()?, free_address()?));
         }
         let mut links = Vec::new();
@@ -212,6 +233,8 @@
                 settings,
                 log: dir.join(format!("vm-{at}.log")),
                 child: None,
+                index: at,
+                pids: self.pids.clone(),
             });
         }
         Ok(())
@@ -266,7 +289,7 @@
 
     async fn add_backend(&mut self, service: &str, at: usize, models: Option<Vec<String>>) -> Result<(), SoakError> {
         let spec = ServerSpec {
-            id: format!("{service}-{at}"),
+            id: backend_name(self.backends.len()),
             service: service.to_owned(),
             zone: ZONES[at % ZONES.len()].to_owned(),
             version: ANY_VERSION.to_owned(),
@@ -281,7 +304,7 @@
     async fn start_backend(&self, spec: ServerSpec) -> Result<Backend, SoakError> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let link = Proxy::start(address).await?;
+        let link = Proxy::start_for(address, self.pids.clone()).await?;
         let server = Server::start(spec.clone(), listener, link.address, &self.store, &self.record);
         Ok(Backend {
             server: Some(server),
@@ -313,6 +336,14 @@
     }
 }
 
+/// Beginning of the ids of the servers that take this place among the backend servers.
+pub fn backend_name(index: usize) -> String {
+    match index.checked_sub(ENGINE_COUNT) {
+        Some(at) => format!("{PLAIN_SERVICE}-{at}"),
+        None => format!("{ENGINE_SERVICE}-{index}"),
+    }
+}
+
 /// Returns a loopback address whose port is free. The port lies below those that the operating system assigns to
 /// outgoing connections.
 fn free_address() -> Result<SocketAddr, SoakError> {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod error;
 pub mod faults;
 pub mod fleet;
+pub mod limits;
 pub mod proxy;
 pub mod traffic;
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -14,8 +14,8 @@
 
 use crate::fleet::MODEL_COUNT;
 
-/// Mean interval between two requests, which is uniformly distributed from 0 to twice this value.
-const MEAN_INTERVAL_MS: u64 = 25;
+/// Usual mean interval between two requests, in milliseconds.
+pub const MEAN_INTERVAL_MS: u64 = 25;
 /// Number of models from which most streaming requests choose, so that these models are in demand all the time.
 const POPULAR_MODEL_COUNT: usize = 3;
 
@@ -28,6 +28,8 @@
     pub keys: Vec<String>,
     /// Seed of the random choices; it also distinguishes the ids of attempts.
     pub seed: u64,
+    /// Mean interval in milliseconds between two requests, which is uniformly distributed from 0 to twice this value.
+    pub interval_ms: u64,
 }
 
 impl Traffic {
@@ -51,7 +53,7 @@
                 // Cannot fail: the receiver is kept until all senders are dropped.
                 let _ = tx.send(finished);
             });
-            sleep(Duration::from_millis(rng.random_range(0..2 * MEAN_INTERVAL_MS))).await;
+            sleep(Duration::from_millis(rng.random_range(0..2 * self.interval_ms))).await;
         }
         drop(tx);
         let mut finished = Vec::new();
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -41,6 +41,7 @@
         address: vm(),
         at,
         ended: at + Duration::from_secs(1),
+        time: Duration::from_secs(10),
         outcome,
         events_before,
         events,
--- a/crates/soak/tests/regressions.rs
+++ b/crates/soak/tests/regressions.rs
@@ -9,7 +9,8 @@
 use guava_platform_standin::server::ServerFaults;
 use guava_platform_standin::settings::{self, BOOKING_PATH, LOOKUP_PATH, STREAM_PATH};
 use guava_soak::cmd::{Args, run_seed};
-use guava_soak::fleet::{Fleet, MODEL_COUNT, RATE};
+use guava_soak::fleet::{Fleet, MODEL_COUNT, RATE, VM_COUNT};
+use guava_soak::traffic::MEAN_INTERVAL_MS;
 use rstest::rstest;
 use rustix::process::Signal;
 use serde_json::json;
@@ -79,6 +80,9 @@
         faults,
         work,
         statements: 0,
+        pressure: 0,
+        vms: VM_COUNT,
+        interval_ms: MEAN_INTERVAL_MS,
         span_s: 12,
         jobs: 1,
         program: program(),
