Keep restarted VMs to the fleet's retry budget

Cause: the budget lives in the process. Each start took a new share of the constant, and a process that knew no other VM took all of it. A retry counted when it was decided, although it was sent up to seconds later. A refused request went to the same full server again and again.

Change: no share of the constant until a window has passed since the start; retries count from when they are taken until a window after they are sent; a server that has refused a request does not get it again for 300 ms.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -31,7 +31,7 @@
 use crate::relay;
 use crate::reply::{Body, Failure, forwarded_response, full_body};
 use crate::request::{DEFAULT_RETRY_AFTER, Inbound, Resolved, check_prompt, resolve, stopping};
-use crate::state::{EntryState, RunningGuard, now, until};
+use crate::state::{EntryState, RunningGuard, TakenRetry, now, until};
 
 /// Largest number of refusals by servers after which the request is still sent again; one more, and it is refused here.
 /// A server that refuses a request has not run it.
@@ -47,6 +47,8 @@
 const BLOCK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for permits of a large answer; by then answers that are stalled have been dropped.
 const MAX_PERMIT_WAIT: Duration = Duration::from_secs(3);
+/// Time, in milliseconds, in which a server that has refused a request does not get it again.
+const REFUSED_AGAIN_MS: u64 = 300;
 /// Pause before a refused request is sent again.
 const REFUSED_RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// Part of the caller's deadline reserved for returning the answer.
@@ -182,6 +184,10 @@
     /// Servers that may have run the request.
     may_have_run: Vec<String>,
     refusals: u32,
+    /// Servers that have refused the request, and when.
+    refused_by: Vec<(String, Millis)>,
+    /// Retry that has been taken for the next attempt.
+    retry: Option<TakenRetry>,
     /// Since when the caller waits for an event: the arrival of the request, or the break of its stream.
     waits_since: Millis,
     /// Last server whose silence was recorded.
@@ -214,6 +220,8 @@
             bound,
             may_have_run: Vec::new(),
             refusals: 0,
+            refused_by: Vec::new(),
+            retry: None,
             silent_server: None,
             is_trial,
         }
@@ -380,7 +388,7 @@
         let server = selected.server.id.clone();
         let status = incoming.status.as_u16();
         let is_failure = incoming.status.is_server_error();
-        if is_failure && self.may_retry() && self.state.try_take_retry(&self.service, now()) {
+        if is_failure && self.may_retry() && self.take_retry() {
             self.record_failure(&server, format_args!("status {status}"));
             log_event!(Event::RequestRetried, self.id(), "server={server} status={status}");
             return Ok(None);
@@ -430,6 +438,12 @@
         Ok(Some(answer))
     }
 
+    /// Takes a retry for the next attempt. Returns false if none is left.
+    fn take_retry(&mut self) -> bool {
+        self.retry = self.state.try_take_retry(&self.service, now());
+        self.retry.is_some()
+    }
+
     fn record_failure(&self, server: &str, why: impl Display) {
         if self.state.health.lock().record_failure(now(), server) {
             log_event!(Event::ServerAvoided, self.id(), "server={server} why={why}");
@@ -453,7 +467,7 @@
         let server = server.id.as_str();
         self.record_failure(server, why);
         let has_time_left = at + RETURN_MARGIN_MS < self.deadline();
-        if has_time_left && self.may_retry() && self.state.try_take_retry(&self.service, at) {
+        if has_time_left && self.may_retry() && self.take_retry() {
             log_event!(Event::RequestRetried, self.id(), "server={server} why={why}");
             return Ok(());
         }
@@ -545,7 +559,7 @@
     /// Takes a retry to send the request to a replacement of a silent server. Returns false if none is left. `begun` is
     /// the time at which the head of the silent server's answer arrived.
     pub fn give_up_silent(&mut self, silent: &Arc<BackendServer>, begun: Option<Millis>, silent_ms: u64) -> bool {
-        if !self.state.try_take_retry(&self.service, now()) {
+        if !self.take_retry() {
             return false;
         }
         let why = format!("silent for {silent_ms} ms");
@@ -642,6 +656,9 @@
                 self.deadline().since(at),
                 at.since(self.inbound.arrived)
             );
+            if let Some(retry) = self.retry.take() {
+                retry.record_sent();
+            }
             self.may_have_run.push(selected.server.id.clone());
             self.inbound.may_have_run.store(true, Ordering::Relaxed);
             let head = {
@@ -818,13 +835,14 @@
                 let may_have_run = !self.may_have_run.is_empty();
                 self.inbound.may_have_run.store(may_have_run, Ordering::Relaxed);
                 self.refusals += 1;
+                self.refused_by.retain(|(it, _)| it != server);
+                self.refused_by.push((server.to_owned(), at));
                 if !self.state.takes_requests(&selected, at) {
                     self.check_obstacle()?;
                 } else if let Some(model) = &self.inbound.caller.model {
                     self.state.record_missing_model(server, model, at);
                 }
-                let has_budget = self.state.try_take_retry(&self.service, at);
-                if self.refusals > MAX_REFUSALS || !has_budget {
+                if self.refusals > MAX_REFUSALS || !self.take_retry() {
                     return Err(Failure::not_run(Code::NoCapacity).retry_after(DEFAULT_RETRY_AFTER));
                 }
             }
@@ -1067,8 +1085,15 @@
         let available = self.state.candidates(&self.service, wanted, at);
         let health = self.state.health.lock();
         let zone = &self.state.settings.zone;
+        let has_refused = |it: &BackendServer| {
+            let mut refused = self.refused_by.iter();
+            refused.any(|(server, refused_at)| *server == it.id && at.since(*refused_at) < REFUSED_AGAIN_MS)
+        };
         let untried = available.iter().filter(|(it, _)| {
-            self.may_use(it) && !self.may_have_run.contains(&it.id) && excluded != Some(it.id.as_str())
+            self.may_use(it)
+                && !self.may_have_run.contains(&it.id)
+                && !has_refused(it)
+                && excluded != Some(it.id.as_str())
         });
         let candidates = untried.map(|(it, in_flight)| Candidate {
             id: &it.id,
--- a/crates/entry/tests/silence.rs
+++ b/crates/entry/tests/silence.rs
@@ -56,10 +56,10 @@
         Obstacle::NoOtherServer => list_servers(&entry.state, &[first]),
         Obstacle::NoRetryBudget => {
             list_servers(&entry.state, &[first, &spare]);
-            while entry
-                .state
-                .try_take_retry(&first.entry.service, guava_entry::state::now())
-            {}
+            let state = &entry.state;
+            while let Some(retry) = state.try_take_retry(&first.entry.service, guava_entry::state::now()) {
+                retry.record_sent();
+            }
         }
         Obstacle::OtherServerRefusesConnections => {
             let closed = ScriptedServer {
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -3,6 +3,10 @@
 //! Within a window the fleet may retry a fixed fraction of the requests that callers sent, plus a constant. Each VM
 //! applies the fraction to the requests that it received itself and gets an equal share of the constant, so the VMs
 //! need not coordinate.
+//!
+//! A process knows nothing of the retries of its predecessor on the VM. It takes no share of the constant until a window
+//! has passed since its start, when these no longer count. A retry counts from when it is taken until a window after it
+//! was sent, because it may wait for a server in between.
 
 use std::collections::VecDeque;
 
@@ -17,6 +21,8 @@
 pub struct RetryBudget {
     requests: VecDeque<Millis>,
     retries: VecDeque<Millis>,
+    /// Retries that have been taken and not been sent yet.
+    pending: u32,
 }
 
 /// Limits on the retries of the whole fleet.
@@ -28,8 +34,8 @@
     pub slack: f64,
     /// Length of the window, in milliseconds.
     pub window_ms: u64,
-    /// Number of VMs that share the slack; zero counts as one.
-    pub vms: usize,
+    /// Number of VMs that share the slack; zero if this VM takes no share.
+    pub sharers: usize,
 }
 
 impl RetryBudget {
@@ -42,19 +48,31 @@
     pub fn has_retry(&mut self, now: Millis, limits: BudgetLimits) -> bool {
         drop_before(&mut self.requests, now, limits.window_ms);
         drop_before(&mut self.retries, now, limits.window_ms);
-        let share = limits.slack / limits.vms.max(1) as f64;
+        let share = match limits.sharers {
+            0 => 0.0,
+            sharers => limits.slack / sharers as f64,
+        };
         let allowed = USED_FRACTION * (limits.ratio * self.requests.len() as f64 + share);
-        self.retries.len() as f64 + 1.0 <= allowed
+        self.retries.len() as f64 + f64::from(self.pending) + 1.0 <= allowed
     }
 
-    /// Takes one retry from the budget. Returns false if the budget is used up.
+    /// Takes one retry from the budget, until it is sent or returned. Returns false if the budget is used up.
     pub fn try_take_retry(&mut self, now: Millis, limits: BudgetLimits) -> bool {
         let has_retry = self.has_retry(now, limits);
-        if has_retry {
-            self.retries.push_back(now);
-        }
+        self.pending += u32::from(has_retry);
         has_retry
     }
+
+    /// Records that a retry that was taken is sent.
+    pub fn record_sent(&mut self, now: Millis) {
+        self.return_retry();
+        self.retries.push_back(now);
+    }
+
+    /// Returns a retry that was taken and is not sent.
+    pub fn return_retry(&mut self) {
+        self.pending = self.pending.saturating_sub(1);
+    }
 }
 
 fn drop_before(times: &mut VecDeque<Millis>, now: Millis, window_ms: u64) {
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -78,7 +78,7 @@
     /// Guards against retries that exceed the budget in some window.
     #[test]
     fn retries_stay_within_the_budget(steps in prop::collection::vec((0_u64..200, any::<bool>()), 1..600)) {
-        let limits = BudgetLimits { ratio: 0.2, slack: 12.0, window_ms: 10_000, vms: 1 };
+        let limits = BudgetLimits { ratio: 0.2, slack: 12.0, window_ms: 10_000, sharers: 1 };
         let mut budget = RetryBudget::default();
         let mut now = 0;
         let mut requests: Vec<u64> = Vec::new();
@@ -234,7 +234,7 @@
         ratio: 0.0,
         slack: 2.0,
         window_ms: 1_000,
-        vms: 1,
+        sharers: 1,
     };
     let mut budget = RetryBudget::default();
 
