Keep all VMs together to the limits that servers name

What each VM sends is little; the sum was nobody's business.

Change: limits are read from every answer and spread to all VMs with their age. One VM for each server, by rendezvous hashing, hands out places: a rate, or a bound on the requests that the server may still turn away.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -60,6 +60,7 @@
     IdempotencyClaimed = 1020, Debug, "An idempotency record was claimed.";
     IdempotencyReplayed = 1021, Info, "A stored answer was given to a repeated request.";
     RequestNotPlaced = 1022, Debug, "No backend server could take a request in time.";
+    NoPlace = 1023, Debug, "A backend server that names a limit has no place for requests of this VM now.";
     JobAccepted = 1030, Info, "A job was stored and accepted.";
     JobStarted = 1031, Info, "A job was started.";
     JobFinished = 1032, Info, "A job has its result.";
@@ -93,6 +94,7 @@
     RestStated = 2024, Info, "A backend server has asked this VM for a rest.";
     StatementUnreadable = 2025, Warn, "A header in which a backend server states something could not be read and is ignored.";
     EntryOutdated = 2026, Info, "An entry of a backend server is or may be older than what is known of the server.";
+    LimitNamed = 2027, Info, "A backend server names a limit on the requests of all VMs, or names it no more.";
 
     // 3xxx: administration.
     ObjectWritten = 3001, Info, "An operator's change was accepted.";
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -499,6 +499,12 @@
         self.rests.current(now)
     }
 
+    /// Requests of other VMs that a server runs, as last reported by the coordinator.
+    pub fn others_load(&self, server: &str) -> u32 {
+        let own = self.own_loads_at_report.get(server).copied().unwrap_or(0);
+        self.loads.get(server).copied().unwrap_or(0).saturating_sub(own)
+    }
+
     /// Servers that leave or have left, for another process.
     pub fn departures(&mut self, now: Millis) -> Vec<Departure> {
         self.departures.recent(now)
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -14,6 +14,7 @@
 use guava_fleet::choice::{self, Candidate};
 use guava_fleet::model::{BackendServer, Route, RouteKind};
 use guava_fleet::routes::draw_service;
+use guava_fleet::server_limits::PlaceOutcome;
 use guava_fleet::statements::{Obstacle, Statements};
 use guava_fleet::streams::FRESH_VIEW_MS;
 use guava_platform::engine;
@@ -27,7 +28,7 @@
 use crate::breakage::{self, BrokenAttempt};
 use crate::log_event;
 use crate::metrics;
-use crate::peers::{self, PaceRequest};
+use crate::peers::{self, PaceRequest, PlaceRequest};
 use crate::relay;
 use crate::reply::{Body, Failure, forwarded_response, full_body};
 use crate::request::{DEFAULT_RETRY_AFTER, Inbound, Resolved, check_prompt, resolve, stopping};
@@ -82,6 +83,8 @@
 pub const REPLACEMENT_INTERVAL_MS: u64 = 500;
 /// Time for which a request that is refused because servers rest counts as demand for its model, in milliseconds.
 const REST_DEMAND_MS: u64 = 1_000;
+/// Shortest time, in milliseconds, after which a place at a server is asked for again.
+const MIN_NO_PLACE_MS: u64 = 20;
 /// Deadline of a request that states none.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
@@ -528,6 +531,9 @@
                 return Err("no connection to another server");
             }
         };
+        if !self.take_place(&selected.server, 0).await {
+            return Err("the other server has no place");
+        }
         if !self.may_send_to(&selected.server) {
             return Err("the other server leaves or rests");
         }
@@ -670,6 +676,9 @@
                 let sending = pin!(connection.send(outgoing, attempt, &sink));
                 self.wait_for_head(&selected.server, sending).await?
             };
+            if let Head::Received(outcome) = &head {
+                self.report_place(&selected.server, outcome);
+            }
             match head {
                 Head::Received(Ok(incoming)) => {
                     if !incoming.status.is_success() || self.is_of_known_start(&selected.server).await {
@@ -733,6 +742,10 @@
                 return Ok(None);
             }
         };
+        let objective_at = self.waits_since + self.resolved.route.objective_ms;
+        if !self.take_place(&selected.server, objective_at.since(now())).await {
+            return Ok(None);
+        }
         // Pacing and connecting take time, in which the server may leave, or the route or the key may change.
         self.resolve_again()?;
         if now() >= self.deadline() {
@@ -756,6 +769,41 @@
         Ok(Some(NextServer { selected, connection }))
     }
 
+    /// Takes a place at a server that names a limit, and waits for up to `max_wait_ms` until it is free. Returns false if
+    /// the server must not get the request now.
+    async fn take_place(&self, server: &BackendServer, max_wait_ms: u64) -> bool {
+        let Some(named) = self.state.named_limit(server, now()) else {
+            return true;
+        };
+        // A server that can turn nothing away gets requests only while it certainly has room.
+        if named.limits.refusals == Some(0) && 2 * self.state.load_of(&server.id) > server.slots {
+            self.state.record_no_place(self.id(), server, REFUSED_AGAIN_MS);
+            return false;
+        }
+        let answer = peers::request_place(&self.state, &PlaceRequest { named, max_wait_ms }).await;
+        if !answer.granted {
+            let wait_ms = answer.wait_ms.max(MIN_NO_PLACE_MS);
+            self.state.record_no_place(self.id(), server, wait_ms);
+            return false;
+        }
+        tokio::time::sleep(Duration::from_millis(answer.wait_ms.min(max_wait_ms))).await;
+        true
+    }
+
+    /// Reports whether a server that can turn few requests away took this one.
+    fn report_place(&self, server: &BackendServer, outcome: &Result<IncomingAnswer, AttemptError>) {
+        let is_refused = matches!(outcome, Err(AttemptError::NotRun));
+        let named = self.state.named_limit(server, now());
+        if named.is_some_and(|it| it.limits.refusals.is_some()) && (is_refused || outcome.is_ok()) {
+            let outcome = PlaceOutcome {
+                server: server.id.clone(),
+                born_ms: server.born_ms,
+                is_refused,
+            };
+            peers::report_outcome(&self.state, outcome);
+        }
+    }
+
     /// Waits for the head of an answer until the deadline. A silent server is replaced if another one is ready to take
     /// the request.
     async fn wait_for_head<F>(&mut self, server: &Arc<BackendServer>, mut sending: Pin<&mut F>) -> Result<Head, Failure>
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,7 +4,8 @@
 //! receives them as well. `feed` passes on changes as they occur (see [`crate::feed`]). `report` sends waiting and
 //! running requests to the coordinator. `quota` takes tokens from the coordinator's share of an organisation's rate
 //! limit, `pace` reserves time on an engine for a prompt, `findings` pushes news of prompts that crash backend servers
-//! (see [`crate::findings`]), `begun` pushes records of streams, `origin` asks for one and `versions` for those that may begin streams (see [`crate::streams`]), and
+//! (see [`crate::findings`]), `limits` those of limits that servers name, `place` takes a place at such a server and
+//! `outcome` tells what became of it, `begun` pushes records of streams, `origin` asks for one and `versions` for those that may begin streams (see [`crate::streams`]), and
 //! `resign` announces the end of a coordinator's term. All
 //! messages may be repeated safely: they replace earlier values, and a lost answer to `quota` or `pace` only wastes
 //! tokens.
@@ -22,6 +23,7 @@
 use guava_fleet::health::{Outcomes, SharedFailure};
 use guava_fleet::model::{BackendServer, Configuration, StoreRevision};
 use guava_fleet::placement::{Demand, OrderAges, Running, Wait};
+use guava_fleet::server_limits::{NamedLimit, PlaceOutcome};
 use guava_fleet::statements::Rest;
 use guava_fleet::streams::RecordGroup;
 use guava_platform::CallError;
@@ -50,6 +52,12 @@
 const MAX_HEARTBEATS_SENT: usize = 512;
 /// Timeout of a message between entry processes.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout for the answer of the VM that hands out a server's places.
+const PLACE_TIMEOUT: Duration = Duration::from_millis(120);
+/// VMs that are asked for a place before the request is told to ask again.
+const MAX_KEEPERS: usize = 2;
+/// Wait when none of them answers, in milliseconds.
+const NO_KEEPER_WAIT_MS: u64 = 250;
 /// Timeout for the answer of the VM that paces an engine; without an answer the prompt is sent at once.
 const PACE_TIMEOUT: Duration = Duration::from_millis(60);
 /// For each multiple of this number of VMs, the interval between reports grows by one step.
@@ -102,6 +110,8 @@
         pub age_ms: u64,
         /// Prompts that crash backend servers, with the open evidence.
         pub findings: CrashFindings,
+        /// Limits that servers name.
+        pub limits: Vec<NamedLimit>,
     }
 
     /// Regular report of a VM to the coordinator.
@@ -164,6 +174,14 @@
         pub wait_ms: u64,
     }
 
+    /// Request for a place at a server that names a limit.
+    pub struct PlaceRequest {
+        /// Limit as the sender knows it.
+        pub named: NamedLimit,
+        /// Longest time, in milliseconds, that the request can wait.
+        pub max_wait_ms: u64,
+    }
+
     /// Request for tokens from the coordinator's share of a rate limit.
     pub struct QuotaRequest {
         /// Organisation whose rate limit applies.
@@ -238,6 +256,18 @@
     }
 }
 
+/// Pushes what servers name as their limits for as long as the process runs.
+pub async fn push_limits(state: Arc<EntryState>) {
+    loop {
+        state.limits_learnt.notified().await;
+        sleep(BATCH_DELAY).await;
+        let news = state.take_limit_news(now());
+        if !news.is_empty() {
+            push(&state, "limits", news);
+        }
+    }
+}
+
 /// Answers a message; `None` if its name is unknown or its body cannot be decoded.
 pub async fn answer(
     state: &Arc<EntryState>,
@@ -259,6 +289,15 @@
             state.apply_departures(decode(body)?, now());
             encode(&true)
         }
+        "limits" => {
+            state.apply_named_limits(decode(body)?, now());
+            encode(&true)
+        }
+        "place" => encode(&state.take_place(decode(body)?)),
+        "outcome" => {
+            state.record_place_outcome(&decode(body)?);
+            encode(&true)
+        }
         "begun" => encode(&state.streams.merge(&decode::<Vec<RecordGroup>>(body)?)),
         "versions" => encode(&state.streams.confirmed()),
         "origin" => encode(&state.streams.answer_origin(&decode(body)?)),
@@ -301,6 +340,7 @@
         wants_servers: state.source_age_ms(at) > STORE_STALE_MS,
         age_ms: state.source_age_ms(at),
         findings: state.findings.summary(at),
+        limits: state.named_limits(at),
     }
 }
 
@@ -329,6 +369,7 @@
         state.record_coordinator(hint);
     }
     state.apply_findings(received.findings);
+    state.apply_named_limits(received.limits, at);
     state.record_era(received.era, "peer", at);
     state.apply_departures(received.departures, at);
     let may_use = state.may_use_view(received.age_ms, at);
@@ -445,6 +486,40 @@
     }
 }
 
+/// Takes a place at a server that names a limit from the VM that hands them out. If that VM does not answer, the next
+/// one is asked.
+pub async fn request_place(state: &EntryState, request: &PlaceRequest) -> PaceAnswer {
+    for _ in 0..MAX_KEEPERS {
+        let Some(address) = state.assigned_vm(&request.named.server) else {
+            return state.take_place(request.clone());
+        };
+        match call(state, address, "place", request, PLACE_TIMEOUT).await {
+            Ok(answer) => return answer,
+            Err(e) => {
+                log::debug!("request for a place at {} failed: {e}", request.named.server);
+                state.record_member_failure(address, now());
+            }
+        }
+    }
+    PaceAnswer {
+        granted: false,
+        wait_ms: NO_KEEPER_WAIT_MS,
+    }
+}
+
+/// Tells the VM that hands out a server's places what became of a request, without waiting for its answer.
+pub fn report_outcome(state: &Arc<EntryState>, outcome: PlaceOutcome) {
+    let Some(address) = state.assigned_vm(&outcome.server) else {
+        return state.record_place_outcome(&outcome);
+    };
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        if let Err(e) = call::<_, bool>(&state, address, "outcome", &outcome, PLACE_TIMEOUT).await {
+            log::debug!("outcome at {} was not reported: {e}", outcome.server);
+        }
+    });
+}
+
 /// Takes tokens from the coordinator's share if they become available within `max_wait_ms`. Returns the milliseconds
 /// until they may be used; the inner error is the wait that was too long.
 ///
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -146,6 +146,8 @@
     let own = handles();
     tokio::spawn(supervise("push of departures", move || peers::push_departures(own().0)));
     let own = handles();
+    tokio::spawn(supervise("push of limits", move || peers::push_limits(own().0)));
+    let own = handles();
     tokio::spawn(supervise("copy of the verdicts", move || {
         let (state, coordinator) = own();
         findings::keep_copy(state, coordinator)
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -19,6 +19,7 @@
 use guava_fleet::placement::{Demand, EngineModels, Running, Wait};
 use guava_fleet::quota::Buckets;
 use guava_fleet::routes::ActiveConfig;
+use guava_fleet::server_limits::{NamedLimit, NamedLimits, PlaceKeeper, PlaceOutcome};
 use guava_fleet::statements::{Obstacle, Rest, Statements};
 use guava_fleet::succession::{LiveVm, Succession};
 use guava_platform::headers::Unreadable;
@@ -37,7 +38,7 @@
 use crate::findings::Findings;
 use crate::log_event;
 use crate::metrics;
-use crate::peers::{PaceAnswer, PaceRequest};
+use crate::peers::{PaceAnswer, PaceRequest, PlaceRequest};
 use crate::streams::Streams;
 
 /// Time without a heartbeat after which a member does not count as live. In a fleet of 300 VMs, heartbeats reach all
@@ -193,6 +194,10 @@
     pub quota: Mutex<Buckets>,
     /// Paces prompts at the engines that are assigned to this VM.
     pacer: Mutex<Pacer>,
+    /// Limits that servers name.
+    named: Mutex<NamedLimits>,
+    /// Places of the servers for which this VM hands them out.
+    places: Mutex<PlaceKeeper>,
     /// Health of backend servers as this VM observes it, with failures reported by others.
     pub health: Mutex<Health>,
     /// Prompts that crash backend servers, as far as any VM has found out.
@@ -203,6 +208,8 @@
     pub demand_changed: Notify,
     /// Notified when a departure of a server has become known that was not in the store.
     pub departures_learnt: Notify,
+    /// Notified when other VMs are to be told of limits that servers name.
+    pub limits_learnt: Notify,
     /// Notified when the list of members has been read from the store.
     pub members_listed: Notify,
     budgets: Mutex<HashMap<String, RetryBudget>>,
@@ -230,11 +237,14 @@
             large_answers: Semaphore::new(MAX_LARGE_ANSWER_BLOCKS),
             quota: Mutex::default(),
             pacer: Mutex::default(),
+            named: Mutex::default(),
+            places: Mutex::default(),
             health: Mutex::default(),
             findings: Findings::default(),
             streams: Streams::default(),
             demand_changed: Notify::new(),
             departures_learnt: Notify::new(),
+            limits_learnt: Notify::new(),
             members_listed: Notify::new(),
             budgets: Mutex::default(),
             view: Mutex::new(ClusterView::new(settings.heartbeat_ms)),
@@ -654,6 +664,17 @@
             self.departures_learnt.notify_one();
             self.signal_change();
         }
+        if self.named.lock().record(server, stated, at) {
+            log_event!(
+                Event::LimitNamed,
+                call,
+                "server={} per_s={} refusals={}",
+                server.id,
+                stated.per_s.map_or_else(|| "-".to_owned(), |it| it.to_string()),
+                stated.refusals.map_or_else(|| "-".to_owned(), |it| it.to_string())
+            );
+            self.limits_learnt.notify_one();
+        }
         if let Some(rest_ms) = stated.rest_ms
             && self.view.lock().record_rest(server, rest_ms, at)
         {
@@ -662,6 +683,65 @@
         }
     }
 
+    /// Limits that a server names; `None` if it names none.
+    pub fn named_limit(&self, server: &BackendServer, now: Millis) -> Option<NamedLimit> {
+        self.named.lock().of(server, now)
+    }
+
+    /// Limits that servers name, for the gossip of VMs.
+    pub fn named_limits(&self, now: Millis) -> Vec<NamedLimit> {
+        self.named.lock().summary(now)
+    }
+
+    /// Number of servers that name limits.
+    pub fn limited_servers(&self) -> u64 {
+        self.named.lock().count(now())
+    }
+
+    /// Takes the limits of which other VMs are to be told at once.
+    pub fn take_limit_news(&self, now: Millis) -> Vec<NamedLimit> {
+        self.named.lock().take_news(now)
+    }
+
+    /// Merges limits that another VM tells.
+    pub fn apply_named_limits(&self, told: Vec<NamedLimit>, now: Millis) {
+        if !told.is_empty() && self.named.lock().merge(told, now) {
+            self.limits_learnt.notify_one();
+        }
+    }
+
+    /// Takes a place at a server for which this VM hands them out.
+    pub fn take_place(&self, request: PlaceRequest) -> PaceAnswer {
+        let at = now();
+        let (live, vms) = {
+            let view = self.view.lock();
+            let live = view.members.values().filter(|it| it.is_live(at)).count() + 1;
+            (live, view.members.len() + 1)
+        };
+        // The other VMs may live on where this one does not see them, and hand out places themselves.
+        let share = live as f64 / vms as f64;
+        let PlaceRequest { named, max_wait_ms } = request;
+        let taken = self.places.lock().take(&named, share, max_wait_ms, at);
+        self.apply_named_limits(vec![named], at);
+        PaceAnswer {
+            granted: taken.is_ok(),
+            wait_ms: taken.unwrap_or_else(|wait| wait),
+        }
+    }
+
+    /// Records what became of a request that was let through to a server.
+    pub fn record_place_outcome(&self, outcome: &PlaceOutcome) {
+        self.places.lock().record_outcome(outcome, now());
+    }
+
+    /// Records that a server that names a limit has no place for this VM's requests for a time, in milliseconds.
+    pub fn record_no_place(&self, call: &str, server: &BackendServer, wait_ms: u64) {
+        let at = now();
+        if self.view.lock().record_rest(server, wait_ms, at) {
+            log_event!(Event::NoPlace, call, "server={} wait_ms={wait_ms}", server.id);
+        }
+    }
+
     /// What a server has stated that speaks against sending it a request now: `leaving`, `rest` or `-`.
     pub fn stated(&self, server: &BackendServer, now: Millis) -> &'static str {
         let view = self.view.lock();
@@ -862,6 +942,12 @@
         self.view.lock().rests(now)
     }
 
+    /// Requests that a server runs or has queued, from all VMs, as far as they are known.
+    pub fn load_of(&self, server: &str) -> u32 {
+        let own = self.running_by_server().get(server).copied().unwrap_or(0);
+        own + self.view.lock().others_load(server)
+    }
+
     /// Ready servers of a service that can take a request, with their running requests of all VMs. `model` is the model
     /// and its adapter; `None` for a plain service.
     pub fn candidates(
@@ -875,14 +961,7 @@
         let with_load = view.available(service, model, now).map(|it| {
             let id = &it.id;
             let own_now = own.get(id).copied().unwrap_or(0);
-            let own_loads_at_report = view.own_loads_at_report.get(id).copied().unwrap_or(0);
-            let others = view
-                .loads
-                .get(id)
-                .copied()
-                .unwrap_or(0)
-                .saturating_sub(own_loads_at_report);
-            (Arc::clone(it), own_now + others)
+            (Arc::clone(it), own_now + view.others_load(id))
         });
         with_load.collect()
     }
--- a/crates/entry/tests/statements.rs
+++ b/crates/entry/tests/statements.rs
@@ -128,7 +128,11 @@
     let stated = async {
         sleep(Duration::from_millis(150)).await;
         put_server(&entry.state, other.entry.clone(), 2);
-        let stated = Statements { is_leaving, rest_ms };
+        let stated = Statements {
+            is_leaving,
+            rest_ms,
+            ..Statements::default()
+        };
         entry.state.record_statements("test", &stating.entry, &stated, &[]);
     };
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod placement;
 pub mod quota;
 pub mod routes;
+pub mod server_limits;
 pub mod statements;
 pub mod streams;
 pub mod succession;
--- a/crates/fleet/src/statements.rs
+++ b/crates/fleet/src/statements.rs
@@ -1,8 +1,9 @@
 //! What backend servers state of themselves in the heads of their answers.
 //!
-//! A server is the only source for both statements and knows them first: that it leaves, which holds for the rest of
-//! its life and concerns every VM, see [`crate::departures`]; and that it wants nothing from one VM for a time, which
-//! binds this VM only, because the server may have capacity for others.
+//! A server is the only source for these statements and knows them first: that it leaves, which holds for the rest of
+//! its life and concerns every VM, see [`crate::departures`]; that it wants nothing from one VM for a time, which binds
+//! this VM only, because the server may have capacity for others; and limits on what all VMs together send, see
+//! [`crate::server_limits`].
 
 use std::collections::HashMap;
 
@@ -24,6 +25,10 @@
         pub is_leaving: bool,
         /// Time in milliseconds for which the server wants nothing from this VM; `None` if it states none.
         pub rest_ms: Option<u64>,
+        /// Requests a second that the server takes from all VMs together; `None` if it names no limit.
+        pub per_s: Option<f64>,
+        /// Requests a second that the server can turn away before it falls over; `None` if it names no such number.
+        pub refusals: Option<u64>,
     }
 
     /// Rest that a server has asked a VM for.
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -25,7 +25,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 54] = [
+const EVENTS: [(&str, &str, &[&str]); 56] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -121,6 +121,8 @@
     ("E2023", "LeavingStated", &["server", "born_ms"]),
     ("E2024", "RestStated", &["server", "rest_ms"]),
     ("E2025", "StatementUnreadable", &["server", "header", "value"]),
+    ("E1023", "NoPlace", &["server", "wait_ms"]),
+    ("E2027", "LimitNamed", &["server", "per_s", "refusals"]),
     (
         "E2026",
         "EntryOutdated",
@@ -309,6 +311,7 @@
     }
     set_server_faults(&fleet.backends[..ENGINE_COUNT], ServerFaults::default());
     wait_for_event(dir, "E2014").await;
+    trigger_limits(fleet, dir).await;
     trigger_statements(fleet, dir).await;
     let plain_server = fleet.backends[ENGINE_COUNT]
         .server
@@ -339,6 +342,23 @@
     wait_for_event(dir, "E2026").await;
 }
 
+/// Makes a plain server name a limit.
+async fn trigger_limits(fleet: &Fleet, dir: &Path) {
+    let plain = fleet.backends[ENGINE_COUNT]
+        .server
+        .as_ref()
+        .expect("the server is running");
+    plain.set_limit(Some(0.2));
+    for event in ["E2027", "E1023"] {
+        let from = Instant::now();
+        while !is_logged(dir, event) && from.elapsed() < LINE_TIMEOUT {
+            let attempt = format!("limited-{event}-{}", from.elapsed().as_millis());
+            send(fleet.processes[0].vm.callers, call(&attempt, BOOKING_PATH)).await;
+        }
+    }
+    plain.set_limit(None);
+}
+
 /// Sends a request for a model that no engine holds, which cannot be loaded within its deadline.
 async fn trigger_unplaced_request(fleet: &Fleet, dir: &Path) {
     let unplaced = Call {
