Find out that a server is gone before waiting for its turn

Cause: the turn at an engine was reserved and waited for before the connection was opened; a refused connection was one failure of two; the coordinator knew nothing of it until the entry lapsed.

Change: the connection is opened before the wait. A server to which none can be opened is left out for a time that grows with each failure, and reports tell the coordinator.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -95,6 +95,7 @@
     StatementUnreadable = 2025, Warn, "A header in which a backend server states something could not be read and is ignored.";
     EntryOutdated = 2026, Info, "An entry of a backend server is or may be older than what is known of the server.";
     LimitNamed = 2027, Info, "A backend server names a limit on the requests of all VMs, or names it no more.";
+    ServerUnreachable = 2028, Info, "This VM cannot open a connection to a backend server.";
 
     // 3xxx: administration.
     ObjectWritten = 3001, Info, "An operator's change was accepted.";
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -8,6 +8,7 @@
 use guava_fleet::departures::{Departure, Departures, EntryAge};
 use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
 use guava_fleet::placement::{EngineModels, Wait};
+use guava_fleet::reach::Unreachable;
 use guava_fleet::routes::ActiveConfig;
 use guava_fleet::statements::{Obstacle, Rest, Rests};
 
@@ -68,7 +69,7 @@
     pub ready: usize,
     /// Those of them that hold the request's model and adapter.
     pub holding: usize,
-    /// Those of them that have asked this VM for a rest.
+    /// Those of them that have asked this VM for a rest, or cannot be reached.
     pub resting: usize,
 }
 
@@ -120,6 +121,8 @@
     old_entries: Vec<OldEntry>,
     /// Rests that servers have asked this VM for.
     rests: Rests,
+    /// Servers to which this VM cannot open a connection.
+    unreachable: Unreachable,
     /// Number of entries received, including those whose change is not published to followers.
     server_updates: u64,
     /// When the store last answered again after an outage.
@@ -499,6 +502,27 @@
         self.rests.current(now)
     }
 
+    /// Records whether a connection to a server could be opened. Returns the milliseconds for which the server is left
+    /// out.
+    pub fn record_connection(&mut self, server: &BackendServer, is_open: bool, now: Millis) -> Option<u64> {
+        if is_open {
+            self.unreachable.record_success(server);
+            return None;
+        }
+        Some(self.unreachable.record_failure(server, now))
+    }
+
+    /// Servers to which this VM cannot open a connection, as rests.
+    pub fn unreachable(&self, now: Millis) -> Vec<Rest> {
+        self.unreachable.current(now).collect()
+    }
+
+    /// Milliseconds until this VM may send requests to a server; `None` if it may now.
+    fn closed_ms(&self, server: &BackendServer, now: Millis) -> Option<u64> {
+        let rest_ms = self.rests.left_ms(server, now);
+        rest_ms.max(self.unreachable.left_ms(server, now))
+    }
+
     /// Requests of other VMs that a server runs, as last reported by the coordinator.
     pub fn others_load(&self, server: &str) -> u32 {
         let own = self.own_loads_at_report.get(server).copied().unwrap_or(0);
@@ -513,6 +537,7 @@
     /// Removes servers whose entries were not renewed in time after an outage of the store. Returns their number.
     pub fn remove_expired(&mut self, now: Millis) -> usize {
         self.rests.remove_ended(now);
+        self.unreachable.remove_expired(now);
         for (_, known) in self.servers.iter() {
             self.departures.renew(&known.server, now);
         }
@@ -557,9 +582,9 @@
         })
     }
 
-    /// Whether a server accepts requests and wants some of this VM now.
+    /// Whether a server accepts requests, and wants some of this VM and can be reached now.
     pub fn takes_requests(&self, server: &BackendServer, now: Millis) -> bool {
-        self.rests.left_ms(server, now).is_none() && self.accepts_requests(server)
+        self.closed_ms(server, now).is_none() && self.accepts_requests(server)
     }
 
     /// Servers of a service that take requests now. `model` is the model and its adapter; `None` for a plain service.
@@ -570,7 +595,7 @@
         now: Millis,
     ) -> impl Iterator<Item = &Arc<BackendServer>> {
         let ready = self.ready(service);
-        ready.filter(move |it| self.serves(it, model, now) && self.rests.left_ms(it, now).is_none())
+        ready.filter(move |it| self.serves(it, model, now) && self.closed_ms(it, now).is_none())
     }
 
     /// Why no server of a service that satisfies `may_use` takes a request now; `None` if one does, or if it is not known
@@ -589,7 +614,7 @@
         let holders = self
             .ready(service)
             .filter(|it| may_use(it) && self.serves(it, model, now));
-        let rests: Option<Vec<u64>> = holders.map(|it| self.rests.left_ms(it, now)).collect();
+        let rests: Option<Vec<u64>> = holders.map(|it| self.closed_ms(it, now)).collect();
         rests?.into_iter().min().map(Obstacle::Resting)
     }
 
@@ -603,7 +628,7 @@
     ) -> Places {
         let ready: Vec<_> = self.ready(service).filter(|it| may_use(it)).collect();
         let holding: Vec<_> = ready.iter().filter(|it| self.serves(it, model, now)).collect();
-        let resting = holding.iter().filter(|it| self.rests.left_ms(it, now).is_some());
+        let resting = holding.iter().filter(|it| self.closed_ms(it, now).is_some());
         Places {
             ready: ready.len(),
             resting: resting.count(),
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -520,11 +520,12 @@
         let selected = self.select_server(None).ok_or("no other server")?;
         if let Some((tokens, _)) = self.inbound.caller.tokens
             && self.resolved.route.kind == RouteKind::Streaming
-            && self.request_pace(&selected, tokens, SHORT_PACE_WAIT_MS).await.is_some()
         {
-            return Err("other servers are busy");
+            let turn = self.request_pace(&selected, tokens, SHORT_PACE_WAIT_MS).await;
+            let turn_ms = turn.or(Err("other servers are busy"))?;
+            tokio::time::sleep(Duration::from_millis(turn_ms)).await;
         }
-        let connection = match OpenConnection::open(selected.server.address).await {
+        let connection = match self.open_connection(&selected.server).await {
             Ok(connection) => connection,
             Err(e) => {
                 self.record_failure(&selected.server.id, e);
@@ -734,14 +735,17 @@
     /// the request any more or does not accept the connection.
     async fn connect_next(&mut self) -> Result<Option<NextServer>, Failure> {
         let selected = self.wait_for_server().await?;
-        let selected = self.pace_prompt(selected).await?;
-        let connection = match OpenConnection::open(selected.server.address).await {
+        let (selected, turn_ms) = self.pace_prompt(selected).await?;
+        // A server that is not there is found out before the wait for its turn.
+        let turn_at = now() + turn_ms;
+        let connection = match self.open_connection(&selected.server).await {
             Ok(connection) => connection,
             Err(e) => {
                 self.handle_error(selected, e).await?;
                 return Ok(None);
             }
         };
+        tokio::time::sleep(until(turn_at)).await;
         let objective_at = self.waits_since + self.resolved.route.objective_ms;
         if !self.take_place(&selected.server, objective_at.since(now())).await {
             return Ok(None);
@@ -769,6 +773,13 @@
         Ok(Some(NextServer { selected, connection }))
     }
 
+    async fn open_connection(&self, server: &BackendServer) -> Result<OpenConnection, AttemptError> {
+        let opened = OpenConnection::open(server.address).await;
+        let error = opened.as_ref().err().map(ToString::to_string);
+        self.state.record_connection(self.id(), server, error.as_deref());
+        opened
+    }
+
     /// Takes a place at a server that names a limit, and waits for up to `max_wait_ms` until it is free. Returns false if
     /// the server must not get the request now.
     async fn take_place(&self, server: &BackendServer, max_wait_ms: u64) -> bool {
@@ -877,7 +888,12 @@
         let server = selected.id.as_str();
         match error {
             AttemptError::Unknown(why) => return self.handle_lost_answer(&selected, None, &why),
-            AttemptError::NotSent(_) => self.record_failure(server, &why),
+            AttemptError::NotSent(_) => {
+                self.record_failure(server, &why);
+                log_event!(Event::RequestRetried, self.id(), "server={server} why={why}");
+                // The server is left out now, so that the next attempt goes to another one.
+                return Ok(());
+            }
             AttemptError::NotRun | AttemptError::Misdirected => {
                 self.may_have_run.pop();
                 let may_have_run = !self.may_have_run.is_empty();
@@ -981,16 +997,17 @@
         }
     }
 
-    /// Waits until the engine can process the prompt without delaying its streams, or selects another engine.
+    /// Reserves a turn at an engine that can process the prompt without delaying its streams. Returns the engine and the
+    /// milliseconds until the turn.
     ///
     /// Under overload a request that can no longer be on time waits for capacity that later requests leave free, so
     /// that some requests are on time rather than none. It is refused shortly before its caller would abandon it.
-    async fn pace_prompt(&mut self, initial: SelectedServer) -> Result<SelectedServer, Failure> {
+    async fn pace_prompt(&mut self, initial: SelectedServer) -> Result<(SelectedServer, u64), Failure> {
         let Some((tokens, _)) = self.inbound.caller.tokens else {
-            return Ok(initial);
+            return Ok((initial, 0));
         };
         if self.resolved.route.kind != RouteKind::Streaming {
-            return Ok(initial);
+            return Ok((initial, 0));
         }
         let started = now();
         let objective = self.resolved.route.objective_ms;
@@ -1006,21 +1023,23 @@
             } else {
                 spare.clamp(SHORT_PACE_WAIT_MS, MAX_PACE_WAIT_MS)
             };
-            let Some(wait) = self.request_pace(&selected, tokens, SHORT_PACE_WAIT_MS).await else {
-                return Ok(selected);
+            let wait = match self.request_pace(&selected, tokens, SHORT_PACE_WAIT_MS).await {
+                Ok(turn_ms) => return Ok((selected, turn_ms)),
+                Err(wait) => wait,
             };
             let other = self.select_server(Some(&selected.server.id));
             let other_wait = match &other {
                 Some(other) => self.request_pace(other, tokens, SHORT_PACE_WAIT_MS).await,
-                None => Some(u64::MAX),
+                None => Err(u64::MAX),
             };
             selected = match (other, other_wait) {
-                (Some(other), None) => return Ok(other),
-                (Some(other), Some(other_wait)) if other_wait < wait => other,
+                (Some(other), Ok(turn_ms)) => return Ok((other, turn_ms)),
+                (Some(other), Err(other_wait)) if other_wait < wait => other,
                 _ => selected,
             };
-            let Some(wait) = self.request_pace(&selected, tokens, max_wait).await else {
-                return Ok(selected);
+            let wait = match self.request_pace(&selected, tokens, max_wait).await {
+                Ok(turn_ms) => return Ok((selected, turn_ms)),
+                Err(wait) => wait,
             };
             let is_hopeless = now() + wait > self.latest_start() && self.has_few_engines();
             if is_hopeless || now().since(started) > timeout || now() + RETURN_MARGIN_MS >= self.deadline() {
@@ -1045,22 +1064,20 @@
         self.bound.is_some() && self.state.places(&self.service, self.wanted(), may_use, now()).holding <= ASKED_ENGINES
     }
 
-    /// Waits until the prompt may be sent to the engine and returns `None`, at once if the VM that paces the engine does
-    /// not answer. Returns the wait, in milliseconds, if it exceeds `max_wait_ms`.
-    async fn request_pace(&self, selected: &SelectedServer, tokens: u64, max_wait_ms: u64) -> Option<u64> {
+    /// Reserves time for the prompt at the engine. Returns the milliseconds until the prompt may be sent, zero if the VM
+    /// that paces the engine does not answer; the error is a wait that exceeds `max_wait_ms`.
+    async fn request_pace(&self, selected: &SelectedServer, tokens: u64, max_wait_ms: u64) -> Result<u64, u64> {
         let request = PaceRequest {
             engine: selected.server.id.clone(),
             tokens,
             gap_ms: self.resolved.route.gap_ms,
             max_wait_ms,
         };
-        let answer = peers::request_pace(&self.state, &request).await?;
-        if !answer.granted {
-            return Some(answer.wait_ms);
+        match peers::request_pace(&self.state, &request).await {
+            Some(answer) if answer.granted => Ok(answer.wait_ms.min(max_wait_ms.max(MAX_PACE_WAIT_MS))),
+            Some(answer) => Err(answer.wait_ms),
+            None => Ok(0),
         }
-        let wait = answer.wait_ms.min(max_wait_ms.max(MAX_PACE_WAIT_MS));
-        tokio::time::sleep(Duration::from_millis(wait)).await;
-        None
     }
 
     /// Latest time at which the request can be sent so that its answer starts before the caller abandons it.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -174,6 +174,11 @@
         "Backend servers that have asked this VM for a rest",
         EntryState::resting_servers,
     );
+    gauge(
+        "guava_servers_unreachable",
+        "Backend servers to which this VM cannot open a connection",
+        EntryState::unreachable_servers,
+    );
     gauge(
         "guava_servers_limited",
         "Backend servers that name a limit on the requests of all VMs",
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -742,6 +742,20 @@
         }
     }
 
+    /// Records whether a connection to a server could be opened.
+    pub fn record_connection(&self, call: &str, server: &BackendServer, error: Option<&str>) {
+        let at = now();
+        let left_out_ms = self.view.lock().record_connection(server, error.is_none(), at);
+        if let (Some(why), Some(left_out_ms)) = (error, left_out_ms) {
+            log_event!(
+                Event::ServerUnreachable,
+                call,
+                "server={} left_out_ms={left_out_ms} why={why}",
+                server.id
+            );
+        }
+    }
+
     /// What a server has stated that speaks against sending it a request now: `leaving`, `rest` or `-`.
     pub fn stated(&self, server: &BackendServer, now: Millis) -> &'static str {
         let view = self.view.lock();
@@ -937,9 +951,17 @@
         self.view.lock().obstacle(service, model, may_use, now)
     }
 
-    /// Rests that servers have asked this VM for and that have not ended.
+    /// Rests that servers have asked this VM for and that have not ended, and servers that cannot be reached.
     pub fn rests(&self, now: Millis) -> Vec<Rest> {
-        self.view.lock().rests(now)
+        let view = self.view.lock();
+        let mut rests = view.rests(now);
+        rests.extend(view.unreachable(now));
+        rests
+    }
+
+    /// Number of servers to which this VM cannot open a connection.
+    pub fn unreachable_servers(&self) -> u64 {
+        self.view.lock().unreachable(now()).len() as u64
     }
 
     /// Requests that a server runs or has queued, from all VMs, as far as they are known.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod quota;
+pub mod reach;
 pub mod routes;
 pub mod server_limits;
 pub mod statements;
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -12,7 +12,7 @@
 use guava_platform_standin::caller::{Call, send, send_and_disconnect};
 use guava_platform_standin::raw::{request_text, taken_up_lines};
 use guava_platform_standin::server::{ServerFaults, Stated};
-use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, STREAM_PATH, configuration};
+use guava_platform_standin::settings::{BOOKING_PATH, LOOKUP_PATH, PLAIN_SERVICE, STREAM_PATH, configuration};
 use guava_platform_standin::store::StoreFaults;
 use guava_soak::fleet::{Backend, ENGINE_COUNT, Fleet, MODEL_COUNT, RATE, VM_COUNT};
 use rustix::process::Signal;
@@ -25,7 +25,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 56] = [
+const EVENTS: [(&str, &str, &[&str]); 57] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -123,6 +123,7 @@
     ("E2025", "StatementUnreadable", &["server", "header", "value"]),
     ("E1023", "NoPlace", &["server", "wait_ms"]),
     ("E2027", "LimitNamed", &["server", "per_s", "refusals"]),
+    ("E2028", "ServerUnreachable", &["server", "left_out_ms", "why"]),
     (
         "E2026",
         "EntryOutdated",
@@ -342,20 +343,26 @@
     wait_for_event(dir, "E2026").await;
 }
 
-/// Makes a plain server name a limit.
+/// Makes a plain server name a limit, and lists one at whose address nobody listens.
 async fn trigger_limits(fleet: &Fleet, dir: &Path) {
     let plain = fleet.backends[ENGINE_COUNT]
         .server
         .as_ref()
         .expect("the server is running");
     plain.set_limit(Some(0.2));
-    for event in ["E2027", "E1023"] {
+    let gone = serde_json::json!({
+        "service": PLAIN_SERVICE, "address": "127.0.0.1:9", "zone": "caerdydd", "slots": 64, "state": "ready",
+        "born": 1_000, "seq": 1,
+    });
+    fleet.store.put("servers", "gone", gone);
+    for event in ["E2027", "E1023", "E2028"] {
         let from = Instant::now();
         while !is_logged(dir, event) && from.elapsed() < LINE_TIMEOUT {
             let attempt = format!("limited-{event}-{}", from.elapsed().as_millis());
             send(fleet.processes[0].vm.callers, call(&attempt, BOOKING_PATH)).await;
         }
     }
+    fleet.store.remove("servers", "gone");
     plain.set_limit(None);
 }
 
