Wait for a model's load elsewhere while its engines cannot be reached

Cause: a server that cannot be reached was treated like one that wants a rest, whose end is known; and reports left out pauses under a second, so the coordinator learnt of crashed engines only 0.2 s in each pause and loaded the model 2 s later than it could.

Change: for a request for a model, an engine that cannot be reached is no obstacle: it waits for the load elsewhere if that is in time, else it is refused with the time of the load. Reports name all servers that cannot be reached.

--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -611,9 +611,11 @@
             let mut listed = self.servers().filter(|it| it.service == service);
             return listed.any(|it| may_use(it)).then_some(Obstacle::Leaving);
         }
+        // The model of an engine that is not there is loaded at another one, for which requests may wait.
+        let is_there = |it: &BackendServer| model.is_none() || self.unreachable.left_ms(it, now).is_none();
         let holders = self
             .ready(service)
-            .filter(|it| may_use(it) && self.serves(it, model, now));
+            .filter(|it| may_use(it) && self.serves(it, model, now) && is_there(it));
         let rests: Option<Vec<u64>> = holders.map(|it| self.closed_ms(it, now)).collect();
         rests?.into_iter().min().map(Obstacle::Resting)
     }
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -811,7 +811,7 @@
         let (polls, orders) = {
             let mut placement = self.placement.lock();
             self.update_inputs(&mut placement, at);
-            placement.set_rests(&self.state.rests(at), at);
+            placement.set_rests(&self.state.rests(0, at), at);
             let orders = placement.next_orders(at);
             (placement.polls(self.poll_permits.available_permits(), at), orders)
         };
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -128,7 +128,7 @@
         pub next_ms: u64,
         /// Outcomes of requests since the last report, for servers that failed.
         pub outcomes: Vec<Outcomes>,
-        /// Rests that servers have asked the VM for, if they last longer than a short load.
+        /// Rests that servers have asked the VM for, if they last longer than a short load, and servers that it cannot reach.
         pub rests: Vec<Rest>,
     }
 
@@ -442,11 +442,7 @@
             store_age_ms: state.store_age_ms(now()),
             next_ms: pause.as_millis() as u64,
             outcomes: state.health.lock().take_outcomes(),
-            rests: state
-                .rests(now())
-                .into_iter()
-                .filter(|it| it.left_ms >= MIN_REPORTED_REST_MS)
-                .collect(),
+            rests: state.rests(MIN_REPORTED_REST_MS, now()),
         };
         let answer = if coordinator.coordinates() {
             Some(coordinator.handle_report(report))
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -951,10 +951,12 @@
         self.view.lock().obstacle(service, model, may_use, now)
     }
 
-    /// Rests that servers have asked this VM for and that have not ended, and servers that cannot be reached.
-    pub fn rests(&self, now: Millis) -> Vec<Rest> {
+    /// Rests that servers have asked this VM for and that last for `min_ms` milliseconds or longer, and servers that cannot
+    /// be reached.
+    pub fn rests(&self, min_ms: u64, now: Millis) -> Vec<Rest> {
         let view = self.view.lock();
         let mut rests = view.rests(now);
+        rests.retain(|it| it.left_ms >= min_ms);
         rests.extend(view.unreachable(now));
         rests
     }
--- a/crates/entry/tests/cluster_view.rs
+++ b/crates/entry/tests/cluster_view.rs
@@ -5,6 +5,7 @@
 use guava_entry::cluster_view::{ClusterView, EXPIRY_GRACE_MS};
 use guava_fleet::model::{BackendServer, HeldModel, ServerState, StoreRevision};
 use guava_fleet::placement::EngineModels;
+use guava_fleet::statements::Obstacle;
 use rstest::rstest;
 
 fn server(id: &str, state: ServerState) -> BackendServer {
@@ -427,3 +428,45 @@
     assert!(released.is_empty());
     assert!(!view.accepts_requests(&withheld));
 }
+
+/// Guards against a request for a model that is refused until an engine that is gone might be back, although the model
+/// is loaded at another one meanwhile; a plain service has no other.
+#[rstest]
+#[case::engine(Some(("m1", None)), None)]
+#[case::plain(None, Some(Obstacle::Resting(300)))]
+fn engine_that_cannot_be_reached_is_no_obstacle(
+    #[case] model: Option<(&str, Option<&str>)>,
+    #[case] expected: Option<Obstacle>,
+) {
+    let mut view = ClusterView::default();
+    view.put_server_list(vec![server("a", ServerState::Ready)], at(1), Millis(1_000));
+
+    let left_out_ms = view.record_connection(&server("a", ServerState::Ready), false, Millis(2_000));
+
+    assert_eq!(left_out_ms, Some(300));
+    assert_eq!(view.available("advice", model, Millis(2_000)).count(), 0);
+    assert_eq!(view.obstacle("advice", model, |_| true, Millis(2_000)), expected);
+}
+
+/// Guards against a server that stays left out although it has started anew, or answers again.
+#[test]
+fn server_that_is_back_is_tried_at_once() {
+    let mut view = ClusterView::default();
+    let old = server("a", ServerState::Ready);
+    let pauses: Vec<_> = [1_000, 1_400, 3_000, 6_000, 11_000]
+        .into_iter()
+        .map(|now| view.record_connection(&old, false, Millis(now)))
+        .collect();
+    let started_anew = BackendServer {
+        born_ms: 2,
+        ..old.clone()
+    };
+
+    view.put_server_list(vec![old.clone()], at(1), Millis(11_100));
+    let before = view.takes_requests(&old, Millis(11_100));
+    view.put_server_list(vec![started_anew.clone()], at(2), Millis(11_200));
+
+    assert_eq!(pauses, [300, 1_200, 2_400, 4_000, 4_000].map(Some));
+    assert!(!before, "left out");
+    assert!(view.takes_requests(&started_anew, Millis(11_200)));
+}
