Hand requests to another VM while this one reaches no server

Cause: a request could go only by its own VM. Each attempt took 350 ms at a server that could not be reached, until the caller left.

Change: a VM to which connections to two servers have failed, and none succeeded since, hands its requests to another VM, one hop. It admits, counts and retries them as before; the other VM chooses the server.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -61,6 +61,7 @@
     IdempotencyReplayed = 1021, Info, "A stored answer was given to a repeated request.";
     RequestNotPlaced = 1022, Debug, "No backend server could take a request in time.";
     NoPlace = 1023, Debug, "A backend server that names a limit has no place for requests of this VM now.";
+    HandedOver = 1024, Debug, "A request was handed to another VM, because this one reaches no backend server.";
     JobAccepted = 1030, Info, "A job was stored and accepted.";
     JobStarted = 1031, Info, "A job was started.";
     JobFinished = 1032, Info, "A job has its result.";
@@ -96,6 +97,7 @@
     EntryOutdated = 2026, Info, "An entry of a backend server is or may be older than what is known of the server.";
     LimitNamed = 2027, Info, "A backend server names a limit on the requests of all VMs, or names it no more.";
     ServerUnreachable = 2028, Info, "This VM cannot open a connection to a backend server.";
+    ServersReached = 2029, Info, "This VM reaches backend servers again.";
 
     // 3xxx: administration.
     ObjectWritten = 3001, Info, "An operator's change was accepted.";
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -506,12 +506,18 @@
     /// out.
     pub fn record_connection(&mut self, server: &BackendServer, is_open: bool, now: Millis) -> Option<u64> {
         if is_open {
-            self.unreachable.record_success(server);
+            self.unreachable.record_success(server, now);
             return None;
         }
         Some(self.unreachable.record_failure(server, now))
     }
 
+    /// Whether this VM has probably lost its links to all servers.
+    pub fn is_cut_off(&self, now: Millis) -> bool {
+        let ready = self.servers().filter(|it| it.state == ServerState::Ready);
+        self.unreachable.is_cut_off(ready.count(), now)
+    }
+
     /// Servers to which this VM cannot open a connection, as rests.
     pub fn unreachable(&self, now: Millis) -> Vec<Rest> {
         self.unreachable.current(now).collect()
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -140,6 +140,7 @@
 struct VmContact {
     at: Millis,
     store_age_ms: u64,
+    is_cut_off: bool,
 }
 
 impl VmContact {
@@ -247,6 +248,7 @@
         let contact = VmContact {
             at,
             store_age_ms: report.store_age_ms,
+            is_cut_off: report.is_cut_off,
         };
         self.vms.lock().insert(report.vm.clone(), contact);
         let failures = {
@@ -372,6 +374,12 @@
             let is_last = lease.seen().is_none_or(|it| it.term.0 == end.term);
             is_last && end.successor.as_deref() == Some(own_vm)
         });
+        // A VM without links to servers cannot order loads; it waits until the others had their turn.
+        let min_rank = if self.state.is_cut_off(at) {
+            ACTIVE_CANDIDATES - 1
+        } else {
+            0
+        };
         let rank = match lease.seen() {
             _ if is_named => Some(0),
             // Until the first read it is unknown whether this VM held the lease last, so the process must be among the
@@ -382,7 +390,7 @@
             _ => rank,
         };
         Candidacy {
-            rank,
+            rank: rank.map(|it| it.max(min_rank)),
             holder_ended,
             is_first_start: self.state.is_first_start(),
         }
@@ -530,6 +538,17 @@
             self.apply_lease_events(lease);
             return;
         }
+        let is_able = |it: &VmContact| at.since(it.at) < REPORT_FRESH_MS && !it.is_cut_off;
+        if self.state.is_cut_off(at) && self.vms.lock().values().any(is_able) {
+            log_event!(
+                Event::LeaseReleased,
+                "-",
+                "term={term} reason=this VM reaches no server and others do"
+            );
+            self.lease_state.lock().term = 0;
+            lease.step_down(at, STEP_DOWN_PAUSE_MS);
+            return;
+        }
         if last_report.is_some_and(|it| at.since(it) > ISOLATED_MS && at.since(it) < PEERS_STOPPED_MS) {
             self.vms.lock().clear();
             log_event!(
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -12,7 +12,7 @@
 use guava_core::units::Millis;
 use guava_fleet::binding::StreamBinding;
 use guava_fleet::choice::{self, Candidate};
-use guava_fleet::model::{BackendServer, Route, RouteKind};
+use guava_fleet::model::{BackendServer, Route, RouteKind, ServerState};
 use guava_fleet::routes::draw_service;
 use guava_fleet::server_limits::PlaceOutcome;
 use guava_fleet::statements::{Obstacle, Statements};
@@ -26,6 +26,7 @@
 
 use crate::attempt::{AttemptError, IncomingAnswer, OpenConnection, OutgoingRequest};
 use crate::breakage::{self, BrokenAttempt};
+use crate::handover::{self, HandedOver, MAX_HANDOVERS, NextVm};
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{self, PaceRequest, PlaceRequest};
@@ -158,8 +159,8 @@
 pub struct SelectedServer {
     /// Backend server.
     pub server: Arc<BackendServer>,
-    /// Counts the request as running at the server until dropped.
-    pub guard: RunningGuard,
+    /// Counts the request as running at the server until dropped; `None` if another VM does.
+    pub guard: Option<RunningGuard>,
 }
 
 /// Server with an open connection on which nothing has been sent yet.
@@ -167,6 +168,8 @@
 pub struct NextServer {
     selected: SelectedServer,
     connection: OpenConnection,
+    /// VM to which the connection leads, if the request is handed over.
+    vm: Option<NextVm>,
 }
 
 /// What ends the wait for the head of an answer.
@@ -191,6 +194,14 @@
     refused_by: Vec<(String, Millis)>,
     /// Retry that has been taken for the next attempt.
     retry: Option<TakenRetry>,
+    /// Whether another VM has handed the request to this one.
+    is_handed_over: bool,
+    /// Whether the last attempt is at another VM.
+    is_at_vm: bool,
+    /// VMs that were asked to serve the request.
+    asked_vms: Vec<String>,
+    /// Servers that the VM which handed the request over has tried.
+    tried_before: Vec<String>,
     /// Since when the caller waits for an event: the arrival of the request, or the break of its stream.
     waits_since: Millis,
     /// Last server whose silence was recorded.
@@ -225,11 +236,30 @@
             refusals: 0,
             refused_by: Vec::new(),
             retry: None,
+            is_handed_over: false,
+            is_at_vm: false,
+            asked_vms: Vec::new(),
+            tried_before: Vec::new(),
             silent_server: None,
             is_trial,
         }
     }
 
+    /// Makes this the dispatch of a request that another VM has handed over after it has tried these servers. That VM
+    /// retries what may have run.
+    #[must_use]
+    pub fn handed_over(self, tried: Vec<String>) -> Self {
+        Self {
+            is_handed_over: true,
+            tried_before: tried,
+            ..self
+        }
+    }
+
+    fn was_tried(&self, server: &BackendServer) -> bool {
+        self.may_have_run.contains(&server.id) || self.tried_before.contains(&server.id)
+    }
+
     /// Id of the caller's attempt.
     pub fn id(&self) -> &str {
         &self.inbound.caller.attempt_id
@@ -267,7 +297,8 @@
 
     /// Whether the request may be sent to another server after one that may have run it.
     pub fn may_retry(&self) -> bool {
-        self.resolved.route.may_retry() && (self.may_have_run.len() as u32) < self.resolved.route.max_attempts
+        let route = &self.resolved.route;
+        !self.is_handed_over && route.may_retry() && (self.may_have_run.len() as u32) < route.max_attempts
     }
 
     /// Binds the stream to the software version of the server that has brought its first event. Must be called before
@@ -302,7 +333,7 @@
     /// Fails if it is known that no server takes the request soon enough, because all leave or rest.
     fn check_obstacle(&self) -> Result<(), Failure> {
         let at = now();
-        let is_untried = |it: &BackendServer| self.may_use(it) && !self.may_have_run.contains(&it.id);
+        let is_untried = |it: &BackendServer| self.may_use(it) && !self.was_tried(it);
         let Some(obstacle) = self.state.obstacle(&self.service, self.wanted(), is_untried, at) else {
             return Ok(());
         };
@@ -341,7 +372,7 @@
         let Some(bound) = &self.bound else {
             return Ok(());
         };
-        let is_left = |it: &BackendServer| self.may_use(it) && !self.may_have_run.contains(&it.id);
+        let is_left = |it: &BackendServer| self.may_use(it) && !self.was_tried(it);
         if self.state.has_ready_server(is_left) {
             return Ok(());
         }
@@ -374,9 +405,19 @@
                     server.id,
                     version_name(server)
                 );
-                return Ok(relay::stream(self, selected, incoming));
+                let server = Arc::clone(server);
+                let is_handed_over = self.is_handed_over;
+                let mut answer = relay::stream(self, selected, incoming);
+                if is_handed_over {
+                    handover::mark_answer(&mut answer, &server.id);
+                }
+                return Ok(answer);
             }
-            if let Some(answer) = self.read_whole(selected, incoming).await? {
+            let server = Arc::clone(&selected.server);
+            if let Some(mut answer) = self.read_whole(selected, incoming).await? {
+                if self.is_handed_over {
+                    handover::mark_answer(&mut answer, &server.id);
+                }
                 return Ok(answer);
             }
         }
@@ -394,6 +435,7 @@
         if is_failure && self.may_retry() && self.take_retry() {
             self.record_failure(&server, format_args!("status {status}"));
             log_event!(Event::RequestRetried, self.id(), "server={server} status={status}");
+            self.asked_vms.clear();
             return Ok(None);
         }
         // The caller would send the request again, and it would run twice. One that may run twice keeps the server's answer.
@@ -448,7 +490,8 @@
     }
 
     fn record_failure(&self, server: &str, why: impl Display) {
-        if self.state.health.lock().record_failure(now(), server) {
+        // Another VM knows better what the server has done.
+        if !self.is_at_vm && self.state.health.lock().record_failure(now(), server) {
             log_event!(Event::ServerAvoided, self.id(), "server={server} why={why}");
         }
     }
@@ -472,6 +515,7 @@
         let has_time_left = at + RETURN_MARGIN_MS < self.deadline();
         if has_time_left && self.may_retry() && self.take_retry() {
             log_event!(Event::RequestRetried, self.id(), "server={server} why={why}");
+            self.asked_vms.clear();
             return Ok(());
         }
         log_event!(Event::RequestFailed, self.id(), "server={server} why={why}");
@@ -480,6 +524,9 @@
 
     fn examine_broken(&mut self, server: &Arc<BackendServer>, begun: Option<Millis>, why: &str) {
         self.is_trial = false;
+        if self.is_at_vm {
+            return;
+        }
         let broken = BrokenAttempt {
             server: Arc::clone(server),
             begun,
@@ -540,7 +587,11 @@
         }
         // Pacing and connecting take time, in which the route or the key may change.
         self.resolved = self.check_replacement(silent)?;
-        Ok(NextServer { selected, connection })
+        Ok(NextServer {
+            selected,
+            connection,
+            vm: None,
+        })
     }
 
     /// Checks by what is in force now that the request may be sent to another server than the silent one. Changes
@@ -646,10 +697,19 @@
                 Some(next) => Some(next),
                 None => self.connect_next().await?,
             };
-            let Some(NextServer { selected, connection }) = next else {
+            let Some(NextServer {
+                mut selected,
+                connection,
+                vm,
+            }) = next
+            else {
                 continue;
             };
-            let outgoing = self.outgoing(&selected.server, last_event_id);
+            let outgoing = match &vm {
+                Some(_) => self.outgoing_to_vm(last_event_id),
+                None => self.outgoing(&selected.server, last_event_id),
+            };
+            self.is_at_vm = vm.is_some();
             let at = now();
             let stated = self.state.stated(&selected.server, at);
             metrics::sent(stated);
@@ -671,16 +731,28 @@
             let head = {
                 let (state, server) = (Arc::clone(&self.state), Arc::clone(&selected.server));
                 let attempt = inbound.caller.attempt_id.as_str();
+                let is_at_vm = self.is_at_vm;
                 let sink = move |stated: &Statements, unreadable: &[Unreadable]| {
-                    state.record_statements(attempt, &server, stated, unreadable);
+                    if !is_at_vm {
+                        state.record_statements(attempt, &server, stated, unreadable);
+                    }
                 };
                 let sending = pin!(connection.send(outgoing, attempt, &sink));
                 self.wait_for_head(&selected.server, sending).await?
             };
-            if let Head::Received(outcome) = &head {
+            if let Head::Received(outcome) = &head
+                && vm.is_none()
+            {
                 self.report_place(&selected.server, outcome);
             }
             match head {
+                Head::Received(Ok(mut incoming)) if vm.is_some() => {
+                    self.take_server(&mut selected, &mut incoming);
+                    return Ok((selected, incoming));
+                }
+                Head::Received(Err(AttemptError::NotRun | AttemptError::Misdirected)) if vm.is_some() => {
+                    self.handle_declined(&selected.server.id)?;
+                }
                 Head::Received(Ok(incoming)) => {
                     if !incoming.status.is_success() || self.is_of_known_start(&selected.server).await {
                         return Ok((selected, incoming));
@@ -734,8 +806,16 @@
     /// Waits until a server can take the request, and opens a connection to it. Returns `None` if the server must not get
     /// the request any more or does not accept the connection.
     async fn connect_next(&mut self) -> Result<Option<NextServer>, Failure> {
-        let selected = self.wait_for_server().await?;
-        let (selected, turn_ms) = self.pace_prompt(selected).await?;
+        if let Some(next) = self.connect_vm().await {
+            self.check_start()?;
+            return Ok(Some(next));
+        }
+        let Some(selected) = self.wait_for_server().await? else {
+            return Ok(None);
+        };
+        let Some((selected, turn_ms)) = self.pace_prompt(selected).await? else {
+            return Ok(None);
+        };
         // A server that is not there is found out before the wait for its turn.
         let turn_at = now() + turn_ms;
         let connection = match self.open_connection(&selected.server).await {
@@ -750,7 +830,27 @@
         if !self.take_place(&selected.server, objective_at.since(now())).await {
             return Ok(None);
         }
-        // Pacing and connecting take time, in which the server may leave, or the route or the key may change.
+        self.check_start()?;
+        let has_service_changed = selected.server.service != self.service;
+        let is_usable = self.may_send_to(&selected.server);
+        if has_service_changed || !is_usable {
+            log_event!(
+                Event::RequestRetried,
+                self.id(),
+                "server={} why=not selectable any more service_changed={has_service_changed}",
+                selected.server.id
+            );
+            return Ok(None);
+        }
+        Ok(Some(NextServer {
+            selected,
+            connection,
+            vm: None,
+        }))
+    }
+
+    /// Checks that an attempt may begin now. Pacing and connecting take time, in which the route or the key may change.
+    fn check_start(&mut self) -> Result<(), Failure> {
         self.resolve_again()?;
         if now() >= self.deadline() {
             return Err(self.deadline_failure());
@@ -759,18 +859,112 @@
         if self.may_have_run.is_empty() && self.state.is_draining() {
             return Err(stopping());
         }
-        let has_service_changed = selected.server.service != self.service;
-        let is_usable = self.may_send_to(&selected.server);
-        if has_service_changed || !is_usable {
+        Ok(())
+    }
+
+    /// Whether the request goes to another VM, because this one reaches no server.
+    fn is_to_hand_over(&self) -> bool {
+        !self.is_handed_over && self.asked_vms.len() < MAX_HANDOVERS && self.state.is_cut_off(now())
+    }
+
+    /// Opens a connection to another VM if this one reaches no server.
+    async fn connect_vm(&mut self) -> Option<NextServer> {
+        while self.is_to_hand_over() {
+            let Some(vm) = self.state.random_vm(&self.asked_vms, now()) else {
+                self.asked_vms.resize(MAX_HANDOVERS, String::new());
+                return None;
+            };
+            self.asked_vms.push(vm.vm.clone());
+            let connection = match OpenConnection::open(vm.address).await {
+                Ok(connection) => connection,
+                Err(e) => {
+                    log::debug!("request {} was not handed to {}: {e}", self.id(), vm.vm);
+                    self.state.record_member_failure(vm.address, now());
+                    continue;
+                }
+            };
             log_event!(
-                Event::RequestRetried,
+                Event::HandedOver,
                 self.id(),
-                "server={} why=not selectable any more service_changed={has_service_changed}",
-                selected.server.id
+                "to={} asked={}",
+                vm.vm,
+                self.asked_vms.len()
             );
-            return Ok(None);
+            let bound = self.bound.as_ref();
+            let server = BackendServer {
+                id: vm.vm.clone(),
+                service: bound.map_or(&self.service, |it| &it.service).clone(),
+                address: vm.address,
+                zone: String::new(),
+                version: bound.and_then(|it| it.version.clone()),
+                slots: 0,
+                state: ServerState::Ready,
+                born_ms: 0,
+                writes: 0,
+                leaves_in_ms: None,
+                held: Vec::new(),
+                in_memory: Vec::new(),
+                on_disk: Vec::new(),
+            };
+            let selected = SelectedServer {
+                server: Arc::new(server),
+                guard: None,
+            };
+            return Some(NextServer {
+                selected,
+                connection,
+                vm: Some(vm),
+            });
         }
-        Ok(Some(NextServer { selected, connection }))
+        None
+    }
+
+    fn outgoing_to_vm(&self, last_event_id: Option<&str>) -> OutgoingRequest {
+        let mut headers = headers::for_vm(&self.inbound.headers, until(self.deadline()), last_event_id);
+        let from = HandedOver {
+            bound: self.bound.clone(),
+            tried: self.may_have_run.clone(),
+        };
+        from.mark(&mut headers, &self.state.settings.vm);
+        OutgoingRequest {
+            method: self.inbound.method.clone(),
+            uri: self.inbound.uri.clone(),
+            headers,
+            body: self.inbound.body.clone(),
+        }
+    }
+
+    /// Takes the server that has answered at another VM, and what it states, for the server of the attempt.
+    fn take_server(&mut self, selected: &mut SelectedServer, incoming: &mut IncomingAnswer) {
+        let server = handover::take_server(&mut incoming.headers);
+        let Some(server) = server.and_then(|it| self.state.server(&it)) else {
+            return;
+        };
+        headers::pass_statements(incoming.status, &incoming.headers, &|stated, unreadable| {
+            self.state.record_statements(self.id(), &server, stated, unreadable);
+        });
+        if let Some(last) = self.may_have_run.last_mut() {
+            last.clone_from(&server.id);
+        }
+        selected.server = server;
+    }
+
+    /// Handles a VM's refusal to serve the request, which has not run there. Another VM is asked if any is left.
+    fn handle_declined(&mut self, vm: &str) -> Result<(), Failure> {
+        self.may_have_run.pop();
+        let may_have_run = !self.may_have_run.is_empty();
+        self.inbound.may_have_run.store(may_have_run, Ordering::Relaxed);
+        log_event!(
+            Event::RequestRetried,
+            self.id(),
+            "server={vm} why=the VM does not serve it"
+        );
+        if self.asked_vms.len() < MAX_HANDOVERS {
+            return Ok(());
+        }
+        let wait = self.model_wait(now()).map(Duration::from_millis);
+        let retry_after = wait.unwrap_or_default().max(DEFAULT_RETRY_AFTER);
+        Err(Failure::not_run(Code::NoCapacity).retry_after(retry_after))
     }
 
     async fn open_connection(&self, server: &BackendServer) -> Result<OpenConnection, AttemptError> {
@@ -942,14 +1136,17 @@
         Ok(())
     }
 
-    /// Waits until a server can take the request, and selects it.
-    async fn wait_for_server(&mut self) -> Result<SelectedServer, Failure> {
+    /// Waits until a server can take the request, and selects it; `None` if the request goes to another VM.
+    async fn wait_for_server(&mut self) -> Result<Option<SelectedServer>, Failure> {
         let mut changes = self.state.subscribe();
         let mut waiting = None;
         loop {
             self.resolve_again()?;
+            if self.is_to_hand_over() {
+                return Ok(None);
+            }
             if let Some(selected) = self.select_server(None) {
-                return Ok(selected);
+                return Ok(Some(selected));
             }
             self.check_binding()?;
             self.check_obstacle()?;
@@ -998,16 +1195,16 @@
     }
 
     /// Reserves a turn at an engine that can process the prompt without delaying its streams. Returns the engine and the
-    /// milliseconds until the turn.
+    /// milliseconds until the turn; `None` if the request goes to another VM.
     ///
     /// Under overload a request that can no longer be on time waits for capacity that later requests leave free, so
     /// that some requests are on time rather than none. It is refused shortly before its caller would abandon it.
-    async fn pace_prompt(&mut self, initial: SelectedServer) -> Result<(SelectedServer, u64), Failure> {
+    async fn pace_prompt(&mut self, initial: SelectedServer) -> Result<Option<(SelectedServer, u64)>, Failure> {
         let Some((tokens, _)) = self.inbound.caller.tokens else {
-            return Ok((initial, 0));
+            return Ok(Some((initial, 0)));
         };
         if self.resolved.route.kind != RouteKind::Streaming {
-            return Ok((initial, 0));
+            return Ok(Some((initial, 0)));
         }
         let started = now();
         let objective = self.resolved.route.objective_ms;
@@ -1024,7 +1221,7 @@
                 spare.clamp(SHORT_PACE_WAIT_MS, MAX_PACE_WAIT_MS)
             };
             let wait = match self.request_pace(&selected, tokens, SHORT_PACE_WAIT_MS).await {
-                Ok(turn_ms) => return Ok((selected, turn_ms)),
+                Ok(turn_ms) => return Ok(Some((selected, turn_ms))),
                 Err(wait) => wait,
             };
             let other = self.select_server(Some(&selected.server.id));
@@ -1033,12 +1230,12 @@
                 None => Err(u64::MAX),
             };
             selected = match (other, other_wait) {
-                (Some(other), Ok(turn_ms)) => return Ok((other, turn_ms)),
+                (Some(other), Ok(turn_ms)) => return Ok(Some((other, turn_ms))),
                 (Some(other), Err(other_wait)) if other_wait < wait => other,
                 _ => selected,
             };
             let wait = match self.request_pace(&selected, tokens, max_wait).await {
-                Ok(turn_ms) => return Ok((selected, turn_ms)),
+                Ok(turn_ms) => return Ok(Some((selected, turn_ms))),
                 Err(wait) => wait,
             };
             let is_hopeless = now() + wait > self.latest_start() && self.has_few_engines();
@@ -1054,13 +1251,16 @@
             drop(selected);
             let pause = rand::random_range(PACE_RETRY_MS / 2..PACE_RETRY_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
-            selected = self.wait_for_server().await?;
+            selected = match self.wait_for_server().await? {
+                Some(selected) => selected,
+                None => return Ok(None),
+            };
         }
     }
 
     /// Whether the request is a stream that goes on, and all engines that may take it have been asked for a turn.
     fn has_few_engines(&self) -> bool {
-        let may_use = |it: &BackendServer| self.may_use(it) && !self.may_have_run.contains(&it.id);
+        let may_use = |it: &BackendServer| self.may_use(it) && !self.was_tried(it);
         self.bound.is_some() && self.state.places(&self.service, self.wanted(), may_use, now()).holding <= ASKED_ENGINES
     }
 
@@ -1155,10 +1355,7 @@
             refused.any(|(server, refused_at)| *server == it.id && at.since(*refused_at) < REFUSED_AGAIN_MS)
         };
         let untried = available.iter().filter(|(it, _)| {
-            self.may_use(it)
-                && !self.may_have_run.contains(&it.id)
-                && !has_refused(it)
-                && excluded != Some(it.id.as_str())
+            self.may_use(it) && !self.was_tried(it) && !has_refused(it) && excluded != Some(it.id.as_str())
         });
         let candidates = untried.map(|(it, in_flight)| Candidate {
             id: &it.id,
@@ -1173,7 +1370,7 @@
             .iter()
             .find(|(it, _)| it.id == best.id)
             .map(|(it, _)| Arc::clone(it))?;
-        let guard = self.state.track_running(&server.id, model);
+        let guard = Some(self.state.track_running(&server.id, model));
         Some(SelectedServer { server, guard })
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dispatch;
 pub mod feed;
 pub mod findings;
+pub mod handover;
 pub mod listeners;
 pub mod logging;
 pub mod metrics;
--- a/crates/entry/src/listeners.rs
+++ b/crates/entry/src/listeners.rs
@@ -13,7 +13,7 @@
 use guava_platform::headers::ATTEMPT_ID;
 use guava_telemetry::Metrics;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,9 +25,10 @@
 
 use crate::caller_stream::CallerStream;
 use crate::coordinator::Coordinator;
+use crate::handover;
 use crate::log_event;
 use crate::peers;
-use crate::reply::Body;
+use crate::reply::{Body, full_body};
 use crate::request;
 use crate::state::{EntryState, now};
 
@@ -238,7 +239,7 @@
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         };
-        async move { (status, Vec::new()) }
+        async move { message(status, Vec::new()) }
     })
     .await;
 }
@@ -247,34 +248,43 @@
 pub async fn serve_metrics(metrics: Metrics, listener: TcpListener) {
     serve_internal(listener, move |_| {
         let text = metrics.text();
-        async move { (StatusCode::OK, text.into_bytes()) }
+        async move { message(StatusCode::OK, text.into_bytes()) }
     })
     .await;
 }
 
-/// Answers messages from other entry processes.
+/// Answers messages from other entry processes, and serves requests that they hand on.
 pub async fn serve_peers(state: Arc<EntryState>, coordinator: Arc<Coordinator>, listener: TcpListener) {
     serve_internal(listener, move |req: Request<Incoming>| {
         let state = Arc::clone(&state);
         let coordinator = Arc::clone(&coordinator);
         async move {
+            if handover::is_handed_over(&req) {
+                return handover::serve(state, req).await;
+            }
             let name = req.uri().path().trim_start_matches('/').to_owned();
             let Ok(body) = Limited::new(req.into_body(), MAX_MESSAGE_BYTES).collect().await else {
-                return (StatusCode::BAD_REQUEST, Vec::new());
+                return message(StatusCode::BAD_REQUEST, Vec::new());
             };
             match peers::answer(&state, &coordinator, &name, &body.to_bytes()).await {
-                Some(answer) => (StatusCode::OK, answer),
-                None => (StatusCode::BAD_REQUEST, Vec::new()),
+                Some(answer) => message(StatusCode::OK, answer),
+                None => message(StatusCode::BAD_REQUEST, Vec::new()),
             }
         }
     })
     .await;
 }
 
+fn message(status: StatusCode, body: Vec<u8>) -> Response<Body> {
+    let mut answer = Response::new(full_body(Bytes::from(body)));
+    *answer.status_mut() = status;
+    answer
+}
+
 async fn serve_internal<F, R>(listener: TcpListener, handle: F)
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
-    R: Future<Output = (StatusCode, Vec<u8>)> + Send + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
 {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -286,12 +296,7 @@
         tokio::spawn(async move {
             let service = service_fn(move |req| {
                 let answering = handle(req);
-                async move {
-                    let (status, body) = answering.await;
-                    let mut answer = Response::new(Full::new(Bytes::from(body)));
-                    *answer.status_mut() = status;
-                    Ok::<_, Infallible>(answer)
-                }
+                async move { Ok::<_, Infallible>(answering.await) }
             });
             // On a failure the other side sees the connection closed and retries.
             let _ = http1::Builder::new()
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -124,6 +124,8 @@
         pub running: Vec<Running>,
         /// Milliseconds since the store last answered this VM.
         pub store_age_ms: u64,
+        /// Whether the VM has lost its links to all servers.
+        pub is_cut_off: bool,
         /// Longest time, in milliseconds, until the next report.
         pub next_ms: u64,
         /// Outcomes of requests since the last report, for servers that failed.
@@ -435,13 +437,20 @@
         let steps = state.vms() as u32 / VMS_PER_REPORT_STEP;
         let pause = REPORT_INTERVAL + (REPORT_INTERVAL * steps).mul_f64(rand::random_range(0.5..1.5));
         let (demand, running) = state.collect_report();
+        let is_cut_off = state.is_cut_off(now());
+        let mut outcomes = state.health.lock().take_outcomes();
+        if is_cut_off {
+            // Its own links are at fault.
+            outcomes.clear();
+        }
         let report = Report {
             vm: state.settings.vm.clone(),
             demand,
             running,
             store_age_ms: state.store_age_ms(now()),
             next_ms: pause.as_millis() as u64,
-            outcomes: state.health.lock().take_outcomes(),
+            outcomes,
+            is_cut_off,
             rests: state.rests(MIN_REPORTED_REST_MS, now()),
         };
         let answer = if coordinator.coordinates() {
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -14,6 +14,7 @@
 use crate::coordinator::Coordinator;
 use crate::feed;
 use crate::findings;
+use crate::handover;
 use crate::listeners::{self, Connections, listen};
 use crate::log_event;
 use crate::metrics;
@@ -146,6 +147,8 @@
     let own = handles();
     tokio::spawn(supervise("push of departures", move || peers::push_departures(own().0)));
     let own = handles();
+    tokio::spawn(supervise("probe of servers", move || handover::probe_servers(own().0)));
+    let own = handles();
     tokio::spawn(supervise("push of limits", move || peers::push_limits(own().0)));
     let own = handles();
     tokio::spawn(supervise("copy of the verdicts", move || {
@@ -209,7 +212,7 @@
     state.begin_draining();
     closing.send_replace(true);
     let drained = timeout(until(exit_at), async {
-        while connections.open() > 0 {
+        while connections.open() + state.handed_over() > 0 {
             sleep(CHECK_INTERVAL).await;
         }
     });
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -17,12 +17,13 @@
 use guava_platform::headers::{self, CallerHeaders};
 use http::request::Parts;
 use http::uri::PathAndQuery;
-use http::{HeaderMap, Method, Request, Response, Uri, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use crate::admission::admit;
 use crate::dispatch::{Dispatch, version_gone};
+use crate::handover::HandedOver;
 use crate::log_event;
 use crate::reply::{Body, Failure};
 use crate::state::{EntryState, now};
@@ -73,8 +74,46 @@
     pub organisation: Option<Organisation>,
 }
 
+/// Who sends a request to this VM.
+#[derive(Debug, Clone)]
+enum Sender {
+    Caller,
+    /// Another VM that has admitted it.
+    Vm(HandedOver),
+}
+
 /// Serves one request and logs its refusal or failure.
 pub async fn serve(state: Arc<EntryState>, req: Request<Incoming>) -> Response<Body> {
+    let answer = serve_from(&state, Sender::Caller, req).await;
+    answer.unwrap_or_else(|failure| failure.response())
+}
+
+/// Serves a request that another VM hands on. A refusal says so in the terms of backend servers.
+pub async fn serve_handed_over(state: Arc<EntryState>, req: Request<Incoming>, known: HandedOver) -> Response<Body> {
+    let guard = state.track_handed_over();
+    let answer = serve_from(&state, Sender::Vm(known), req).await;
+    let answer = answer.unwrap_or_else(|failure| {
+        let mut answer = failure.response();
+        if failure.run == Run::NotRun {
+            headers::mark_not_run(answer.headers_mut());
+        }
+        answer
+    });
+    // It is being served until the body has been sent or dropped.
+    answer.map(|body| {
+        body.map_frame(move |frame| {
+            let _ = &guard;
+            frame
+        })
+        .boxed()
+    })
+}
+
+async fn serve_from(
+    state: &Arc<EntryState>,
+    sender: Sender,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
     let arrived = now();
     let (head, body) = req.into_parts();
     let caller = headers::read_caller(&head.headers);
@@ -86,7 +125,7 @@
     };
     let reading = async {
         tokio::select! {
-            body = read_body(&state, body) => body,
+            body = read_body(state, body) => body,
             () = state.requests_ended() => Err(stopping()),
         }
     };
@@ -94,7 +133,7 @@
         Ok(body) => {
             let inbound = build_inbound(head, caller, body, arrived);
             let inbound = Arc::new(inbound);
-            let handling = AssertUnwindSafe(handle(&state, Arc::clone(&inbound))).catch_unwind();
+            let handling = AssertUnwindSafe(handle(state, sender, Arc::clone(&inbound))).catch_unwind();
             tokio::select! {
                 biased;
                 // The panic's message and place are reported by the panic hook.
@@ -102,28 +141,25 @@
                     log::error!("the handling of request {id} panicked");
                     Err(Failure::unknown(Code::Internal))
                 }),
-                failure = shutdown_failure(&state, &inbound) => Err(failure),
+                failure = shutdown_failure(state, &inbound) => Err(failure),
             }
         }
         Err(failure) => Err(failure),
     };
     disconnect_guard.is_answered = true;
-    match answer {
-        Ok(answer) => answer,
-        Err(failure) => {
-            let elapsed_ms = now().since(arrived);
-            let retry_after_ms = failure.retry_after.map_or(0, |it| it.as_millis());
-            log_event!(
-                Event::RequestRefused,
-                &id,
-                "code={} status={} run={:?} after_ms={elapsed_ms} retry_after_ms={retry_after_ms}",
-                failure.code,
-                failure.status().as_u16(),
-                failure.run
-            );
-            failure.response()
-        }
+    if let Err(failure) = &answer {
+        let elapsed_ms = now().since(arrived);
+        let retry_after_ms = failure.retry_after.map_or(0, |it| it.as_millis());
+        log_event!(
+            Event::RequestRefused,
+            &id,
+            "code={} status={} run={:?} after_ms={elapsed_ms} retry_after_ms={retry_after_ms}",
+            failure.code,
+            failure.status().as_u16(),
+            failure.run
+        );
     }
+    answer
 }
 
 /// Logs that the caller disconnected before the head of an answer was sent; the request is then dropped.
@@ -200,7 +236,10 @@
     Failure::unknown(Code::TimedOut)
 }
 
-async fn handle(state: &Arc<EntryState>, inbound: Arc<Inbound>) -> Result<Response<Body>, Failure> {
+async fn handle(state: &Arc<EntryState>, sender: Sender, inbound: Arc<Inbound>) -> Result<Response<Body>, Failure> {
+    if let Sender::Vm(known) = sender {
+        return handle_handed_over(state, known, inbound).await;
+    }
     // Late in a graceful shutdown there may be too little time to answer the request.
     if state.is_draining() {
         return Err(stopping());
@@ -232,6 +271,30 @@
     answer
 }
 
+/// Handles a request that another VM has admitted and counted.
+async fn handle_handed_over(
+    state: &Arc<EntryState>,
+    known: HandedOver,
+    inbound: Arc<Inbound>,
+) -> Result<Response<Body>, Failure> {
+    // Another VM should be asked.
+    if state.is_stopping() || state.is_cut_off(now()) {
+        return Err(Failure {
+            status: Some(StatusCode::MISDIRECTED_REQUEST.as_u16()),
+            ..Failure::not_run(Code::NoCapacity)
+        });
+    }
+    let resolved = resolve(state, &inbound)?;
+    let is_trial = check_prompt(state, &inbound)?;
+    let HandedOver { bound, tried } = known;
+    let service = match &bound {
+        Some(bound) => bound.service.clone(),
+        None => draw_service(&resolved.route, &mut rand::rng()).to_owned(),
+    };
+    let dispatch = Dispatch::new(Arc::clone(state), inbound, resolved, service, bound, is_trial);
+    dispatch.handed_over(tried).run().await
+}
+
 /// Servers at which a stream that the request takes up may go on; `None` for any other request.
 ///
 /// # Errors
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use guava_core::derive_value;
@@ -36,6 +36,7 @@
 use crate::dispatch::MAX_LARGE_ANSWER_BLOCKS;
 use crate::feed::{Applied, FeedAnswer, FeedQuery};
 use crate::findings::Findings;
+use crate::handover::NextVm;
 use crate::log_event;
 use crate::metrics;
 use crate::peers::{PaceAnswer, PaceRequest, PlaceRequest};
@@ -219,6 +220,8 @@
     /// Era of the store, for tasks that write again what a restored store has lost.
     eras: watch::Sender<u64>,
     stopping: AtomicBool,
+    /// Requests of other VMs that are being served.
+    handed_over: AtomicUsize,
     draining: watch::Sender<bool>,
     /// Time at which requests must have ended.
     requests_end: watch::Sender<Option<Millis>>,
@@ -252,6 +255,7 @@
             changes: watch::Sender::new(0),
             eras: watch::Sender::new(0),
             stopping: AtomicBool::new(false),
+            handed_over: AtomicUsize::new(0),
             draining: watch::Sender::new(false),
             requests_end: watch::Sender::new(None),
             settings,
@@ -957,10 +961,40 @@
         let view = self.view.lock();
         let mut rests = view.rests(now);
         rests.retain(|it| it.left_ms >= min_ms);
-        rests.extend(view.unreachable(now));
+        // What a VM that has lost its own links cannot reach says nothing of the servers.
+        if !view.is_cut_off(now) {
+            rests.extend(view.unreachable(now));
+        }
         rests
     }
 
+    /// Whether this VM has probably lost its links to all servers.
+    pub fn is_cut_off(&self, now: Millis) -> bool {
+        self.view.lock().is_cut_off(now)
+    }
+
+    /// Live VM selected at random, other than those `asked` before.
+    pub fn random_vm(&self, asked: &[String], now: Millis) -> Option<NextVm> {
+        let view = self.view.lock();
+        let live = view.members.values().filter(|it| it.is_live(now));
+        let others = live.filter(|it| !asked.contains(&it.member.vm));
+        others.choose(&mut rand::rng()).map(|it| NextVm {
+            vm: it.member.vm.clone(),
+            address: it.member.address,
+        })
+    }
+
+    /// Requests of other VMs that are being served.
+    pub fn handed_over(&self) -> usize {
+        self.handed_over.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request of another VM as being served until the guard is dropped.
+    pub fn track_handed_over(self: &Arc<Self>) -> HandedOverGuard {
+        self.handed_over.fetch_add(1, Ordering::Relaxed);
+        HandedOverGuard(Arc::clone(self))
+    }
+
     /// Number of servers to which this VM cannot open a connection.
     pub fn unreachable_servers(&self) -> u64 {
         self.view.lock().unreachable(now()).len() as u64
@@ -1356,6 +1390,16 @@
     }
 }
 
+/// Keeps a request of another VM counted; see [`EntryState::track_handed_over`].
+#[derive(Debug)]
+pub struct HandedOverGuard(Arc<EntryState>);
+
+impl Drop for HandedOverGuard {
+    fn drop(&mut self) {
+        self.0.handed_over.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Keeps a request counted as waiting; see [`EntryState::track_waiting`].
 #[derive(Debug)]
 pub struct WaitingGuard {
--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -3,6 +3,9 @@
 //! A server whose process has ended refuses connections long before its entry lapses, and one that has lost its network
 //! lets them hang. Requests that wait for it wait in vain, so it gets none for a time that grows with each failure. One
 //! that has started anew is tried at once.
+//!
+//! When connections to several servers fail and none succeeds, the VM's own links are more likely to be at fault than the
+//! servers.
 
 use std::collections::HashMap;
 
@@ -20,6 +23,9 @@
 const MAX_PAUSE_MS: u64 = 4_000;
 /// Time after which failures are forgotten, in milliseconds.
 const FORGET_MS: u64 = 10_000;
+/// Servers to which connections must have failed, without one that succeeded, for a VM to count as cut off; all servers if
+/// there are fewer.
+const CUT_OFF_SERVERS: usize = 2;
 /// Limit on servers that are kept; the ones that are tried again first are dropped.
 const MAX_KEPT: usize = 16_384;
 
@@ -27,6 +33,7 @@
 struct Known {
     born_ms: u64,
     failures: u32,
+    failed_at: Millis,
     until: Millis,
 }
 
@@ -34,18 +41,24 @@
 #[derive(Debug, Default)]
 pub struct Unreachable {
     by_server: HashMap<String, Known>,
+    /// When a connection to any server was opened last.
+    succeeded_at: Option<Millis>,
 }
 
 impl Unreachable {
     /// Records that a connection could not be opened. Returns the milliseconds for which the server is left out. Failures
     /// while it is left out already, of connections that were begun before, change nothing.
     pub fn record_failure(&mut self, server: &BackendServer, now: Millis) -> u64 {
-        let known = self.by_server.get(&server.id);
+        let known = self.by_server.get_mut(&server.id);
         let known = known.filter(|it| it.born_ms == server.born_ms && now.since(it.until) < FORGET_MS);
-        if let Some(known) = known.filter(|it| now < it.until) {
-            return known.until.since(now);
+        let mut failures = 1;
+        if let Some(known) = known {
+            known.failed_at = now;
+            if now < known.until {
+                return known.until.since(now);
+            }
+            failures += known.failures;
         }
-        let failures = known.map_or(0, |it| it.failures) + 1;
         let pause_ms = match failures {
             1 => FIRST_PAUSE_MS,
             _ => (NEXT_PAUSE_MS << (failures - 2).min(8)).min(MAX_PAUSE_MS),
@@ -59,6 +72,7 @@
         let known = Known {
             born_ms: server.born_ms,
             failures,
+            failed_at: now,
             until: now + pause_ms,
         };
         self.by_server.insert(server.id.clone(), known);
@@ -66,12 +80,22 @@
     }
 
     /// Records that a connection was opened.
-    pub fn record_success(&mut self, server: &BackendServer) {
+    pub fn record_success(&mut self, server: &BackendServer, now: Millis) {
+        self.succeeded_at = Some(now);
         if !self.by_server.is_empty() {
             self.by_server.remove(&server.id);
         }
     }
 
+    /// Whether this VM has probably lost its links to all of `servers` servers.
+    pub fn is_cut_off(&self, servers: usize, now: Millis) -> bool {
+        let failing = self
+            .by_server
+            .values()
+            .filter(|it| now.since(it.failed_at) < FORGET_MS && self.succeeded_at.is_none_or(|at| at < it.failed_at));
+        servers > 0 && failing.count() >= CUT_OFF_SERVERS.min(servers)
+    }
+
     /// Milliseconds for which a server is left out; `None` if it is not.
     pub fn left_ms(&self, server: &BackendServer, now: Millis) -> Option<u64> {
         let known = self.by_server.get(&server.id)?;
--- a/crates/soak/tests/lines.rs
+++ b/crates/soak/tests/lines.rs
@@ -25,7 +25,7 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Number and name of each event, and the fields that its log line must have so that the cause can be found.
-const EVENTS: [(&str, &str, &[&str]); 57] = [
+const EVENTS: [(&str, &str, &[&str]); 59] = [
     (
         "E1001",
         "RequestAdmitted",
@@ -122,6 +122,8 @@
     ("E2024", "RestStated", &["server", "rest_ms"]),
     ("E2025", "StatementUnreadable", &["server", "header", "value"]),
     ("E1023", "NoPlace", &["server", "wait_ms"]),
+    ("E1024", "HandedOver", &["to", "asked"]),
+    ("E2029", "ServersReached", &["server"]),
     ("E2027", "LimitNamed", &["server", "per_s", "refusals"]),
     ("E2028", "ServerUnreachable", &["server", "left_out_ms", "why"]),
     (
@@ -343,7 +345,7 @@
     wait_for_event(dir, "E2026").await;
 }
 
-/// Makes a plain server name a limit, and lists one at whose address nobody listens.
+/// Makes a plain server name a limit, and lists two at whose address nobody listens.
 async fn trigger_limits(fleet: &Fleet, dir: &Path) {
     let plain = fleet.backends[ENGINE_COUNT]
         .server
@@ -354,8 +356,10 @@
         "service": PLAIN_SERVICE, "address": "127.0.0.1:9", "zone": "caerdydd", "slots": 64, "state": "ready",
         "born": 1_000, "seq": 1,
     });
-    fleet.store.put("servers", "gone", gone);
-    for event in ["E2027", "E1023", "E2028"] {
+    // With two of them this VM counts as cut off until it reaches another server.
+    fleet.store.put("servers", "gone", gone.clone());
+    fleet.store.put("servers", "gone-too", gone);
+    for event in ["E2027", "E1023", "E2028", "E1024", "E2029"] {
         let from = Instant::now();
         while !is_logged(dir, event) && from.elapsed() < LINE_TIMEOUT {
             let attempt = format!("limited-{event}-{}", from.elapsed().as_millis());
@@ -363,6 +367,7 @@
         }
     }
     fleet.store.remove("servers", "gone");
+    fleet.store.remove("servers", "gone-too");
     plain.set_limit(None);
 }
 
