--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -506,12 +506,18 @@
     /// out.
     pub fn record_connection(&mut self, server: &BackendServer, is_open: bool, now: Millis) -> Option<u64> {
         if is_open {
-            self.unreachable.record_success(server);
+            self.unreachable.record_success(server, now);
             return None;
         }
         Some(self.unreachable.record_failure(server, now))
     }
 
+    /// Whether this VM has probably lost its links to all servers.
+    pub fn is_cut_off(&self, now: Millis) -> bool {
+        let ready = self.servers().filter(|it| it.state == ServerState::Ready);
+        self.unreachable.is_cut_off(ready.count(), now)
+    }
+
     /// Servers to which this VM cannot open a connection, as rests.
     pub fn unreachable(&self, now: Millis) -> Vec<Rest> {
         self.unreachable.current(now).collect()
@@ -611,9 +617,11 @@
             let mut listed = self.servers().filter(|it| it.service == service);
             return listed.any(|it| may_use(it)).then_some(Obstacle::Leaving);
         }
+        // The model of an engine that is not there is loaded at another one, for which requests may wait.
+        let is_there = |it: &BackendServer| model.is_none() || self.unreachable.left_ms(it, now).is_none();
         let holders = self
             .ready(service)
-            .filter(|it| may_use(it) && self.serves(it, model, now));
+            .filter(|it| may_use(it) && self.serves(it, model, now) && is_there(it));
         let rests: Option<Vec<u64>> = holders.map(|it| self.closed_ms(it, now)).collect();
         rests?.into_iter().min().map(Obstacle::Resting)
     }
