Try all servers again after a cut, and step down only when it lasts

What callers saw: nothing yet; found by reading the hand-over as one who wants to break it. After a cut had healed, a VM would have left out all servers but the first one it reached for up to 4 s; a coordinator that met two crashed servers in a row would have stepped down at once, and its deployment had no orders for seconds.

Cause: failures of the VM's own links were kept as failures of the servers; one reading of the links decided.

Change: the first connection after a cut forgets them; a coordinator steps down after two seconds; probes begin within 0.1 s. Also: a connection that the server closes while a turn is waited for is opened again; a refusal of a brittle server counts also if its request went without a place; requests counted for the retry budget are dropped after a window when nothing is retried.

Evidence: all_servers_are_tried_again_after_a_cut fails without the change; handover, cluster_view, dispatch, coordinator, retries and server_limits pass, 1 run each.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -118,6 +118,11 @@
         Ok(Self { sender, connection })
     }
 
+    /// Whether the server has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the head of its answer, whose statements are passed to `sink`, also those of an
     /// answer that is an error here.
     ///
--- a/crates/entry/src/cluster_view.rs
+++ b/crates/entry/src/cluster_view.rs
@@ -514,8 +514,8 @@
 
     /// Whether this VM has probably lost its links to all servers.
     pub fn is_cut_off(&self, now: Millis) -> bool {
-        let ready = self.servers().filter(|it| it.state == ServerState::Ready);
-        self.unreachable.is_cut_off(ready.count(), now)
+        let ready = || self.servers().filter(|it| it.state == ServerState::Ready);
+        self.unreachable.is_cut_off(|| ready().count(), now)
     }
 
     /// Servers to which this VM cannot open a connection, as rests.
--- a/crates/entry/src/coordinator.rs
+++ b/crates/entry/src/coordinator.rs
@@ -64,6 +64,9 @@
 const MAX_CONCURRENT_POLLS: usize = 64;
 /// Time without an answer of the store after which the coordinator releases the lease if another VM reaches the store.
 const STORE_LOST_MS: u64 = 1_300;
+/// Time without a connection to a server after which a coordinator steps down, in milliseconds. A VM that meets several
+/// crashed servers in a row finds another one within about a second.
+const CUT_OFF_MS: u64 = 2_000;
 /// Another VM counts as reaching the store if the store answered it within this time; its watches wait for 2 s.
 const STORE_REACHABLE_MS: u64 = 2_300;
 /// Age up to which a VM's report counts as evidence of its contact with the store.
@@ -196,6 +199,8 @@
     /// Outcomes of requests reported by the VMs.
     health: Mutex<SharedHealth>,
     resignation: Mutex<Option<Resignation>>,
+    /// Since when this process, as the coordinator, reaches no server; `None` if it does.
+    cut_off_since: Mutex<Option<Millis>>,
     /// Term of the lease as last read, and for how many milliseconds it had been held.
     last_read_lease: Mutex<(u64, u64)>,
     /// Version of the configuration and counter of server updates last passed to the placement.
@@ -224,6 +229,7 @@
             shared_answer: Mutex::default(),
             health: Mutex::default(),
             resignation: Mutex::default(),
+            cut_off_since: Mutex::default(),
             last_read_lease: Mutex::default(),
             seen_inputs: Mutex::default(),
             published: Mutex::default(),
@@ -539,7 +545,15 @@
             return;
         }
         let is_able = |it: &VmContact| at.since(it.at) < REPORT_FRESH_MS && !it.is_cut_off;
-        if self.state.is_cut_off(at) && self.vms.lock().values().any(is_able) {
+        let mut cut_off_since = self.cut_off_since.lock();
+        if self.state.is_cut_off(at) {
+            cut_off_since.get_or_insert(at);
+        } else {
+            *cut_off_since = None;
+        }
+        let is_cut_off = cut_off_since.is_some_and(|it| at.since(it) >= CUT_OFF_MS);
+        drop(cut_off_since);
+        if is_cut_off && self.vms.lock().values().any(is_able) {
             log_event!(
                 Event::LeaseReleased,
                 "-",
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -818,14 +818,21 @@
         };
         // A server that is not there is found out before the wait for its turn.
         let turn_at = now() + turn_ms;
-        let connection = match self.open_connection(&selected.server).await {
+        let mut opened = self.open_connection(&selected.server).await;
+        if opened.is_ok() {
+            tokio::time::sleep(until(turn_at)).await;
+        }
+        // A server may close a connection on which nothing is sent for a while.
+        if opened.as_ref().is_ok_and(OpenConnection::is_closed) {
+            opened = self.open_connection(&selected.server).await;
+        }
+        let connection = match opened {
             Ok(connection) => connection,
             Err(e) => {
                 self.handle_error(selected, e).await?;
                 return Ok(None);
             }
         };
-        tokio::time::sleep(until(turn_at)).await;
         let objective_at = self.waits_since + self.resolved.route.objective_ms;
         if !self.take_place(&selected.server, objective_at.since(now())).await {
             return Ok(None);
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -34,8 +34,10 @@
 const SERVED_BY: HeaderName = HeaderName::from_static("guava-served-by");
 /// VMs to which a request is handed in turn until one takes it.
 pub const MAX_HANDOVERS: usize = 3;
-/// Interval between two connections with which a VM that is cut off finds out whether it still is.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a VM checks whether it is cut off.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between two connections with which a VM that is cut off finds out whether it still is.
+const PROBE_PAUSE: Duration = Duration::from_millis(400);
 /// Timeout of such a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 
@@ -108,7 +110,7 @@
 /// Finds out whether a VM that is cut off from all servers reaches one again, for as long as the process runs.
 pub async fn probe_servers(state: Arc<EntryState>) {
     loop {
-        sleep(PROBE_INTERVAL).await;
+        sleep(CHECK_INTERVAL).await;
         if !state.is_cut_off(now()) {
             continue;
         }
@@ -119,7 +121,10 @@
         if matches!(opened, Ok(Ok(_))) {
             state.record_connection("-", &server, None);
             log_event!(Event::ServersReached, "-", "server={}", server.id);
+            continue;
         }
+        state.record_connection("-", &server, Some("not reached by a probe"));
+        sleep(PROBE_PAUSE).await;
     }
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1099,7 +1099,8 @@
     /// Counts a caller's request towards the retry budget of a service.
     pub fn record_request(&self, service: &str, now: Millis) {
         let mut budgets = self.budgets.lock();
-        budgets.entry(service.to_owned()).or_default().record_request(now);
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.record_request(now, self.settings.retry_window_ms);
     }
 
     /// Number of VMs that may take callers' requests, including this one.
--- a/crates/entry/tests/cluster_view.rs
+++ b/crates/entry/tests/cluster_view.rs
@@ -470,3 +470,23 @@
     assert!(!before, "left out");
     assert!(view.takes_requests(&started_anew, Millis(11_200)));
 }
+
+/// Guards against a VM that goes on to leave out all servers but one after a cut has healed.
+#[test]
+fn all_servers_are_tried_again_after_a_cut() {
+    let mut view = ClusterView::default();
+    let servers: Vec<BackendServer> = ["a", "b", "c"].map(|it| server(it, ServerState::Ready)).into();
+    view.put_server_list(servers.clone(), at(1), Millis(1_000));
+    for it in &servers {
+        view.record_connection(it, false, Millis(2_000));
+    }
+    let before = view.is_cut_off(Millis(2_100));
+
+    view.record_connection(&servers[0], true, Millis(2_100));
+
+    assert!(before);
+    assert!(!view.is_cut_off(Millis(2_100)));
+    assert_eq!(view.available("advice", None, Millis(2_100)).count(), 3);
+    view.record_connection(&servers[1], false, Millis(2_200));
+    assert!(!view.is_cut_off(Millis(2_200)), "one server is gone");
+}
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -39,8 +39,9 @@
 }
 
 impl RetryBudget {
-    /// Counts a request of a caller; it adds to the budget for one window.
-    pub fn record_request(&mut self, now: Millis) {
+    /// Counts a request of a caller; it adds to the budget for one window, of `window_ms` milliseconds.
+    pub fn record_request(&mut self, now: Millis, window_ms: u64) {
+        drop_before(&mut self.requests, now, window_ms);
         self.requests.push_back(now);
     }
 
--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -79,21 +79,34 @@
         pause_ms
     }
 
-    /// Records that a connection was opened.
+    /// Records that a connection was opened. If the VM was cut off, all servers may be reached again.
     pub fn record_success(&mut self, server: &BackendServer, now: Millis) {
-        self.succeeded_at = Some(now);
-        if !self.by_server.is_empty() {
-            self.by_server.remove(&server.id);
+        if self.by_server.is_empty() {
+            self.succeeded_at = Some(now);
+            return;
+        }
+        if self.failing(now) >= CUT_OFF_SERVERS {
+            self.by_server.clear();
         }
+        self.by_server.remove(&server.id);
+        self.succeeded_at = Some(now);
     }
 
-    /// Whether this VM has probably lost its links to all of `servers` servers.
-    pub fn is_cut_off(&self, servers: usize, now: Millis) -> bool {
+    /// Number of servers to which connections have failed since one to any server was opened.
+    fn failing(&self, now: Millis) -> usize {
         let failing = self
             .by_server
             .values()
             .filter(|it| now.since(it.failed_at) < FORGET_MS && self.succeeded_at.is_none_or(|at| at < it.failed_at));
-        servers > 0 && failing.count() >= CUT_OFF_SERVERS.min(servers)
+        failing.count()
+    }
+
+    /// Whether this VM has probably lost its links to all servers. `count_servers` returns their number.
+    pub fn is_cut_off(&self, count_servers: impl FnOnce() -> usize, now: Millis) -> bool {
+        match self.failing(now) {
+            0 => false,
+            failing => failing >= CUT_OFF_SERVERS || failing >= count_servers(),
+        }
     }
 
     /// Milliseconds for which a server is left out; `None` if it is not.
--- a/crates/fleet/src/server_limits.rs
+++ b/crates/fleet/src/server_limits.rs
@@ -44,6 +44,8 @@
 const USED_REFUSALS: f64 = 0.5;
 /// Refusals up to which a keeper that takes over counts one that it does not know.
 const FEW_REFUSALS: u64 = 3;
+/// Limit on refusals that are kept for a server.
+const MAX_REFUSED: usize = 1_024;
 /// Time for which a server that has turned a request away gets no other one, in milliseconds.
 const FULL_MS: u64 = 300;
 /// Time without requests after which a server's places are dropped.
@@ -344,13 +346,28 @@
 
     /// Records that a server has taken a request that was let through, or has turned it away for want of room.
     pub fn record_outcome(&mut self, outcome: &PlaceOutcome, now: Millis) {
-        let places = self.servers.get_mut(&outcome.server);
-        let Some(places) = places.filter(|it| it.born_ms == outcome.born_ms) else {
+        // A refusal counts too if the request went without a place, before its VM knew the limit.
+        let is_known = self
+            .servers
+            .get(&outcome.server)
+            .is_some_and(|it| it.born_ms == outcome.born_ms);
+        if !is_known && (!outcome.is_refused || outcome.server.len() > MAX_ID || self.servers.len() >= MAX_KEPT) {
             return;
-        };
+        }
+        let places = self.servers.entry(outcome.server.clone()).or_default();
+        if !is_known {
+            *places = Places {
+                born_ms: outcome.born_ms,
+                last_used: now,
+                ..Places::default()
+            };
+        }
         places.sent.pop_front();
         if outcome.is_refused {
             places.refused.push_back(now);
+            if places.refused.len() > MAX_REFUSED {
+                places.refused.pop_front();
+            }
             places.full_until = now + FULL_MS;
         }
     }
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -90,7 +90,7 @@
                     retries.push(now);
                 }
             } else {
-                budget.record_request(Millis(now));
+                budget.record_request(Millis(now), limits.window_ms);
                 requests.push(now);
             }
         }
--- a/crates/fleet/tests/retries.rs
+++ b/crates/fleet/tests/retries.rs
@@ -68,7 +68,7 @@
             // Traffic that stops for a while leaves retries behind that may still be sent.
             if now / 5_000 % 3 != 2 && rng.random_bool(0.05) {
                 requests.push_back(now);
-                vm.budget.record_request(Millis(now));
+                vm.budget.record_request(Millis(now), WINDOW_MS);
             }
             let has_share = Millis(now).since(vm.started) >= WINDOW_MS;
             let limits = BudgetLimits {
