Build the stand-in for another VM's server beside the hand-over

What callers saw: nothing; found by reading the change as a newcomer would. The dispatch of requests held a page of fields of a server that does not exist.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -12,7 +12,7 @@
 use guava_core::units::Millis;
 use guava_fleet::binding::StreamBinding;
 use guava_fleet::choice::{self, Candidate};
-use guava_fleet::model::{BackendServer, Route, RouteKind, ServerState};
+use guava_fleet::model::{BackendServer, Route, RouteKind};
 use guava_fleet::routes::draw_service;
 use guava_fleet::server_limits::PlaceOutcome;
 use guava_fleet::statements::{Obstacle, Statements};
@@ -897,24 +897,8 @@
                 vm.vm,
                 self.asked_vms.len()
             );
-            let bound = self.bound.as_ref();
-            let server = BackendServer {
-                id: vm.vm.clone(),
-                service: bound.map_or(&self.service, |it| &it.service).clone(),
-                address: vm.address,
-                zone: String::new(),
-                version: bound.and_then(|it| it.version.clone()),
-                slots: 0,
-                state: ServerState::Ready,
-                born_ms: 0,
-                writes: 0,
-                leaves_in_ms: None,
-                held: Vec::new(),
-                in_memory: Vec::new(),
-                on_disk: Vec::new(),
-            };
             let selected = SelectedServer {
-                server: Arc::new(server),
+                server: Arc::new(vm.as_server(&self.service, self.bound_version())),
                 guard: None,
             };
             return Some(NextServer {
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -13,6 +13,7 @@
 
 use guava_core::events::Event;
 use guava_fleet::binding::StreamBinding;
+use guava_fleet::model::{BackendServer, ServerState};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use rand::seq::IteratorRandom;
@@ -136,3 +137,24 @@
     /// Address for other entry processes.
     pub address: SocketAddr,
 }
+
+impl NextVm {
+    /// Stands for the server that the VM will choose, until that is known.
+    pub fn as_server(&self, service: &str, version: Option<&str>) -> BackendServer {
+        BackendServer {
+            id: self.vm.clone(),
+            service: service.to_owned(),
+            address: self.address,
+            zone: String::new(),
+            version: version.map(str::to_owned),
+            slots: 0,
+            state: ServerState::Ready,
+            born_ms: 0,
+            writes: 0,
+            leaves_in_ms: None,
+            held: Vec::new(),
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+        }
+    }
+}
