Look up the VM of a connection only while its links differ

Cause: the proxies of the soak read the kernel's table of connections for each one that they accept, on the threads that also serve the stand-ins. With thousands of closed connections in the table they served nothing else.

Change: the look-up happens while a VM's links differ from the others', outside these threads. Connections that are open when a link changes live on.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -124,11 +124,18 @@
             let mut connections = tokio::task::JoinSet::new();
             while let Ok((stream, caller)) = listener.accept().await {
                 while connections.try_join_next().is_some() {}
-                let states = VmLinks {
-                    states: states.clone(),
-                    vm: pids.vm_of(caller),
-                };
-                connections.spawn(forward_connection(stream, target, states));
+                let (states, pids) = (states.clone(), pids.clone());
+                connections.spawn(async move {
+                    // Looking it up takes long while thousands of closed connections are listed.
+                    let differs = !states.borrow().by_vm.is_empty();
+                    let vm = if differs {
+                        let found = tokio::task::spawn_blocking(move || pids.vm_of(caller)).await;
+                        found.ok().flatten()
+                    } else {
+                        None
+                    };
+                    forward_connection(stream, target, VmLinks { states, vm }).await;
+                });
             }
         });
         Ok(Self { address, links, task })
@@ -139,7 +146,8 @@
         self.links.send_modify(|it| it.all = link);
     }
 
-    /// Changes the state of the link from one VM; `None` makes it that of the other links.
+    /// Changes the state of the link from one VM, for connections that it opens from now on; `None` makes it that of the
+    /// other links.
     pub fn set_for(&self, vm: usize, link: Option<Link>) {
         self.links.send_modify(|it| match link {
             Some(link) => {
