Drop limits of servers that nobody confirms any more

What callers saw: nothing yet; found by reading the whole change again.

Cause: NamedLimits::remove_expired was written and never called; readers passed over old limits by their age, so no test showed it. The gauge guava_servers_limited did the same and hid what was kept.

Change: it is called with the other removals, once in each of their rounds; the gauge counts what is kept.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -561,8 +561,9 @@
     }
 
     /// Removes servers whose entries were not renewed after an outage of the store, and makes those available whose
-    /// withheld entries were.
+    /// withheld entries were. Drops limits of servers that nobody has confirmed for long.
     pub fn remove_expired(&self, now: Millis) {
+        self.named.lock().remove_expired(now);
         let (dropped, released) = {
             let mut view = self.view.lock();
             (view.remove_expired(now), view.release_withheld(now))
@@ -699,7 +700,7 @@
 
     /// Number of servers that name limits.
     pub fn limited_servers(&self) -> u64 {
-        self.named.lock().count(now())
+        self.named.lock().count()
     }
 
     /// Takes the limits of which other VMs are to be told at once.
--- a/crates/entry/tests/statements.rs
+++ b/crates/entry/tests/statements.rs
@@ -271,3 +271,21 @@
 
     assert_eq!((before, received(&resting)), (1, 2));
 }
+
+/// Guards against limits that are kept for as long as the process runs after their servers have gone.
+#[tokio::test]
+async fn limits_that_nobody_confirms_are_dropped() {
+    let entry = start_entry(Arc::default()).await;
+    let server = server("limited", false, "").await;
+    let stated = Statements {
+        refusals: Some(3),
+        ..Statements::default()
+    };
+    entry.state.record_statements("test", &server.entry, &stated, &[]);
+    entry.state.remove_expired(now() + 30_000);
+    let kept = entry.state.limited_servers();
+
+    entry.state.remove_expired(now() + 61_000);
+
+    assert_eq!((kept, entry.state.limited_servers()), (1, 0));
+}
--- a/crates/fleet/src/server_limits.rs
+++ b/crates/fleet/src/server_limits.rs
@@ -226,10 +226,9 @@
         Some(Known::new(server, limits, presumed.at).tell(&server.id, now))
     }
 
-    /// Number of servers that name limits.
-    pub fn count(&self, now: Millis) -> u64 {
-        let naming = self.by_server.values().filter(|it| !it.limits.is_none());
-        naming.filter(|it| now.since(it.at) < KEPT_MS).count() as u64
+    /// Number of servers whose limits are kept.
+    pub fn count(&self) -> u64 {
+        self.by_server.values().filter(|it| !it.limits.is_none()).count() as u64
     }
 
     /// What other VMs are to be told at once.
