Correct what comments and the event list say of the new cases

What callers saw: nothing; found by reading the whole change as a newcomer would. E1018 did not name servers that cannot be reached, one comment stood for three constants, and the list of messages between VMs did not say what a repeated outcome does.

Evidence: each_event_is_listed, format and clippy of the crates that changed pass.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -55,7 +55,7 @@
     StreamNotContinued = 1015, Debug, "A stream cannot go on at the software version that began it.";
     ServerSilent = 1016, Debug, "A backend server that has a request has been silent for longer than usual.";
     ConnectionCut = 1017, Debug, "A caller's connection ended with an error or an incomplete answer.";
-    NoServerTakes = 1018, Debug, "No backend server takes a request, because all leave or have asked this VM for a rest.";
+    NoServerTakes = 1018, Debug, "No backend server takes a request, because all leave, cannot be reached or have asked this VM for a rest.";
     StartUnconfirmed = 1019, Debug, "The answer of a server was dropped, because the server may have started anew since its entry was received.";
     IdempotencyClaimed = 1020, Debug, "An idempotency record was claimed.";
     IdempotencyReplayed = 1021, Info, "A stored answer was given to a repeated request.";
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -5,10 +5,10 @@
 //! running requests to the coordinator. `quota` takes tokens from the coordinator's share of an organisation's rate
 //! limit, `pace` reserves time on an engine for a prompt, `findings` pushes news of prompts that crash backend servers
 //! (see [`crate::findings`]), `limits` those of limits that servers name, `place` takes a place at such a server and
-//! `outcome` tells what became of it, `begun` pushes records of streams, `origin` asks for one and `versions` for those that may begin streams (see [`crate::streams`]), and
-//! `resign` announces the end of a coordinator's term. All
-//! messages may be repeated safely: they replace earlier values, and a lost answer to `quota` or `pace` only wastes
-//! tokens.
+//! `outcome` tells what became of it, `begun` pushes records of streams, `origin` asks for one and `versions` for those
+//! that may begin streams (see [`crate::streams`]), and `resign` announces the end of a coordinator's term. All messages
+//! may be repeated safely: most replace earlier values, a lost answer to `quota`, `pace` or `place` only wastes what was
+//! taken, and a repeated `outcome` only makes the server look fuller.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
--- a/crates/soak/src/limits.rs
+++ b/crates/soak/src/limits.rs
@@ -11,9 +11,9 @@
 use crate::checks::Observations;
 use crate::fleet::{ENGINE_COUNT, PLAIN_SERVER_COUNT};
 
-/// Sliding window in which retries are counted, the retries that are allowed for each request in it, and those that are
-/// allowed beside them, as in the settings of the fleet.
+/// Sliding window in which retries are counted, as in the settings of the fleet.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// Retries that are allowed for each request in a window, and those that are allowed beside them, as in the settings.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SLACK: f64 = 52.0;
 /// Time by which a request may leave a server more than its caller has left.
