--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -199,6 +199,12 @@
         state.objects.get(&(kind.to_owned(), name.to_owned())).map(|it| it.spec.clone())
     }
 
+    /// Revision of an object; zero if there is none.
+    pub fn revision(&self, kind: &str, name: &str) -> u64 {
+        let state = self.shared.0.lock().unwrap();
+        state.objects.get(&(kind.to_owned(), name.to_owned())).map_or(0, |it| it.revision)
+    }
+
     fn handle(&self, request: &Request) -> Answer {
         let (lock, changed) = &*self.shared;
         let delay = ANSWER * lock.lock().unwrap().slow;
