--- a/review/standins-2/src/holders.rs
+++ b/review/standins-2/src/holders.rs
@@ -53,16 +53,16 @@
             return Verdict::NotRun(e.to_string());
         }
     }
+    // The machine that starts first coordinates. It comes last in the turn and is no seed.
     let mut entries = case.entries(MACHINES);
-    // Seeds "may be stale or down": these machines have been replaced since.
-    let sound_seeds = std::env::var("SEEDS").as_deref() == Ok("sound");
-    for it in &mut entries {
-        if !sound_seeds {
-            it.seeds = (0..3).map(|at| case.net.at(40 + at, 8229)).collect();
-        }
-        if let Err(e) = it.start() {
+    let last = entries.len() - 1;
+    for at in std::iter::once(last).chain(0..last) {
+        if let Err(e) = entries[at].start() {
             return Verdict::NotRun(e.to_string());
         }
+        if at == last {
+            std::thread::sleep(Duration::from_millis(200));
+        }
     }
     if !entries.iter().all(|it| it.wait_until_ready(Duration::from_secs(20))) {
         return Verdict::NotRun("the entry processes are not ready".to_owned());
@@ -71,31 +71,33 @@
     let addresses: Vec<_> = entries.iter().map(|it| (it.name.clone(), it.front(), it.ready_address())).collect();
     let traffic = Traffic::start(case, &addresses);
     std::thread::sleep(Duration::from_millis(500));
-    // The machine that coordinates comes last in the turn.
     let holder = case.store.get("guava-leases", "coordinator").map(|it| it.to_string()).unwrap_or_default();
-    entries.sort_by_key(|it| holder.contains(&format!("\"{}/", it.name)));
+    if !holder.contains(&format!("\"{}/", entries[last].name)) {
+        return Verdict::NotRun("another machine coordinates than the first one".to_owned());
+    }
     if case.has_trouble {
-        let first = case.record.now() + 0.3;
-        let (mut stopped, mut started) = (0, 0);
-        let mut long = Vec::new();
-        while started < entries.len() {
-            let next = first + GAP_S * stopped as f64;
-            if stopped < entries.len() && case.record.now() >= next - 0.2 {
-                // It is stopped while it answers a request.
-                long.push(long_stream(case, &entries[stopped].name, entries[stopped].front()));
-                case.sleep_until(next);
+        // Each machine is stopped while it answers a request.
+        let long: Vec<JoinHandle<()>> = entries.iter().map(|it| long_stream(case, &it.name, it.front())).collect();
+        let first = case.record.now() + 0.2;
+        let mut stopped = 0;
+        let mut is_back = vec![false; entries.len()];
+        while is_back.contains(&false) {
+            if stopped < entries.len() && case.record.now() >= first + GAP_S * stopped as f64 {
                 entries[stopped].signal(SIGTERM);
                 stopped += 1;
             }
-            if started < stopped && entries[started].has_ended() {
-                entries[started].wait();
+            let ended: Vec<usize> = (0..stopped).filter(|it| !is_back[*it] && entries[*it].has_ended()).collect();
+            if !ended.is_empty() {
                 std::thread::sleep(RESTART);
-                if let Err(e) = entries[started].start() {
+            }
+            for at in ended {
+                entries[at].wait();
+                if let Err(e) = entries[at].start() {
                     return Verdict::NotRun(e.to_string());
                 }
-                started += 1;
+                is_back[at] = true;
             }
-            std::thread::sleep(Duration::from_millis(10));
+            std::thread::sleep(Duration::from_millis(5));
         }
         std::thread::sleep(Duration::from_secs(4));
         for it in long {
