--- a/review/standins-2/src/caller.rs
+++ b/review/standins-2/src/caller.rs
@@ -12,21 +12,6 @@
 
 static NEXT: AtomicU64 = AtomicU64::new(1);
 
-/// One request and its answer.
-#[derive(Debug, Clone)]
-pub struct Sent {
-    pub attempt: String,
-    pub node: String,
-    /// When sending began and when the answer, or its want, was known.
-    pub at: f64,
-    pub ended: f64,
-    /// Status; `None` for no complete answer.
-    pub status: Option<u16>,
-    pub body: Vec<u8>,
-    pub seal: Option<String>,
-    pub retry_after: Option<f64>,
-}
-
 pub struct Asked<'a> {
     pub method: &'a str,
     pub path: &'a str,
@@ -36,8 +21,8 @@
     pub body: Vec<u8>,
 }
 
-/// Sends a request and waits for its answer until its deadline.
-pub fn send(node: &str, to: SocketAddr, asked: &Asked<'_>, record: &Record) -> Sent {
+/// Sends a request and waits for its answer until its deadline. Returns the status; `None` for no complete answer.
+pub fn send(node: &str, to: SocketAddr, asked: &Asked<'_>, record: &Record) -> Option<u16> {
     let attempt = format!("{:08x}{:08x}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
     let mut headers = vec![
         ("host".to_owned(), HOST.to_owned()),
@@ -52,23 +37,12 @@
         headers,
         body: asked.body.clone(),
     };
-    let at = record.note(format!("request {attempt} is sent to {node}: {} {}", asked.method, asked.path));
+    record.note(format!("request {attempt} is sent to {node}: {} {}", asked.method, asked.path));
     let answer = call(to, &request, asked.deadline + Duration::from_millis(500));
     let text = match &answer {
         Ok(it) => format!("request {attempt} at {node} is answered {}", it.status),
         Err(e) => format!("request {attempt} at {node} has no answer: {e}"),
     };
-    let ended = record.note(text);
-    let answer = answer.ok();
-    let header = |name: &str| answer.as_ref().and_then(|it| it.header(name)).map(str::to_owned);
-    Sent {
-        attempt,
-        node: node.to_owned(),
-        at,
-        ended,
-        status: answer.as_ref().map(|it| it.status),
-        seal: header("x-response-seal"),
-        retry_after: header("retry-after").and_then(|it| it.parse().ok()),
-        body: answer.map(|it| it.body).unwrap_or_default(),
-    }
+    record.note(text);
+    answer.ok().map(|it| it.status)
 }
--- a/review/standins-2/src/entry.rs
+++ b/review/standins-2/src/entry.rs
@@ -13,11 +13,8 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGKILL: i32 = 9;
+const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
-// The same numbers on x86-64 and arm64.
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 /// Addresses of one case: 127.A.B.x, of which none was in use at its start.
 #[derive(Clone, Copy)]
@@ -192,13 +189,7 @@
     }
 
     pub fn signal(&self, signal: i32) {
-        let name = match signal {
-            SIGKILL => "SIGKILL",
-            SIGTERM => "SIGTERM",
-            SIGCONT => "SIGCONT",
-            SIGSTOP => "SIGSTOP",
-            _ => "signal",
-        };
+        let name = if signal == SIGTERM { "SIGTERM" } else { "a signal" };
         self.record.note(format!("{} gets {name}", self.name));
         if let Some(child) = &self.child {
             // SAFETY: a signal to a child that has not been waited for.
@@ -245,7 +236,7 @@
 impl Drop for Entry {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
-            // SAFETY: as above. A stopped process is ended by SIGKILL too.
+            // SAFETY: as above.
             unsafe { kill(child.id() as i32, SIGKILL) };
             let _ = child.wait();
         }
--- a/review/standins-2/src/holders.rs
+++ b/review/standins-2/src/holders.rs
@@ -46,7 +46,7 @@
             address: case.net.at(100 + at as u8, 8080),
             work: Duration::from_millis(20),
             slots: 64,
-            model: Some(model),
+            model,
             events,
         };
         if let Err(e) = Server::start(&spec, &case.store, &case.record, &case.seen) {
@@ -179,7 +179,10 @@
                     let request = crate::http::Request {
                         method: "GET".to_owned(),
                         target: "/v1/ready".to_owned(),
-                        headers: vec![("host".to_owned(), "ready".to_owned()), ("connection".to_owned(), "close".to_owned())],
+                        headers: vec![
+                            ("host".to_owned(), "ready".to_owned()),
+                            ("connection".to_owned(), "close".to_owned()),
+                        ],
                         body: Vec::new(),
                     };
                     let answer = crate::http::call(address, &request, Duration::from_millis(300));
@@ -216,7 +219,7 @@
                         ],
                         body: vec![b'x'; 300],
                     };
-                    if send(name, *front, &asked, &record).status == Some(200) {
+                    if send(name, *front, &asked, &record) == Some(200) {
                         served.fetch_add(1, Ordering::Relaxed);
                     }
                 }
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -36,10 +36,6 @@
         self.headers.push((name.to_owned(), value.to_string()));
         self
     }
-
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(it, _)| it == name).map(|(_, it)| it.as_str())
-    }
 }
 
 /// What a handler does with a request.
@@ -47,7 +43,7 @@
     Answer(Answer),
     /// The handler has written the answer.
     Answered,
-    /// The connection is closed.
+    /// The connection is to be closed.
     Close,
 }
 
@@ -65,7 +61,7 @@
     });
 }
 
-pub fn serve_connection(stream: TcpStream, handler: &Handler) -> std::io::Result<()> {
+fn serve_connection(stream: TcpStream, handler: &Handler) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     while let Some(request) = read_request(&mut reader)? {
@@ -168,15 +164,19 @@
     let mut bytes = text.into_bytes();
     bytes.extend_from_slice(&request.body);
     stream.write_all(&bytes)?;
-    let mut reader = BufReader::new(stream);
+    read_answer(&mut BufReader::new(stream))
+}
+
+/// Reads an answer, without the informational ones before it.
+pub fn read_answer(reader: &mut impl BufRead) -> std::io::Result<Answer> {
     loop {
-        let line = read_line(&mut reader)?;
+        let line = read_line(reader)?;
         let status = line.split(' ').nth(1).and_then(|it| it.parse().ok()).ok_or_else(|| invalid("status"))?;
-        let headers = read_headers(&mut reader)?;
+        let headers = read_headers(reader)?;
         if (100..200).contains(&status) {
             continue;
         }
-        let body = read_body(&mut reader, &headers, true)?;
+        let body = read_body(reader, &headers, true)?;
         return Ok(Answer { status, headers, body });
     }
 }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -98,11 +98,6 @@
     }
 }
 
-/// Service without engine.
-pub fn plain_service(name: &str) -> String {
-    format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":96,"protocol":"h1","tls":false}}"#)
-}
-
 /// Service of model engines; `models` are names and numbers of adapters.
 pub fn engine_service(name: &str, models: &[(&str, u32)]) -> String {
     let models = models.iter().map(|(model, adapters)| {
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -1,27 +1,16 @@
-//! Stand-in of a backend server, by the pages: one of a plain service, or a model engine that loads adapters.
+//! Stand-in of a model engine, by the pages: it carries out orders and answers with streams.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{Action, Answer, Handler, Request, serve_connection};
+use crate::http::{Action, Answer, Request, serve};
 use crate::json::Json;
 use crate::record::Record;
 use crate::store::Store;
 
-/// Request that a server has begun to work on.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub attempt: String,
-    pub server: String,
-    pub at: f64,
-    pub tenant: String,
-    pub tokens: u64,
-}
-
 /// Order that a server has received.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -34,7 +23,6 @@
 /// What all servers of a case have seen.
 #[derive(Clone, Default)]
 pub struct Seen {
-    pub runs: Arc<Mutex<Vec<Run>>>,
     pub orders: Arc<Mutex<Vec<Order>>>,
 }
 
@@ -99,14 +87,11 @@
     id: String,
     work: Duration,
     born_ms: u64,
-    is_engine: bool,
     /// Events of a stream, and the time between them.
     events: (u32, Duration),
     engine: Mutex<Engine>,
     record: Record,
     seen: Seen,
-    has_ended: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
 }
 
 #[derive(Clone)]
@@ -120,8 +105,8 @@
     /// Time that a request takes.
     pub work: Duration,
     pub slots: u32,
-    /// Model that a model engine holds; `None` for a plain service.
-    pub model: Option<&'a str>,
+    /// Model that the engine holds.
+    pub model: &'a str,
     /// Events of a stream, and the time between them.
     pub events: (u32, Duration),
 }
@@ -135,77 +120,24 @@
             id: spec.id.to_owned(),
             work: spec.work,
             born_ms,
-            is_engine: spec.model.is_some(),
             events: spec.events,
-            engine: Mutex::new(Engine {
-                held: spec.model.iter().map(|it| ((*it).to_owned(), BTreeSet::new())).collect(),
-                ..Engine::default()
-            }),
+            engine: Mutex::new(Engine { held: [(spec.model.to_owned(), BTreeSet::new())].into(), ..Engine::default() }),
             record: record.clone(),
             seen: seen.clone(),
-            has_ended: AtomicBool::new(false),
-            connections: Mutex::default(),
         }));
-        let models = match spec.model {
-            Some(model) => format!(
-                r#","stage":"unified","models":[{{"name":"{model}","version":1,"adapters":[]}}],"atHand":{{"inMemory":["{model}"],"onDisk":["{model}"]}}"#
-            ),
-            None => String::new(),
-        };
+        let model = spec.model;
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","coldLeftMs":0,"seq":1,"born":{born_ms}{models}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","coldLeftMs":0,"seq":1,"born":{born_ms},"stage":"unified","models":[{{"name":"{model}","version":1,"adapters":[]}}],"atHand":{{"inMemory":["{model}"],"onDisk":["{model}"]}}}}"#,
             spec.service, spec.address, spec.zone, spec.slots
         );
         store.put("servers", spec.id, &entry);
-        server.listen(listener);
+        let handling = server.clone();
+        serve(listener, Arc::new(move |request, stream| handling.handle(&request, stream)));
         Ok(server)
     }
 
-    fn listen(&self, listener: TcpListener) {
-        let server = self.clone();
-        std::thread::spawn(move || {
-            listener.set_nonblocking(true).expect("listener");
-            while !server.0.has_ended.load(Ordering::SeqCst) {
-                let Ok((stream, _)) = listener.accept() else {
-                    std::thread::sleep(Duration::from_millis(1));
-                    continue;
-                };
-                let _ = stream.set_nonblocking(false);
-                if let Ok(copy) = stream.try_clone() {
-                    let mut connections = server.0.connections.lock().unwrap();
-                    connections.push(copy);
-                    if connections.len() > 4_096 {
-                        connections.drain(..2_048);
-                    }
-                }
-                let handling = server.clone();
-                let handler: Handler = Arc::new(move |request, stream| handling.handle(&request, stream));
-                std::thread::spawn(move || {
-                    let _ = serve_connection(stream, &handler);
-                });
-            }
-        });
-    }
-
-    pub fn id(&self) -> &str {
-        &self.0.id
-    }
-
-    /// Ends the process of the server: its listener and all its channels are closed.
-    pub fn end(&self) {
-        self.0.has_ended.store(true, Ordering::SeqCst);
-        std::thread::sleep(Duration::from_millis(5));
-        for it in self.0.connections.lock().unwrap().drain(..) {
-            let _ = it.shutdown(std::net::Shutdown::Both);
-        }
-        self.0.record.note(format!("server {} exits", self.0.id));
-    }
-
     fn handle(&self, request: &Request, stream: &TcpStream) -> Action {
         let inner = &*self.0;
-        if inner.has_ended.load(Ordering::SeqCst) {
-            return Action::Close;
-        }
         if request.header("x-expect-instance").is_some_and(|it| it != inner.id) {
             return Action::Answer(Answer::new(421, "").with("x-instance-id", &inner.id));
         }
@@ -261,51 +193,37 @@
         let Some(attempt) = request.header("x-attempt-id").map(str::to_owned) else {
             return Action::Answer(Answer::new(400, "").with("x-not-executed", 1));
         };
-        if inner.is_engine {
-            let wanted = request.header("x-model").unwrap_or_default();
-            let (model, adapter) = wanted.split_once('/').unwrap_or((wanted, ""));
+        let wanted = request.header("x-model").unwrap_or_default();
+        let (model, adapter) = wanted.split_once('/').unwrap_or((wanted, ""));
+        let holds = {
             let mut engine = inner.engine.lock().unwrap();
             engine.settle();
-            let held = engine.held.get(model);
-            if held.is_none_or(|it| !adapter.is_empty() && !it.contains(adapter)) {
-                return Action::Answer(Answer::new(421, "").with("x-attempt-id", &attempt));
-            }
+            engine.held.get(model).is_some_and(|it| adapter.is_empty() || it.contains(adapter))
+        };
+        if !holds {
+            return Action::Answer(Answer::new(421, "").with("x-attempt-id", &attempt));
         }
-        let tokens = request.header("x-token-count").and_then(|it| it.split_once(','));
-        let tokens = tokens.map_or(0, |(a, b)| a.parse::<u64>().unwrap_or(0) + b.parse::<u64>().unwrap_or(0));
-        let at = inner.record.note(format!("server {} begins to run {attempt}", inner.id));
-        inner.seen.runs.lock().unwrap().push(Run {
-            attempt: attempt.clone(),
-            server: inner.id.clone(),
-            at,
-            tenant: request.header("x-tenant").unwrap_or_default().to_owned(),
-            tokens,
-        });
+        inner.record.note(format!("server {} begins to run {attempt}", inner.id));
         std::thread::sleep(inner.work);
-        if inner.has_ended.load(Ordering::SeqCst) {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-            return Action::Close;
-        }
-        let answer = Answer::new(200, format!("answer to {attempt}"))
+        let answer = Answer::new(200, "")
             .with("x-attempt-id", &attempt)
             .with("x-response-seal", format!("seal.{}.{attempt}", inner.id));
-        if !inner.is_engine {
-            return Action::Answer(answer);
-        }
-        match self.stream(&answer, &attempt, stream) {
+        let after = request.header("last-event-id").and_then(|it| it.trim().parse().ok()).unwrap_or(0);
+        match self.stream(&answer, &attempt, after, stream) {
             Ok(()) => Action::Answered,
             Err(_) => Action::Close,
         }
     }
 
-    fn stream(&self, answer: &Answer, attempt: &str, mut to: &TcpStream) -> std::io::Result<()> {
+    /// Sends the events after the one that the requester has received last.
+    fn stream(&self, answer: &Answer, attempt: &str, after: u32, mut to: &TcpStream) -> std::io::Result<()> {
         let mut head = "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\ncontent-type: text/event-stream\r\n".to_owned();
         for (name, value) in &answer.headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
         to.write_all(format!("{head}\r\n").as_bytes())?;
         let (count, pause) = self.0.events;
-        for id in 1..=count {
+        for id in after + 1..=count {
             let event = format!("id: {id}\ndata: {attempt} piece {id}\n\n");
             to.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
             std::thread::sleep(pause);
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -1,5 +1,5 @@
 //! Stand-in of the platform's store, by the pages: objects by kind and name, one counter of revisions, conditional
-//! writes, lists and watches. It answers after 4 ms, or later if it is slow.
+//! writes, lists and watches. It answers after 4 ms.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -32,8 +32,6 @@
     revision: u64,
     objects: BTreeMap<(String, String), Stored>,
     history: Vec<Change>,
-    /// Factor on the time of an answer.
-    slow: u32,
 }
 
 #[derive(Clone)]
@@ -95,7 +93,8 @@
         let spec = body.get("spec").cloned().unwrap_or(Json::Null);
         let metadata = body.get("metadata");
         let stored = |name: &str| self.objects.get(&(kind.to_owned(), name.to_owned())).cloned();
-        let json = |status: u16, it: &Json| Answer::new(status, it.to_string()).with("content-type", "application/json");
+        let json =
+            |status: u16, it: &Json| Answer::new(status, it.to_string()).with("content-type", "application/json");
         match (request.method.as_str(), name) {
             ("GET", None) => {
                 let after = query.get("after").copied().unwrap_or_default();
@@ -125,7 +124,9 @@
                 let expected = metadata.and_then(|it| it.get("revision")).and_then(Json::number);
                 match stored(name) {
                     None => Answer::new(404, ""),
-                    Some(it) if expected.is_some_and(|expected| expected != it.revision) => json(409, &object(name, &it)),
+                    Some(it) if expected.is_some_and(|expected| expected != it.revision) => {
+                        json(409, &object(name, &it))
+                    }
                     Some(_) => json(200, &self.put(kind, name, spec)),
                 }
             }
@@ -168,18 +169,13 @@
 impl Store {
     pub fn start(address: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
-        let state = State { revision: 10, slow: 1, ..State::default() };
+        let state = State { revision: 10, ..State::default() };
         let store = Self { shared: Arc::new((Mutex::new(state), Condvar::new())), address };
         let handler = store.clone();
         serve(listener, Arc::new(move |request, _| Action::Answer(handler.handle(&request))));
         Ok(store)
     }
 
-    /// Makes all answers take `factor` times as long.
-    pub fn set_slow(&self, factor: u32) {
-        self.shared.0.lock().unwrap().slow = factor;
-    }
-
     /// Writes an object as the operator or a backend server does.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let spec = Json::parse(spec).unwrap_or_else(|| panic!("spec of {kind}/{name}"));
@@ -187,27 +183,14 @@
         self.shared.1.notify_all();
     }
 
-    /// Removes an object as a backend server does.
-    pub fn remove(&self, kind: &str, name: &str) {
-        self.shared.0.lock().unwrap().remove(kind, name);
-        self.shared.1.notify_all();
-    }
-
     /// Spec of an object.
     pub fn get(&self, kind: &str, name: &str) -> Option<Json> {
         let state = self.shared.0.lock().unwrap();
         state.objects.get(&(kind.to_owned(), name.to_owned())).map(|it| it.spec.clone())
     }
 
-    /// Revision of an object; zero if there is none.
-    pub fn revision(&self, kind: &str, name: &str) -> u64 {
-        let state = self.shared.0.lock().unwrap();
-        state.objects.get(&(kind.to_owned(), name.to_owned())).map_or(0, |it| it.revision)
-    }
-
     fn handle(&self, request: &Request) -> Answer {
         let (lock, changed) = &*self.shared;
-        let delay = ANSWER * lock.lock().unwrap().slow;
         let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
         let query: BTreeMap<&str, &str> = query.split('&').filter_map(|it| it.split_once('=')).collect();
         let Some(path) = path.strip_prefix("/v1/objects/") else {
@@ -215,10 +198,10 @@
         };
         let (kind, name) = path.split_once('/').map_or((path, None), |(kind, name)| (kind, Some(name)));
         if request.method != "GET" || !query.contains_key("watch") {
-            std::thread::sleep(delay / 2);
+            std::thread::sleep(ANSWER / 2);
             let answer = lock.lock().unwrap().handle(request, kind, name, &query);
             changed.notify_all();
-            std::thread::sleep(delay / 2);
+            std::thread::sleep(ANSWER / 2);
             return answer;
         }
         let since: u64 = query["watch"].parse().unwrap_or(0);
@@ -236,7 +219,7 @@
             state = changed.wait_timeout(state, left).unwrap().0;
         };
         drop(state);
-        std::thread::sleep(delay);
+        std::thread::sleep(ANSWER);
         answer
     }
 }
